Serve one request from a caller through a daemon to an endpoint

Cause: the repository was empty; every later change needs a path from a caller to an endpoint to be measured against. Conclusion: the thin path works; the parts can be built on it in parallel.

--- /dev/null
+++ b/anvilcove/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the daemons and of the policies."""
--- /dev/null
+++ b/anvilcove/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line programs."""
--- /dev/null
+++ b/anvilcove/cli/main.py
@@ -0,0 +1,39 @@
+"""Entry point of the `anvilcove` command."""
+
+import sys
+from importlib import import_module
+
+from absl import app, flags
+
+from anvilcove.cli.registry import HELP_BY_NAME, PROGRAMS
+
+# The module of a program is imported only when it runs, so that a daemon
+# stays below its memory budget.
+MODULE_BY_PROGRAM = {
+    'serve': 'anvilcove.cli.serve',
+    'standin': 'anvilcove.cli.standin',
+    'demo': 'anvilcove.cli.demo',
+}
+
+
+def usage() -> str:
+    """Return the list of programs."""
+    names = '\n'.join(f'  {name}' for name in MODULE_BY_PROGRAM)
+    return f'usage: anvilcove PROGRAM [ARGUMENTS] [--help]\n{names}'
+
+
+def run() -> None:
+    """Run the program that the command line names."""
+    if len(sys.argv) < 2 or sys.argv[1] not in MODULE_BY_PROGRAM:
+        asked = len(sys.argv) == 2 and sys.argv[1] in ('--help', 'help')
+        print(usage(), file=sys.stdout if asked else sys.stderr)
+        sys.exit(0 if asked else 2)
+    name = sys.argv.pop(1)
+    import_module(MODULE_BY_PROGRAM[name])
+    flags.FLAGS.set_gnu_getopt(True)
+    sys.modules['__main__'].__doc__ = HELP_BY_NAME[name]
+
+    def call(arguments: list[str]) -> int:
+        return PROGRAMS[name](arguments[1:])
+
+    app.run(call)
--- /dev/null
+++ b/anvilcove/client/__init__.py
@@ -0,0 +1,1 @@
+"""Client library for callers and trainers."""
--- /dev/null
+++ b/anvilcove/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Operations that change state."""
--- /dev/null
+++ b/anvilcove/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: wiring, listeners, start and shutdown."""
--- /dev/null
+++ b/anvilcove/daemon/replies.py
@@ -0,0 +1,64 @@
+"""Read strict JSON bodies and write JSON replies."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from aiohttp import web
+
+from anvilcove.messages.base import MessageError, decode, encode
+from anvilcove.messages.callers import Refusal
+
+M = TypeVar('M')
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+BODY_TIMEOUT = web.AppKey('body_timeout', float)
+
+
+def reply(message: object, status: int = 200) -> web.Response:
+    """Return a JSON response."""
+    return web.Response(
+        body=encode(message), status=status, content_type='application/json'
+    )
+
+
+def refusal(status: int, error: str, reason: str) -> web.Response:
+    """Return a JSON error response."""
+    return reply(Refusal(error=error, reason=reason), status)
+
+
+class BadRequest(Exception):
+    """Raised when a body is refused; carries the response."""
+
+    def __init__(self, response: web.Response) -> None:
+        """Keep the response to send."""
+        super().__init__(response.status)
+        self.response = response
+
+
+async def read_message(request: web.Request, kind: type[M]) -> M:
+    """Decode the body into a message, or raise BadRequest."""
+    try:
+        async with asyncio.timeout(request.app[BODY_TIMEOUT]):
+            data = await request.read()
+        return decode(data, kind)
+    except TimeoutError:
+        raise BadRequest(
+            refusal(408, 'slow_body', 'body not received in time')
+        ) from None
+    except web.HTTPRequestEntityTooLarge:
+        raise BadRequest(
+            refusal(413, 'body_too_large', 'body exceeds the size limit')
+        ) from None
+    except MessageError as error:
+        raise BadRequest(refusal(400, 'invalid_body', str(error))) from error
+
+
+@web.middleware
+async def bad_request_middleware(
+    request: web.Request, handler: Handler
+) -> web.StreamResponse:
+    """Turn BadRequest into its response."""
+    try:
+        return await handler(request)
+    except BadRequest as error:
+        return error.response
--- /dev/null
+++ b/anvilcove/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decision policies that open no socket and read no clock."""
--- /dev/null
+++ b/anvilcove/decisions/types.py
@@ -0,0 +1,118 @@
+"""Typed inputs and results of the decision policies."""
+
+from typing import Any
+
+from msgspec import Struct, field
+
+INTERACTIVE = 'interactive'
+BACKGROUND = 'background'
+TRAINER = 'trainer'
+
+PRIORITY_BY_KIND = {INTERACTIVE: 0, BACKGROUND: 1, TRAINER: 1}
+
+
+class Admit(Struct, frozen=True):
+    """Take the request; a lower priority number is served first."""
+
+    priority: int = 0
+
+
+class Refuse(Struct, frozen=True):
+    """Refuse the request as not run."""
+
+    reason: str
+    retry_after_s: float
+
+
+class PoolLoad(Struct):
+    """Load of one pool as one daemon knows it."""
+
+    endpoints: int
+    limit: float
+    in_flight: int
+    queued: int
+    queued_by_priority: dict[int, int] = field(default_factory=dict)
+    service_time_s: float = 0.0
+
+
+class RouteRequest(Struct):
+    """What routing needs to know of a request."""
+
+    request_id: str
+    class_name: str
+    kind: str
+    pool: str
+    content: str = ''
+    prefixes: list[str] = field(default_factory=list)
+    excluded: set[str] = field(default_factory=set)
+    deadline_at_s: float = 0.0
+    isolated: bool = False
+
+
+class Candidate(Struct):
+    """What was known of an endpoint when it was considered."""
+
+    endpoint: str
+    in_flight: int
+    limit: float
+    report_age_s: float
+    score: float
+
+
+class Route(Struct):
+    """Endpoint chosen for a request."""
+
+    endpoint: str
+    candidates: list[Candidate]
+    reason: str
+
+
+class NoRoute(Struct):
+    """No endpoint may take the request now."""
+
+    reason: str
+
+
+class Allow(Struct, frozen=True):
+    """Run the request normally."""
+
+
+class Isolate(Struct, frozen=True):
+    """Run the request alone on its endpoint, without a second attempt."""
+
+    crashes: int
+
+
+class Reject(Struct, frozen=True):
+    """Never run the request again."""
+
+    crashes: int
+
+
+OK = 'ok'
+OVERLOADED = 'overloaded'
+ERROR = 'error'
+CRASH = 'crash'
+CANCELLED = 'cancelled'
+
+
+class AttemptResult(Struct, frozen=True):
+    """Result of one attempt at an endpoint."""
+
+    endpoint: str
+    outcome: str
+    latency_s: float
+
+
+class DecisionRecord(Struct):
+    """One decision as it is logged and recorded."""
+
+    at_s: float
+    decision: str
+    subject: str
+    class_name: str
+    choice: str
+    reason: str
+    candidates: list[Candidate] = field(default_factory=list)
+    revision: int = 0
+    extra: dict[str, Any] = field(default_factory=dict)
--- /dev/null
+++ b/anvilcove/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration of one site under faults."""
--- /dev/null
+++ b/anvilcove/demo/processes.py
@@ -0,0 +1,102 @@
+"""Start, signal and stop the processes of a site on this machine."""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+START_LIMIT_S = 30.0
+STOP_LIMIT_S = 20.0
+POLL_S = 0.05
+
+
+def free_port(ip: str = '127.0.0.1') -> int:
+    """Return a port that the operating system has free on an address."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        probe.bind((ip, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+class ProcessGroup:
+    """Processes of one run by name; each writes a log file of its own."""
+
+    __slots__ = ('folder', 'by_name', '_command_by_name')
+
+    def __init__(self, folder: Path) -> None:
+        """Use a folder for the log files."""
+        self.folder = folder
+        self.by_name: dict[str, asyncio.subprocess.Process] = {}
+        self._command_by_name: dict[str, list[str]] = {}
+        folder.mkdir(parents=True, exist_ok=True)
+
+    async def start(self, name: str, arguments: list[str]) -> None:
+        """Start `anvilcove ARGUMENTS` under a name."""
+        command = [
+            sys.executable,
+            '-c',
+            'from anvilcove.cli.main import run; run()',
+            *arguments,
+        ]
+        self._command_by_name[name] = command
+        await self._spawn(name)
+
+    async def restart(self, name: str) -> None:
+        """Start a process again with the same arguments."""
+        await self._spawn(name)
+
+    async def _spawn(self, name: str) -> None:
+        with (self.folder / f'{name}.log').open('ab') as log:
+            self.by_name[name] = await asyncio.create_subprocess_exec(
+                *self._command_by_name[name],
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+            )
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to a process that still runs."""
+        process = self.by_name[name]
+        if process.returncode is None:
+            process.send_signal(number)
+
+    async def kill(self, name: str) -> None:
+        """Kill a process and wait for its end."""
+        self.signal(name, signal.SIGKILL)
+        await self.by_name[name].wait()
+
+    async def terminate(self, name: str) -> int:
+        """Stop a process gracefully and return its exit status."""
+        self.signal(name, signal.SIGTERM)
+        try:
+            async with asyncio.timeout(STOP_LIMIT_S):
+                return await self.by_name[name].wait()
+        except TimeoutError:
+            await self.kill(name)
+            return -signal.SIGKILL
+
+    async def stop_all(self) -> None:
+        """Kill every process; a paused one is killed as well."""
+        for name in self.by_name:
+            await self.kill(name)
+
+
+async def wait_until_ready(session: ClientSession, url: str) -> None:
+    """Wait until a URL answers 200, or raise TimeoutError."""
+    async with asyncio.timeout(START_LIMIT_S):
+        while True:
+            try:
+                async with session.get(
+                    url, timeout=ClientTimeout(total=2.0)
+                ) as response:
+                    if response.status == 200:
+                        return
+            except (ClientError, OSError, TimeoutError):
+                pass
+            await asyncio.sleep(POLL_S)
--- /dev/null
+++ b/anvilcove/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between processes, one module per conversation."""
--- /dev/null
+++ b/anvilcove/messages/peers.py
@@ -0,0 +1,63 @@
+"""Messages between entry daemons."""
+
+from typing import Any
+
+from msgspec import field
+
+from anvilcove.messages.base import Message
+
+
+class HostDigest(Message, array_like=True):
+    """Gossiped facts of one host: heartbeat, revision, load, draining."""
+
+    beat: int
+    revision: int
+    load: int
+    draining: bool
+
+
+class SuspectDigest(Message, array_like=True):
+    """Crashes of one endpoint that involved a content hash."""
+
+    content: str
+    endpoint: str
+    crashes: int
+
+
+class Gossip(Message):
+    """Digest that two daemons exchange, as request and as answer."""
+
+    host: str
+    hosts: dict[str, HostDigest]
+    leaving: list[str] = field(default_factory=list)
+    suspects: list[SuspectDigest] = field(default_factory=list)
+    weights: dict[str, int] = field(default_factory=dict)
+
+
+class Announce(Message):
+    """Urgent news sent to every peer at once."""
+
+    host: str
+    leaving: list[str] = field(default_factory=list)
+    suspects: list[SuspectDigest] = field(default_factory=list)
+    draining: bool = False
+    revision: int = 0
+    document: dict[str, Any] | None = None
+
+
+class Announced(Message):
+    """Revision in force at the receiving daemon."""
+
+    host: str
+    revision: int
+
+
+class ClaimState(Message):
+    """What the holder of a claim's nonce knows about it.
+
+    `state` is `active`, `abandoned` (never sent, never will be), or
+    `unknown` when the holder has no memory of it.
+    """
+
+    nonce: str
+    state: str
--- /dev/null
+++ b/anvilcove/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Ports to outside systems and their adapters."""
--- /dev/null
+++ b/anvilcove/platform/http.py
@@ -0,0 +1,110 @@
+"""HTTP calls with errors turned into those of the platform ports."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+    ConnectionTimeoutError,
+    ServerDisconnectedError,
+)
+
+from anvilcove.messages.base import MessageError, decode, encode
+from anvilcove.messages.services import EndpointRefusal
+from anvilcove.platform.errors import (
+    AnswerMismatch,
+    EndpointCrashed,
+    EndpointFailed,
+    EndpointNotRun,
+    StoreAnswerLost,
+    StoreUnavailable,
+)
+
+REFUSED_STATUSES = (429, 503)
+HEADERS = {'Content-Type': 'application/json'}
+
+
+@asynccontextmanager
+async def store_call(
+    session: ClientSession,
+    method: str,
+    url: str,
+    timeout_s: float,
+    message: object | None = None,
+    data: bytes | None = None,
+) -> AsyncIterator[ClientResponse]:
+    """Call a store; raise StoreUnavailable only if nothing was applied."""
+    body = encode(message) if message is not None else data
+    try:
+        async with session.request(
+            method,
+            url,
+            data=body,
+            headers=HEADERS,
+            timeout=ClientTimeout(total=timeout_s, sock_connect=timeout_s),
+        ) as response:
+            if response.status in REFUSED_STATUSES:
+                raise StoreUnavailable(f'{url}: status {response.status}')
+            yield response
+    except (ClientConnectorError, ConnectionTimeoutError) as error:
+        raise StoreUnavailable(f'{url}: {error}') from error
+    except (ClientError, TimeoutError, OSError) as error:
+        raise StoreAnswerLost(f'{url}: {error!r}') from error
+
+
+@asynccontextmanager
+async def endpoint_call(
+    session: ClientSession,
+    method: str,
+    url: str,
+    timeout_s: float | None,
+    message: object | None = None,
+    headers: dict[str, str] | None = None,
+) -> AsyncIterator[ClientResponse]:
+    """Call an endpoint; raise EndpointNotRun only if it ran nothing."""
+    try:
+        async with session.request(
+            method,
+            url,
+            data=None if message is None else encode(message),
+            headers={**HEADERS, **(headers or {})},
+            timeout=ClientTimeout(total=timeout_s, sock_connect=1.0),
+        ) as response:
+            if response.status in REFUSED_STATUSES:
+                raise await _refused(response, url)
+            if response.status != 200:
+                raise EndpointFailed(f'{url}: status {response.status}')
+            yield response
+    except (ClientConnectorError, ConnectionTimeoutError) as error:
+        raise EndpointNotRun(f'{url}: {error}') from error
+    except ServerDisconnectedError as error:
+        raise EndpointCrashed(f'{url}: {error!r}') from error
+    except TimeoutError as error:
+        raise EndpointFailed(f'{url}: no answer in time') from error
+    except (ClientError, OSError) as error:
+        raise EndpointCrashed(f'{url}: {error!r}') from error
+
+
+async def _refused(
+    response: ClientResponse, url: str
+) -> EndpointNotRun | EndpointFailed:
+    try:
+        refusal = decode(await response.read(), EndpointRefusal)
+    except MessageError:
+        return EndpointFailed(f'{url}: status {response.status}')
+    if refusal.run:
+        return EndpointFailed(f'{url}: {refusal.reason}')
+    return EndpointNotRun(refusal.reason, overloaded=True)
+
+
+async def read_answer(response: ClientResponse, kind: Any) -> Any:
+    """Decode a whole answer, or raise AnswerMismatch."""
+    try:
+        return decode(await response.read(), kind)
+    except MessageError as error:
+        raise AnswerMismatch(str(error)) from error
--- /dev/null
+++ b/anvilcove/platform/objects.py
@@ -0,0 +1,44 @@
+"""Adapter of the object store."""
+
+from aiohttp import ClientSession
+
+from anvilcove.platform.errors import ObjectNotFound
+from anvilcove.platform.http import store_call
+from anvilcove.platform.registry import adapter
+from anvilcove.settings.daemon import AdapterSettings
+
+
+@adapter('objects', 'http_json')
+class HttpObjects:
+    """Object store over HTTP."""
+
+    __slots__ = ('_base', '_session', '_timeout_s')
+
+    def __init__(
+        self, settings: AdapterSettings, session: ClientSession
+    ) -> None:
+        """Keep the address; no call is made."""
+        self._base = f'http://{settings.address}/objects'
+        self._session = session
+        self._timeout_s = settings.timeout_ms / 1000
+
+    async def put(self, name: str, data: bytes) -> None:
+        """Write an object; repeating the same write is harmless."""
+        async with store_call(
+            self._session,
+            'PUT',
+            f'{self._base}/{name}',
+            self._timeout_s,
+            data=data,
+        ) as response:
+            response.raise_for_status()
+
+    async def get(self, name: str) -> bytes:
+        """Read an object or raise ObjectNotFound."""
+        async with store_call(
+            self._session, 'GET', f'{self._base}/{name}', self._timeout_s
+        ) as response:
+            if response.status == 404:
+                raise ObjectNotFound(name)
+            response.raise_for_status()
+            return await response.read()
--- /dev/null
+++ b/anvilcove/platform/services.py
@@ -0,0 +1,57 @@
+"""Adapter of the plain services."""
+
+from aiohttp import ClientSession
+
+from anvilcove.messages.engines import LoadReport
+from anvilcove.messages.services import ServiceAnswer, ServiceCall
+from anvilcove.platform.errors import AnswerMismatch
+from anvilcove.platform.http import endpoint_call, read_answer
+from anvilcove.platform.registry import adapter
+
+REPORT_TIMEOUT_S = 1.0
+
+
+@adapter('service', 'http_json')
+class HttpService:
+    """Plain service over HTTP with JSON."""
+
+    __slots__ = ('_base', '_session')
+
+    def __init__(self, address: str, session: ClientSession) -> None:
+        """Keep the address; no call is made."""
+        self._base = f'http://{address}'
+        self._session = session
+
+    async def call(
+        self,
+        request: ServiceCall,
+        timeout_s: float,
+        fresh_connection: bool = False,
+    ) -> ServiceAnswer:
+        """Call the service and check that the answer is whole and ours.
+
+        A call that may not be repeated uses a fresh connection: a reused one
+        may be closed by the service at any time, which cannot be told from a
+        crash after the call was received.
+        """
+        headers = {'Connection': 'close'} if fresh_connection else None
+        async with endpoint_call(
+            self._session,
+            'POST',
+            f'{self._base}/call',
+            timeout_s,
+            request,
+            headers,
+        ) as response:
+            answer: ServiceAnswer = await read_answer(response, ServiceAnswer)
+        if answer.request_id != request.request_id or not answer.complete:
+            raise AnswerMismatch('answer is incomplete or of another request')
+        return answer
+
+    async def load(self) -> LoadReport:
+        """Read the lagging load report."""
+        async with endpoint_call(
+            self._session, 'GET', f'{self._base}/load', REPORT_TIMEOUT_S
+        ) as response:
+            report: LoadReport = await read_answer(response, LoadReport)
+            return report
--- /dev/null
+++ b/anvilcove/platform/weights.py
@@ -0,0 +1,36 @@
+"""Adapter of the weight store."""
+
+from aiohttp import ClientSession
+
+from anvilcove.messages.base import MessageError, decode
+from anvilcove.messages.trainers import WeightsPublished
+from anvilcove.platform.errors import StoreUnavailable
+from anvilcove.platform.http import store_call
+from anvilcove.platform.registry import adapter
+from anvilcove.settings.daemon import AdapterSettings
+
+
+@adapter('weights', 'http_json')
+class HttpWeights:
+    """Weight store over HTTP; the engines fetch the weights themselves."""
+
+    __slots__ = ('_base', '_session', '_timeout_s')
+
+    def __init__(
+        self, settings: AdapterSettings, session: ClientSession
+    ) -> None:
+        """Keep the address; no call is made."""
+        self._base = f'http://{settings.address}/weights'
+        self._session = session
+        self._timeout_s = settings.timeout_ms / 1000
+
+    async def newest(self, model: str) -> int:
+        """Return the newest version that the store holds, 0 for none."""
+        async with store_call(
+            self._session, 'GET', f'{self._base}/{model}', self._timeout_s
+        ) as response:
+            try:
+                answer = decode(await response.read(), WeightsPublished)
+            except MessageError as error:
+                raise StoreUnavailable(str(error)) from error
+            return answer.version
--- /dev/null
+++ b/anvilcove/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Operations that only read state."""
--- /dev/null
+++ b/anvilcove/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Recorder and replay of decision traces."""
--- /dev/null
+++ b/anvilcove/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Typed settings and class declarations."""
--- /dev/null
+++ b/anvilcove/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform with fault switches."""
--- /dev/null
+++ b/anvilcove/state/__init__.py
@@ -0,0 +1,1 @@
+"""State that a daemon keeps in memory."""
--- /dev/null
+++ b/anvilcove/state/endpoints.py
@@ -0,0 +1,116 @@
+"""What one daemon knows of the endpoints."""
+
+import random
+
+from reactivex import Subject
+
+from anvilcove.messages.engines import LoadReport
+from anvilcove.messages.membership import LEAVING, EndpointMember
+
+DEFAULT_LIMIT = 8.0
+
+
+class EndpointState:
+    """Knowledge of one endpoint; owned by one daemon."""
+
+    __slots__ = (
+        'endpoint',
+        'address',
+        'data_centre',
+        'pool',
+        'kind',
+        'leaving',
+        'in_flight',
+        'limit',
+        'latency_s',
+        'report',
+        'report_at_s',
+        'ejected_until_s',
+        'isolated',
+        'version',
+    )
+
+    def __init__(self, member: EndpointMember) -> None:
+        """Start with the facts of the membership list."""
+        self.endpoint = member.endpoint
+        self.address = member.address
+        self.data_centre = member.data_centre
+        self.pool = member.pool
+        self.kind = member.kind
+        self.leaving = member.state == LEAVING
+        self.in_flight = 0
+        self.limit = DEFAULT_LIMIT
+        self.latency_s = 0.0
+        self.report: LoadReport | None = None
+        self.report_at_s = 0.0
+        self.ejected_until_s = 0.0
+        self.isolated = False
+        self.version = 0
+
+    def has_room(self, now: float) -> bool:
+        """Tell whether the endpoint may take one more request."""
+        return (
+            not self.leaving
+            and not self.isolated
+            and self.ejected_until_s <= now
+            and self.in_flight < self.limit
+        )
+
+
+class EndpointView:
+    """All endpoints by identifier and by pool."""
+
+    __slots__ = ('by_id', 'ids_by_pool', 'changes')
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.by_id: dict[str, EndpointState] = {}
+        self.ids_by_pool: dict[str, list[str]] = {}
+        self.changes: Subject[str] = Subject()
+
+    def update(self, members: list[EndpointMember]) -> None:
+        """Adopt a membership list; a leaving mark is never taken back."""
+        listed = {member.endpoint for member in members}
+        for gone in [e for e in self.by_id if e not in listed]:
+            self._remove(gone)
+        for member in members:
+            known = self.by_id.get(member.endpoint)
+            if known is not None and known.address != member.address:
+                self._remove(member.endpoint)
+                known = None
+            if known is None:
+                self._add(member)
+            elif member.state == LEAVING:
+                self.mark_leaving(member.endpoint)
+
+    def mark_leaving(self, endpoint: str) -> bool:
+        """Stop new work to an endpoint; return whether this was news."""
+        known = self.by_id.get(endpoint)
+        if known is None or known.leaving:
+            return False
+        known.leaving = True
+        self.changes.on_next(endpoint)
+        return True
+
+    def in_pool(self, pool: str) -> list[EndpointState]:
+        """Return the endpoints of a pool."""
+        return [self.by_id[e] for e in self.ids_by_pool.get(pool, [])]
+
+    def sample(
+        self, pool: str, count: int, rng: random.Random
+    ) -> list[EndpointState]:
+        """Return up to `count` random endpoints of a pool in O(count)."""
+        ids = self.ids_by_pool.get(pool, [])
+        chosen = ids if len(ids) <= count else rng.sample(ids, count)
+        return [self.by_id[endpoint] for endpoint in chosen]
+
+    def _add(self, member: EndpointMember) -> None:
+        self.by_id[member.endpoint] = EndpointState(member)
+        self.ids_by_pool.setdefault(member.pool, []).append(member.endpoint)
+        self.changes.on_next(member.endpoint)
+
+    def _remove(self, endpoint: str) -> None:
+        state = self.by_id.pop(endpoint)
+        state.leaving = True
+        self.ids_by_pool[state.pool].remove(endpoint)
+        self.changes.on_next(endpoint)
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,29 @@
+"""Fixtures shared by the scenarios."""
+
+import asyncio
+import shutil
+import tempfile
+from pathlib import Path
+
+from aiohttp import ClientSession
+
+
+def before_scenario(context, scenario):
+    """Give each scenario a loop, a session and a folder of its own."""
+    context.loop = asyncio.new_event_loop()
+    context.folder = Path(tempfile.mkdtemp(prefix='anvilcove-'))
+    context.site = None
+
+    async def open_session():
+        return ClientSession()
+
+    context.session = context.loop.run_until_complete(open_session())
+
+
+def after_scenario(context, scenario):
+    """Stop the processes of the scenario."""
+    if context.site is not None:
+        context.loop.run_until_complete(context.site.stop())
+    context.loop.run_until_complete(context.session.close())
+    context.loop.close()
+    shutil.rmtree(context.folder, ignore_errors=True)
