Add the dispatcher, the policy interfaces and their naive variants

Cause: request handling, rollout samples and the policies are to be built separately and need one place where they meet. Change: a queue that gives out room at endpoints and accounts for each attempt, protocols for eight policies, a confirmation state, a client for peers, and the content hash. Conclusion: the interfaces carry the thin path; parts can plug in.

--- a/anvilcove/commands/apply.py
+++ b/anvilcove/commands/apply.py
@@ -41,6 +41,9 @@
         while True:
             try:
                 rows = await self.context.ports['table'].read([CONFIG_KEY])
+                self.context.confirmation.table_was_read(
+                    self.context.clock.now()
+                )
                 value = rows[CONFIG_KEY].value
                 if value is not None:
                     self._adopt(value['revision'], value['document'])
--- a/anvilcove/commands/submit.py
+++ b/anvilcove/commands/submit.py
@@ -4,12 +4,16 @@
 
 from aiohttp import web
 
+from anvilcove.commands.dispatch import Dispatcher, NoSlot
 from anvilcove.daemon.context import Part
 from anvilcove.daemon.parts import part
 from anvilcove.daemon.replies import read_message, reply
 from anvilcove.decisions.types import (
-    DecisionRecord,
-    NoRoute,
+    CRASH,
+    ERROR,
+    OK,
+    OVERLOADED,
+    PRIORITY_BY_KIND,
     PoolLoad,
     Refuse,
     RouteRequest,
@@ -25,8 +29,13 @@
 )
 from anvilcove.messages.engines import Generate, TokenEvent
 from anvilcove.messages.services import ServiceCall
-from anvilcove.platform.errors import EndpointFailed, EndpointNotRun
+from anvilcove.platform.errors import (
+    EndpointCrashed,
+    EndpointFailed,
+    EndpointNotRun,
+)
 from anvilcove.settings.classes import ClassTarget
+from anvilcove.state.content import content_hash
 from anvilcove.state.endpoints import EndpointState
 
 STATUS_BY_OUTCOME = {ANSWERED: 200, NOT_RUN: 503, UNKNOWN: 502, FAILED: 502}
@@ -53,6 +62,9 @@
         if target is None:
             return _not_run(message, 'class is not declared', 1_000)
         now = context.clock.now()
+        reason = context.refusal_reason()
+        if reason:
+            return _not_run(message, reason, 1_000)
         deadline_s = message.deadline_ms / 1000 or DEFAULT_DEADLINE_S
         verdict = context.policy('admission').offer(
             now, target, self._pool_load(target), now + deadline_s
@@ -66,49 +78,39 @@
     async def _attempt(
         self, message: SubmitRequest, target: ClassTarget, deadline_s: float
     ) -> Outcome:
-        context = self.context
-        now = context.clock.now()
-        route = context.policy('routing').choose(
-            now,
-            RouteRequest(
-                request_id=message.request_id,
-                class_name=target.name,
-                kind=target.kind,
-                pool=target.pool,
-                deadline_at_s=deadline_s,
-            ),
-            context.endpoints,
-            context.rng,
+        request = RouteRequest(
+            request_id=message.request_id,
+            class_name=target.name,
+            kind=target.kind,
+            pool=target.pool,
+            content=content_hash(target.name, message.body),
+            deadline_at_s=deadline_s,
         )
-        if isinstance(route, NoRoute):
-            return _not_run(message, route.reason, 500)
-        context.decisions.record(
-            DecisionRecord(
-                at_s=now,
-                decision='route',
-                subject=message.request_id,
-                class_name=target.name,
-                choice=route.endpoint,
-                reason=route.reason,
-                candidates=route.candidates,
-                revision=context.config.revision,
+        try:
+            slot = await self.context.part(Dispatcher).acquire(
+                request, PRIORITY_BY_KIND[target.kind]
             )
-        )
-        state = context.endpoints.by_id[route.endpoint]
-        state.in_flight += 1
+        except NoSlot as error:
+            return _not_run(message, str(error), 500)
+        outcome = ERROR
         try:
-            return await self._send(message, state, deadline_s - now)
+            left_s = deadline_s - self.context.clock.now()
+            answer = await self._send(message, slot.state, left_s)
+            outcome = OK
+            return answer
         except EndpointNotRun as error:
+            outcome = OVERLOADED if error.overloaded else ERROR
             return _not_run(message, str(error), 500)
         except EndpointFailed as error:
-            outcome = FAILED if message.repeatable else UNKNOWN
+            if isinstance(error, EndpointCrashed):
+                outcome = CRASH
             return Outcome(
                 request_id=message.request_id,
-                outcome=outcome,
+                outcome=FAILED if message.repeatable else UNKNOWN,
                 reason=str(error),
             )
         finally:
-            state.in_flight -= 1
+            slot.release(outcome)
 
     async def _send(
         self, message: SubmitRequest, state: EndpointState, timeout_s: float
@@ -133,7 +135,7 @@
             endpoints=len(states),
             limit=sum(state.limit for state in states),
             in_flight=sum(state.in_flight for state in states),
-            queued=0,
+            queued=self.context.part(Dispatcher).queued(target.pool),
         )
 
 
--- a/anvilcove/daemon/app.py
+++ b/anvilcove/daemon/app.py
@@ -14,6 +14,7 @@
 from anvilcove.state.clock import SystemClock, random_source
 
 PART_MODULES = (
+    'anvilcove.commands.dispatch',
     'anvilcove.commands.submit',
     'anvilcove.commands.membership',
     'anvilcove.commands.apply',
--- a/anvilcove/daemon/context.py
+++ b/anvilcove/daemon/context.py
@@ -12,6 +12,7 @@
 from anvilcove.settings.daemon import DaemonSettings
 from anvilcove.state.clock import Clock
 from anvilcove.state.config import ConfigState
+from anvilcove.state.confirmation import Confirmation
 from anvilcove.state.endpoints import EndpointState, EndpointView
 from anvilcove.state.peers import PeerTable
 
@@ -31,6 +32,7 @@
         'ports',
         'policies',
         'parts',
+        'confirmation',
         'draining',
         '_endpoint_ports',
     )
@@ -62,6 +64,9 @@
         }
         self.policies: dict[str, Any] = {}
         self.parts: dict[type[Any], Any] = {}
+        self.confirmation = Confirmation(
+            settings.timing.confirm_window_ms / 1000
+        )
         self.draining = False
         self._endpoint_ports: dict[tuple[str, str], Any] = {}
 
@@ -72,6 +77,12 @@
             self.policies[topic] = policy_class(topic, name)(self.settings)
         return self.policies[topic]
 
+    def refusal_reason(self) -> str:
+        """Return why no new work may be taken, or an empty string."""
+        if not self.confirmation.holds(self.clock.now()):
+            return 'configuration is not confirmed'
+        return ''
+
     def part(self, kind: type[Any]) -> Any:
         """Return the daemon's instance of a part, built on first use."""
         if kind not in self.parts:
--- /dev/null
+++ b/anvilcove/daemon/peer_client.py
@@ -0,0 +1,51 @@
+"""Calls from one daemon to another."""
+
+from typing import TypeVar
+
+from aiohttp import ClientError, ClientTimeout
+
+from anvilcove.daemon.context import Context
+from anvilcove.messages.base import MessageError, decode, encode
+from anvilcove.state.peers import PeerState
+
+PEER_TIMEOUT_S = 1.0
+
+M = TypeVar('M')
+
+
+class PeerError(Exception):
+    """Raised when a peer did not answer as expected."""
+
+    def __init__(self, reason: str, status: int = 0) -> None:
+        """Keep the HTTP status, 0 when there was none."""
+        super().__init__(reason)
+        self.status = status
+
+
+async def call_peer(
+    context: Context,
+    peer: PeerState,
+    method: str,
+    path: str,
+    kind: type[M],
+    message: object | None = None,
+    timeout_s: float = PEER_TIMEOUT_S,
+) -> M:
+    """Call a peer and decode its answer, or raise PeerError."""
+    headers = {'Authorization': f'Bearer {context.settings.keys.peer}'}
+    try:
+        async with context.session.request(
+            method,
+            f'http://{peer.address}{path}',
+            data=None if message is None else encode(message),
+            headers=headers,
+            timeout=ClientTimeout(total=timeout_s),
+        ) as response:
+            data = await response.read()
+            if response.status != 200:
+                raise PeerError(
+                    f'{peer.host}: status {response.status}', response.status
+                )
+            return decode(data, kind)
+    except (ClientError, OSError, TimeoutError, MessageError) as error:
+        raise PeerError(f'{peer.host}: {error!r}') from error
--- a/anvilcove/decisions/types.py
+++ b/anvilcove/decisions/types.py
@@ -102,6 +102,28 @@
     endpoint: str
     outcome: str
     latency_s: float
+    in_flight: int = 1
+    class_name: str = ''
+
+
+class RetryRequest(Struct, frozen=True):
+    """A failed attempt that may be repeated."""
+
+    attempt: int
+    deadline_at_s: float
+    expected_s: float = 0.0
+
+
+class RetryAfter(Struct, frozen=True):
+    """Try again after a delay."""
+
+    delay_s: float
+
+
+class GiveUp(Struct, frozen=True):
+    """Do not try again."""
+
+    reason: str
 
 
 class DecisionRecord(Struct):
