Implement the fault switches of the stand-ins

The engine batches with a queue by priority, resumes, cancels, caches prompt prefixes, exports and imports KV caches and carries out orders with fences; swaps fetch the weights over HTTP in the background. Services crash, cross, truncate and delay answers and give scores.

--- a/anvilcove/cli/standin.py
+++ b/anvilcove/cli/standin.py
@@ -1,24 +1,40 @@
 """Run one stand-in of the platform."""
 
 import asyncio
+import json
 import sys
 
 from absl import flags
 
 from anvilcove.cli.registry import program
+from anvilcove.standins.batch import EngineOptions
 from anvilcove.standins.engine import EngineStandin
-from anvilcove.standins.platform import PlatformStandin
+from anvilcove.standins.faults import Standin
+from anvilcove.standins.platform import PlatformOptions, PlatformStandin
 from anvilcove.standins.server import serve_app
-from anvilcove.standins.service import ServiceStandin
+from anvilcove.standins.service import ServiceOptions, ServiceStandin
 
 FLAGS = flags.FLAGS
 flags.DEFINE_string('address', '127.0.0.1:0', 'Listen address, ip:port.')
+flags.DEFINE_string(
+    'journal_file', '', 'File for the journal, one JSON line each.'
+)
+flags.DEFINE_string(
+    'faults', '{}', 'Fault switches at the start, JSON object.'
+)
 flags.DEFINE_string('endpoint', '', 'Identifier of the endpoint.')
 flags.DEFINE_integer('capacity', 8, 'Parallel requests.', lower_bound=1)
-flags.DEFINE_integer('queue', 64, 'Waiting requests of a service.')
+flags.DEFINE_integer('queue', 64, 'Requests that may wait.', lower_bound=0)
+flags.DEFINE_string('pool', '', 'Pool of a service; scoring adds scores.')
 flags.DEFINE_float('service_time_ms', 10.0, 'Time of a service call, ms.')
 flags.DEFINE_float('token_time_ms', 5.0, 'Time of a token, ms.')
+flags.DEFINE_float('prefill_ms', 20.0, 'Time of a prefix cache miss, ms.')
+flags.DEFINE_integer('cache_prefixes', 16, 'Prefixes that fit in the cache.')
+flags.DEFINE_float('switch_ms', 50.0, 'Pause at a switch of weights, ms.')
 flags.DEFINE_string('model', '', 'Model of an engine.')
+flags.DEFINE_string('weights_address', '', 'Weight store, ip:port.')
+flags.DEFINE_integer('weights_bytes', 4 * 2**20, 'Size of a version.')
+flags.DEFINE_float('weights_rate', 16.0, 'Rate of all transfers, MiB/s.')
 
 
 @program(
@@ -27,41 +43,62 @@
 def standin(arguments: list[str]) -> int:
     """Run the stand-in until it is stopped."""
     kind = arguments[0] if arguments else ''
-    if kind == 'platform':
-        coroutine = _platform()
-    elif kind == 'engine':
-        coroutine = _engine()
-    elif kind == 'service':
-        coroutine = _service()
-    else:
+    if kind not in KINDS:
         print(
-            'usage: anvilcove standin platform|engine|service [FLAGS]',
+            f'usage: anvilcove standin {"|".join(KINDS)} [FLAGS]',
             file=sys.stderr,
         )
         return 2
-    asyncio.run(coroutine)
+    asyncio.run(_serve(kind))
     return 0
 
 
-async def _platform() -> None:
-    await serve_app(PlatformStandin().app(), FLAGS.address)
+async def _serve(kind: str) -> None:
+    await serve_app(KINDS[kind]().app(), FLAGS.address)
+
+
+def _platform() -> Standin:
+    return PlatformStandin(
+        PlatformOptions(
+            weights_bytes=FLAGS.weights_bytes,
+            weights_bytes_per_s=FLAGS.weights_rate * 2**20,
+            journal_file=FLAGS.journal_file,
+            faults=json.loads(FLAGS.faults),
+        )
+    )
 
 
-async def _engine() -> None:
-    engine = EngineStandin(
-        FLAGS.endpoint,
-        FLAGS.capacity,
-        FLAGS.token_time_ms / 1000,
-        FLAGS.model,
+def _engine() -> Standin:
+    return EngineStandin(
+        EngineOptions(
+            endpoint=FLAGS.endpoint,
+            model=FLAGS.model,
+            slots=FLAGS.capacity,
+            queue=FLAGS.queue,
+            token_time_s=FLAGS.token_time_ms / 1000,
+            prefill_s=FLAGS.prefill_ms / 1000,
+            cache_prefixes=FLAGS.cache_prefixes,
+            weights_address=FLAGS.weights_address,
+            listen_ip=FLAGS.address.rpartition(':')[0],
+            switch_s=FLAGS.switch_ms / 1000,
+            journal_file=FLAGS.journal_file,
+            faults=json.loads(FLAGS.faults),
+        )
     )
-    await serve_app(engine.app(), FLAGS.address)
 
 
-async def _service() -> None:
-    service = ServiceStandin(
-        FLAGS.endpoint,
-        FLAGS.capacity,
-        FLAGS.service_time_ms / 1000,
-        FLAGS.queue,
+def _service() -> Standin:
+    return ServiceStandin(
+        ServiceOptions(
+            endpoint=FLAGS.endpoint,
+            pool=FLAGS.pool,
+            workers=FLAGS.capacity,
+            queue=FLAGS.queue,
+            service_time_s=FLAGS.service_time_ms / 1000,
+            journal_file=FLAGS.journal_file,
+            faults=json.loads(FLAGS.faults),
+        )
     )
-    await serve_app(service.app(), FLAGS.address)
+
+
+KINDS = {'platform': _platform, 'engine': _engine, 'service': _service}
--- a/anvilcove/standins/engine.py
+++ b/anvilcove/standins/engine.py
@@ -1,120 +1,191 @@
 """Stand-in of a model engine."""
 
 import asyncio
-import time
+import json
+from collections.abc import AsyncIterator
 from typing import Any
 
 from aiohttp import web
 
 from anvilcove.messages.base import decode, encode
 from anvilcove.messages.engines import (
-    DoneEvent,
-    EngineOrder,
+    CacheEvents,
+    CancelGeneration,
     EngineState,
     Generate,
-    LoadReport,
-    TokenEvent,
 )
-from anvilcove.messages.services import EndpointRefusal
-from anvilcove.standins.faults import add_fault_route
+from anvilcove.standins.batch import Batch, EngineOptions, Generation
+from anvilcove.standins.faults import Standin, json_response
+from anvilcove.standins.orders import Orders
 
+KV_LIMIT = 256
 
-class EngineStandin:
-    """Engine that emits one token of each running request per token time."""
 
-    def __init__(
-        self, endpoint: str, slots: int, token_time_s: float, model: str
-    ) -> None:
+class EngineStandin(Standin):
+    """Engine that emits one token of each running request per step."""
+
+    def __init__(self, options: EngineOptions) -> None:
         """Start idle with version 0 of the model."""
-        self.endpoint = endpoint
-        self.slots = slots
-        self.token_time_s = token_time_s
-        self.model = model
-        self.version = 0
-        self.fence = 0
-        self.running = 0
-        self.journal: list[dict[str, Any]] = []
-        self.faults: dict[str, Any] = {}
+        super().__init__(options.journal_file)
+        self.options = options
+        self.batch = Batch(self, options)
+        self.orders = Orders(self, options, self.batch)
+        self.kv_by_request: dict[str, Generation] = {}
+        self.set_faults(options.faults)
 
     def app(self) -> web.Application:
         """Return the application."""
-        app = web.Application()
-        self.faults = add_fault_route(app)
+        app = super().app()
+        app.cleanup_ctx.append(self._steps)
         app.router.add_post('/generate', self._generate)
+        app.router.add_post('/cancel', self._cancel)
+        app.router.add_get('/load', self._load)
+        app.router.add_get('/cache_events', self._cache_events)
         app.router.add_post('/orders', self._order)
         app.router.add_get('/state', self._state)
-        app.router.add_get('/load', self._load)
-        app.router.add_get('/journal', self._get_journal)
+        app.router.add_get('/kv/{request_id}', self._export_kv)
+        app.router.add_put('/kv/{request_id}', self._import_kv)
         return app
 
+    async def _steps(self, app: web.Application) -> AsyncIterator[None]:
+        task = asyncio.create_task(self.batch.run())
+        yield
+        task.cancel()
+
     async def _generate(self, request: web.Request) -> web.StreamResponse:
         call = decode(await request.read(), Generate)
-        if self.running >= self.slots:
-            refusal = EndpointRefusal(run=False, reason='no free slot')
-            return web.Response(body=encode(refusal), status=429)
-        self.running += 1
+        self.write(
+            'received',
+            request_id=call.request_id,
+            prompt=call.prompt,
+            priority=call.priority,
+            resumed=len(call.resume_tokens),
+        )
+        if self.batch.switching:
+            return self.refuse(call.request_id, 'switching weights')
+        if self.batch.is_full():
+            return self.refuse(call.request_id, 'queue is full')
+        generation = Generation(call, lambda: is_connected(request))
+        self.batch.add(generation)
+        await generation.started.wait()
+        if generation.started_s == 0.0:
+            return self.refuse(call.request_id, generation.refusal)
+        self._keep_kv(generation)
+        completed = False
         response = web.StreamResponse()
         response.content_type = 'text/event-stream'
         try:
+            await self.wait_late()
             await response.prepare(request)
-            await self._stream(call, response)
+            completed = await self._stream(generation, response)
+        except ConnectionError:
+            pass
         finally:
-            self.running -= 1
+            self.batch.end(generation)
+            self._write_finished(generation, completed)
         return response
 
     async def _stream(
-        self, call: Generate, response: web.StreamResponse
-    ) -> None:
-        for index in range(len(call.resume_tokens), call.max_tokens):
-            await asyncio.sleep(self.token_time_s)
-            self.journal.append(
-                {
-                    'at_s': time.time(),
-                    'request_id': call.request_id,
-                    'index': index,
-                    'version': self.version,
-                }
+        self, generation: Generation, response: web.StreamResponse
+    ) -> bool:
+        """Write the events; return whether the answer was complete."""
+        call = generation.call
+        request_id = self.answer_id(call.request_id)
+        left = call.max_tokens // 2 if self.take('truncate') else -1
+        while (event := await generation.events.get()) is not None:
+            if left == 0:
+                return False
+            left -= 1
+            kind = 'done' if 'tokens' in event else 'token'
+            data = encode({'request_id': request_id, **event})
+            await response.write(
+                b'event: %s\ndata: %s\n\n' % (kind.encode(), data)
             )
-            event = TokenEvent(
-                request_id=call.request_id,
-                index=index,
-                text=f't{index}',
-                version=self.version,
-            )
-            await response.write(_event('token', event))
-        done = DoneEvent(request_id=call.request_id, tokens=call.max_tokens)
-        await response.write(_event('done', done))
+            if kind == 'done':
+                return request_id == call.request_id
+        return False
+
+    def _write_finished(self, generation: Generation, completed: bool) -> None:
+        self.write(
+            'finished',
+            request_id=generation.call.request_id,
+            prompt=generation.call.prompt,
+            started_s=generation.started_s,
+            ended_s=self.now(),
+            versions=generation.versions,
+            tokens=generation.index,
+            completed=completed,
+        )
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        call = decode(await request.read(), CancelGeneration)
+        found = self.batch.cancel(call.request_id)
+        self.write('cancelled', request_id=call.request_id, found=found)
+        return web.json_response({'cancelled': found})
+
+    async def _load(self, request: web.Request) -> web.Response:
+        return self.load_report(self.options.endpoint, self.options.slots)
+
+    async def _cache_events(self, request: web.Request) -> web.Response:
+        after = int(request.query.get('after', '0'))
+        return json_response(
+            CacheEvents(events=self.batch.cache.events(after))
+        )
 
     async def _order(self, request: web.Request) -> web.Response:
-        order = decode(await request.read(), EngineOrder)
-        if order.kind == 'load_version':
-            self.version = order.version
-        self.fence = max(self.fence, order.fence)
-        return await self._state(request)
+        refusal = self.orders.obey(await request.read())
+        return refusal or await self._state(request)
 
     async def _state(self, request: web.Request) -> web.Response:
+        orders = self.orders
         state = EngineState(
-            endpoint=self.endpoint, model=self.model, version=self.version
-        )
-        return web.Response(
-            body=encode(state), content_type='application/json'
+            endpoint=self.options.endpoint,
+            model=self.batch.model,
+            version=self.batch.version,
+            role=orders.role,
+            swapping=orders.target is not None,
+            adapters=orders.adapters,
+            extra={
+                'fence': orders.fence,
+                'failed_swaps': orders.failed_swaps,
+            },
         )
+        return json_response(state)
 
-    async def _load(self, request: web.Request) -> web.Response:
-        report = LoadReport(
-            endpoint=self.endpoint,
-            running=self.running,
-            queued=0,
-            capacity=self.slots,
-            reported_at_s=time.time(),
-        )
-        return web.Response(
-            body=encode(report), content_type='application/json'
+    def _keep_kv(self, generation: Generation) -> None:
+        kept = self.kv_by_request
+        kept.pop(generation.call.request_id, None)
+        kept[generation.call.request_id] = generation
+        if len(kept) > KV_LIMIT:
+            del kept[next(iter(kept))]
+
+    async def _export_kv(self, request: web.Request) -> web.Response:
+        request_id = request.match_info['request_id']
+        generation = self.kv_by_request.get(request_id)
+        if generation is None or generation.prefill_s > 0:
+            raise web.HTTPNotFound()
+        self.write('kv_exported', request_id=request_id)
+        return json_response(
+            {
+                'request_id': request_id,
+                'prompt': generation.call.prompt,
+                'tokens': generation.index,
+            }
         )
 
-    async def _get_journal(self, request: web.Request) -> web.Response:
-        return web.json_response(self.journal)
+    async def _import_kv(self, request: web.Request) -> web.Response:
+        request_id = request.match_info['request_id']
+        data = bytes.fromhex((await request.json())['data'])
+        kv: dict[str, Any] = json.loads(data)
+        if kv.get('request_id') != request_id:
+            raise web.HTTPBadRequest(text='KV cache of another request')
+        self.batch.imported[request_id] = kv['prompt'], kv['tokens']
+        self.write('kv_imported', request_id=request_id)
+        return web.Response()
 
 
-def _event(kind: str, message: object) -> bytes:
-    return b'event: %s\ndata: %s\n\n' % (kind.encode(), encode(message))
+def is_connected(request: web.Request) -> bool:
+    """Tell whether the client of a request still waits."""
+    return request.transport is not None and not (
+        request.transport.is_closing()
+    )
--- a/anvilcove/standins/service.py
+++ b/anvilcove/standins/service.py
@@ -1,87 +1,105 @@
 """Stand-in of a plain service."""
 
 import asyncio
-import time
 from typing import Any
 
 from aiohttp import web
+from msgspec import field
+from xxhash import xxh32_intdigest
 
-from anvilcove.messages.base import decode, encode
-from anvilcove.messages.engines import LoadReport
-from anvilcove.messages.services import (
-    EndpointRefusal,
-    ServiceAnswer,
-    ServiceCall,
-)
-from anvilcove.standins.faults import add_fault_route
+from anvilcove.messages.base import Message, decode, encode
+from anvilcove.messages.services import ServiceAnswer, ServiceCall
+from anvilcove.standins.faults import Standin, json_response
 
+SCORING = 'scoring'
 
-class ServiceStandin:
+
+class ServiceOptions(Message):
+    """Sizes and times of one service."""
+
+    endpoint: str
+    pool: str = ''
+    workers: int = 8
+    queue: int = 64
+    service_time_s: float = 0.01
+    journal_file: str = ''
+    faults: dict[str, Any] = field(default_factory=dict)
+
+
+class ServiceStandin(Standin):
     """Service with some parallel workers and a bounded queue."""
 
-    def __init__(
-        self, endpoint: str, workers: int, service_time_s: float, queue: int
-    ) -> None:
+    def __init__(self, options: ServiceOptions) -> None:
         """Start idle."""
-        self.endpoint = endpoint
-        self.workers = asyncio.Semaphore(workers)
-        self.capacity = workers
-        self.service_time_s = service_time_s
-        self.queue = queue
-        self.waiting = 0
+        super().__init__(options.journal_file)
+        self.options = options
+        self.workers = asyncio.Semaphore(options.workers)
+        self.queued = 0
         self.running = 0
-        self.journal: list[dict[str, Any]] = []
-        self.faults: dict[str, Any] = {}
+        self.set_faults(options.faults)
 
     def app(self) -> web.Application:
         """Return the application."""
-        app = web.Application()
-        self.faults = add_fault_route(app)
+        app = super().app()
         app.router.add_post('/call', self._call)
         app.router.add_get('/load', self._load)
-        app.router.add_get('/journal', self._get_journal)
         return app
 
     async def _call(self, request: web.Request) -> web.Response:
         call = decode(await request.read(), ServiceCall)
-        if self.waiting >= self.queue:
-            refusal = EndpointRefusal(run=False, reason='queue is full')
-            return web.Response(body=encode(refusal), status=429)
-        self.journal.append(
-            {
-                'at_s': time.time(),
-                'request_id': call.request_id,
-                'body': call.body,
-            }
-        )
-        self.waiting += 1
+        self.write('received', request_id=call.request_id, body=call.body)
+        options = self.options
+        if self.queued + self.running >= options.queue + options.workers:
+            return self.refuse(call.request_id, 'queue is full')
+        self._count(queued=1)
         async with self.workers:
-            self.waiting -= 1
-            self.running += 1
+            self._count(queued=-1, running=1)
             try:
-                await asyncio.sleep(self.service_time_s)
+                await self._run(call)
             finally:
-                self.running -= 1
-        answer = ServiceAnswer(
-            request_id=call.request_id,
+                self._count(running=-1)
+        await self.wait_late()
+        return self._answer(call)
+
+    def _count(self, queued: int = 0, running: int = 0) -> None:
+        self.queued += queued
+        self.running += running
+        self.record_load(self.running, self.queued)
+
+    async def _run(self, call: ServiceCall) -> None:
+        self.write('started', request_id=call.request_id, body=call.body)
+        poison = self.faults.get('crash_on')
+        if poison and poison in encode(call.body).decode():
+            self.crash(f'body contains {poison!r}', call.request_id)
+        await asyncio.sleep(self.options.service_time_s)
+
+    def _answer(self, call: ServiceCall) -> web.Response:
+        answer: dict[str, Any] = {
+            'echo': call.body,
+            'endpoint': self.options.endpoint,
+        }
+        if self.options.pool == SCORING:
+            answer['score'] = score(call.body.get('tokens', []))
+        message = ServiceAnswer(
+            request_id=self.answer_id(call.request_id),
             complete=True,
-            answer={'echo': call.body, 'endpoint': self.endpoint},
+            answer=answer,
         )
-        return web.Response(
-            body=encode(answer), content_type='application/json'
+        truncated = self.take('truncate')
+        self.write(
+            'finished',
+            request_id=call.request_id,
+            completed=not truncated and message.request_id == call.request_id,
         )
+        if truncated:
+            data = encode(message)
+            return web.Response(body=data[: len(data) // 2])
+        return json_response(message)
 
     async def _load(self, request: web.Request) -> web.Response:
-        report = LoadReport(
-            endpoint=self.endpoint,
-            running=self.running,
-            queued=self.waiting,
-            capacity=self.capacity,
-            reported_at_s=time.time(),
-        )
-        return web.Response(
-            body=encode(report), content_type='application/json'
-        )
+        return self.load_report(self.options.endpoint, self.options.workers)
+
 
-    async def _get_journal(self, request: web.Request) -> web.Response:
-        return web.json_response(self.journal)
+def score(tokens: list[str]) -> float:
+    """Return the score of a sample, from 0 to 1, the same on every call."""
+    return xxh32_intdigest(' '.join(tokens).encode()) / 2**32
--- /dev/null
+++ b/anvilcove/standins/weights.py
@@ -0,0 +1,63 @@
+"""Weight store whose transfers share one rate."""
+
+import asyncio
+
+from aiohttp import web
+
+from anvilcove.messages.trainers import WeightsPublished
+from anvilcove.standins.faults import Standin, json_response
+
+CHUNK_BYTES = 65_536
+
+
+class WeightStore:
+    """Versions of the weights of each model."""
+
+    def __init__(
+        self, standin: Standin, size_bytes: int, rate_bytes_s: float
+    ) -> None:
+        """Start without versions; each has the given size."""
+        self.standin = standin
+        self.size_bytes = size_bytes
+        self.rate_bytes_s = rate_bytes_s
+        self.newest_by_model: dict[str, int] = {}
+        self._free_at_s = 0.0
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the routes of the weight store."""
+        app.router.add_get('/weights/{model}', self._newest)
+        app.router.add_put('/weights/{model}/{version}', self._put)
+        app.router.add_get('/weights/{model}/{version}', self._get)
+
+    async def _newest(self, request: web.Request) -> web.Response:
+        model = request.match_info['model']
+        version = self.newest_by_model.get(model, 0)
+        return json_response(WeightsPublished(model=model, version=version))
+
+    async def _put(self, request: web.Request) -> web.Response:
+        model = request.match_info['model']
+        version = int(request.match_info['version'])
+        self.newest_by_model[model] = max(
+            version, self.newest_by_model.get(model, 0)
+        )
+        self.standin.write('weights_put', model=model, version=version)
+        return web.Response()
+
+    async def _get(self, request: web.Request) -> web.StreamResponse:
+        line = {**request.match_info, 'source': request.remote}
+        self.standin.write('transfer_started', **line)
+        response = web.StreamResponse()
+        response.content_length = self.size_bytes
+        await response.prepare(request)
+        for start in range(0, self.size_bytes, CHUNK_BYTES):
+            size = min(CHUNK_BYTES, self.size_bytes - start)
+            await self._wait_for_turn(size)
+            await response.write(bytes(size))
+        self.standin.write('transfer_finished', **line)
+        return response
+
+    async def _wait_for_turn(self, size: int) -> None:
+        """Wait for a chunk's share of the rate of all transfers."""
+        now = asyncio.get_running_loop().time()
+        self._free_at_s = max(now, self._free_at_s) + size / self.rate_bytes_s
+        await asyncio.sleep(self._free_at_s - now)
