Send a call to an endpoint once and on a connection of its own

The adapters followed redirects, so a 307 answer made one call run up to ten times. A call that must not be repeated still took a pooled connection, because a header `Connection: close` acts only after the use; a stale one ends as unknown.

Change: endpoint and store calls follow no redirect. A fresh connection uses a pool name of its own.

Conclusion: an endpoint receives each call at most once.

--- a/anvilcove/platform/http.py
+++ b/anvilcove/platform/http.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from itertools import count
 from typing import Any
 
 from aiohttp import (
@@ -27,6 +28,7 @@
 
 REFUSED_STATUSES = (429, 503)
 HEADERS = {'Content-Type': 'application/json'}
+_fresh = count()
 
 
 @asynccontextmanager
@@ -47,6 +49,7 @@
             data=body,
             headers=HEADERS,
             timeout=ClientTimeout(total=timeout_s, sock_connect=timeout_s),
+            allow_redirects=False,
         ) as response:
             if response.status in REFUSED_STATUSES:
                 raise StoreUnavailable(f'{url}: status {response.status}')
@@ -64,16 +67,27 @@
     url: str,
     timeout_s: float | None,
     message: object | None = None,
-    headers: dict[str, str] | None = None,
+    fresh_connection: bool = False,
 ) -> AsyncIterator[ClientResponse]:
-    """Call an endpoint; raise EndpointNotRun only if it ran nothing."""
+    """Call an endpoint; raise EndpointNotRun only if it ran nothing.
+
+    Redirects are not followed, since each one would send the call again.
+    """
+    options: dict[str, Any] = {}
+    if fresh_connection:
+        # The pool finds connections by this name among others, so a new name
+        # makes it open one. `Connection: close` alone would only keep a
+        # connection out of the pool after its use.
+        options['server_hostname'] = f'fresh-{next(_fresh)}'
+        options['headers'] = {**HEADERS, 'Connection': 'close'}
     try:
         async with session.request(
             method,
             url,
             data=None if message is None else encode(message),
-            headers={**HEADERS, **(headers or {})},
             timeout=ClientTimeout(total=timeout_s, sock_connect=1.0),
+            allow_redirects=False,
+            **{'headers': HEADERS, **options},
         ) as response:
             if response.status in REFUSED_STATUSES:
                 raise await _refused(response, url)
--- a/anvilcove/platform/services.py
+++ b/anvilcove/platform/services.py
@@ -34,14 +34,13 @@
         may be closed by the service at any time, which cannot be told from a
         crash after the call was received.
         """
-        headers = {'Connection': 'close'} if fresh_connection else None
         async with endpoint_call(
             self._session,
             'POST',
             f'{self._base}/call',
             timeout_s,
             request,
-            headers,
+            fresh_connection,
         ) as response:
             answer: ServiceAnswer = await read_answer(response, ServiceAnswer)
         if answer.request_id != request.request_id or not answer.complete:
