--- a/anvilcove/cli/standin.py
+++ b/anvilcove/cli/standin.py
@@ -3,13 +3,20 @@
 import asyncio
 import json
 import sys
+from pathlib import Path
 
 from absl import flags
 
 from anvilcove.cli.registry import program
+from anvilcove.messages.base import decode
 from anvilcove.standins.batch import EngineOptions
 from anvilcove.standins.engine import EngineStandin
 from anvilcove.standins.faults import Standin
+from anvilcove.standins.network import (
+    Network,
+    NetworkOptions,
+    PreciseSelector,
+)
 from anvilcove.standins.platform import PlatformOptions, PlatformStandin
 from anvilcove.standins.server import serve_app
 from anvilcove.standins.service import ServiceOptions, ServiceStandin
@@ -22,6 +29,7 @@
 flags.DEFINE_string(
     'faults', '{}', 'Fault switches at the start, JSON object.'
 )
+flags.DEFINE_string('network_file', '', 'Plan of the relay, JSON.')
 flags.DEFINE_string('endpoint', '', 'Identifier of the endpoint.')
 flags.DEFINE_integer('capacity', 8, 'Parallel requests.', lower_bound=1)
 flags.DEFINE_integer('queue', 64, 'Requests that may wait.', lower_bound=0)
@@ -38,7 +46,8 @@
 
 
 @program(
-    'standin', 'Run a stand-in: anvilcove standin platform|engine|service'
+    'standin',
+    'Run a stand-in: anvilcove standin platform|engine|service|network',
 )
 def standin(arguments: list[str]) -> int:
     """Run the stand-in until it is stopped."""
@@ -49,12 +58,19 @@
             file=sys.stderr,
         )
         return 2
-    asyncio.run(_serve(kind))
+    with asyncio.Runner(
+        loop_factory=lambda: asyncio.SelectorEventLoop(PreciseSelector())
+    ) as runner:
+        runner.run(_serve(kind))
     return 0
 
 
 async def _serve(kind: str) -> None:
-    await serve_app(KINDS[kind]().app(), FLAGS.address)
+    instance = KINDS[kind]()
+    if FLAGS.journal_file:
+        instance.open_journal(FLAGS.journal_file)
+    instance.set_faults(json.loads(FLAGS.faults))
+    await serve_app(instance.app(), FLAGS.address)
 
 
 def _platform() -> Standin:
@@ -62,8 +78,6 @@
         PlatformOptions(
             weights_bytes=FLAGS.weights_bytes,
             weights_bytes_per_s=FLAGS.weights_rate * 2**20,
-            journal_file=FLAGS.journal_file,
-            faults=json.loads(FLAGS.faults),
         )
     )
 
@@ -81,8 +95,6 @@
             weights_address=FLAGS.weights_address,
             listen_ip=FLAGS.address.rpartition(':')[0],
             switch_s=FLAGS.switch_ms / 1000,
-            journal_file=FLAGS.journal_file,
-            faults=json.loads(FLAGS.faults),
         )
     )
 
@@ -95,10 +107,18 @@
             workers=FLAGS.capacity,
             queue=FLAGS.queue,
             service_time_s=FLAGS.service_time_ms / 1000,
-            journal_file=FLAGS.journal_file,
-            faults=json.loads(FLAGS.faults),
         )
     )
 
 
-KINDS = {'platform': _platform, 'engine': _engine, 'service': _service}
+def _network() -> Standin:
+    data = Path(FLAGS.network_file).read_bytes()
+    return Network(decode(data, NetworkOptions))
+
+
+KINDS = {
+    'platform': _platform,
+    'engine': _engine,
+    'service': _service,
+    'network': _network,
+}
--- a/anvilcove/standins/batch.py
+++ b/anvilcove/standins/batch.py
@@ -3,12 +3,10 @@
 import asyncio
 import random
 from collections.abc import Callable
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from itertools import count
 from typing import Any
 
-from msgspec import field
-
 from anvilcove.messages.base import Message
 from anvilcove.messages.engines import CacheEvent, Generate
 from anvilcove.standins.faults import Standin
@@ -27,8 +25,6 @@
     weights_address: str = ''
     listen_ip: str = '127.0.0.1'
     switch_s: float = 0.05
-    journal_file: str = ''
-    faults: dict[str, Any] = field(default_factory=dict)
 
 
 class Generation:
@@ -129,7 +125,8 @@
         self.cache = PrefixCache(standin, options.cache_prefixes)
         self.model = options.model
         self.version = 0
-        self.switching = False
+        self.closed = False
+        self.paused = False
         self.running: list[Generation] = []
         self.imported: dict[str, tuple[str, int]] = {}
         self._queue: list[tuple[int, int, Generation]] = []
@@ -162,17 +159,21 @@
 
     def cancel(self, request_id: str) -> bool:
         """Stop the generations of a request, running or waiting."""
-        found = [
-            generation
-            for generation in (*self.running, *(p[2] for p in self._queue))
-            if generation.call.request_id == request_id
+        running = [g for g in self.running if g.call.request_id == request_id]
+        for generation in running:
+            self.end(generation)
+        waiting = [
+            place
+            for place in self._queue
+            if place[2].call.request_id == request_id
         ]
-        for generation in found:
-            if generation in self.running:
-                self.end(generation)
-            else:
-                generation.refusal = 'cancelled'
-        return bool(found)
+        for place in waiting:
+            self._queue.remove(place)
+            place[2].refusal = 'cancelled'
+            place[2].started.set()
+        heapify(self._queue)
+        self._record()
+        return bool(running or waiting)
 
     async def run(self) -> None:
         """Make one step each token time while there is work."""
@@ -181,14 +182,17 @@
             self.admit()
             await asyncio.sleep(self.options.token_time_s)
             self.step()
-            if not self.running and not self._queue:
+            if not (self.running or self._queue or self._is_dying()):
                 self._wake.clear()
 
+    def _is_dying(self) -> bool:
+        return bool(self.standin.faults.get('die_after_tokens', 1) <= 0)
+
     def admit(self) -> None:
         """Fill free slots from the queue."""
-        while self._queue and not self.switching:
+        while self._queue and not self.closed:
             generation = self._queue[0][2]
-            if not generation.refusal and generation.connected():
+            if generation.connected():
                 if len(self.running) >= self.options.slots:
                     break
                 if generation.call.model in ('', self.model):
@@ -207,6 +211,8 @@
         imported = kv_prompt == call.prompt and kv_tokens >= generation.index
         if not imported and (not cached or call.resume_tokens):
             generation.prefill_s = self.options.prefill_s
+        elif marked:
+            self.cache.store(prefix)
         generation.started_s = self.standin.now()
         self.running.append(generation)
         self.standin.write(
@@ -216,6 +222,7 @@
             index=generation.index,
             cached=cached,
             imported=imported,
+            prefill_s=generation.prefill_s,
         )
         poison = self.standin.faults.get('crash_on')
         if poison and poison in call.prompt:
@@ -223,21 +230,25 @@
 
     def step(self) -> None:
         """Advance every running generation by one token or some prefill."""
-        if self.standin.faults.get('die_after_tokens', 1) <= 0:
+        if self._is_dying():
             self.standin.crash('die_after_tokens')
-        if self.switching:
+        if self.paused:
             return
         for generation in list(self.running):
             if generation.prefill_s > 0:
-                generation.prefill_s -= self.options.token_time_s
+                self._prefill(generation)
                 continue
             if generation.index < generation.call.max_tokens:
                 self._emit(generation)
             if generation.index >= generation.call.max_tokens:
-                prefix, marked, _ = generation.call.prompt.partition('|')
-                if marked:
-                    self.cache.store(prefix)
-                self._done(generation)
+                generation.events.put_nowait({'tokens': generation.index})
+                self.end(generation)
+
+    def _prefill(self, generation: Generation) -> None:
+        generation.prefill_s -= self.options.token_time_s
+        prefix, marked, _ = generation.call.prompt.partition('|')
+        if marked and generation.prefill_s <= 0:
+            self.cache.store(prefix)
 
     def _emit(self, generation: Generation) -> None:
         index, versions = generation.index, generation.versions
@@ -258,9 +269,5 @@
         generation.events.put_nowait(event)
         generation.index += 1
 
-    def _done(self, generation: Generation) -> None:
-        generation.events.put_nowait({'tokens': generation.index})
-        self.end(generation)
-
     def _record(self) -> None:
         self.standin.record_load(len(self.running), self.queued)
--- a/anvilcove/standins/engine.py
+++ b/anvilcove/standins/engine.py
@@ -15,7 +15,7 @@
     Generate,
 )
 from anvilcove.standins.batch import Batch, EngineOptions, Generation
-from anvilcove.standins.faults import Standin, json_response
+from anvilcove.standins.faults import Standin, json_response, source
 from anvilcove.standins.orders import Orders
 
 KV_LIMIT = 256
@@ -26,12 +26,11 @@
 
     def __init__(self, options: EngineOptions) -> None:
         """Start idle with version 0 of the model."""
-        super().__init__(options.journal_file)
+        super().__init__()
         self.options = options
         self.batch = Batch(self, options)
         self.orders = Orders(self, options, self.batch)
         self.kv_by_request: dict[str, Generation] = {}
-        self.set_faults(options.faults)
 
     def app(self) -> web.Application:
         """Return the application."""
@@ -60,8 +59,9 @@
             prompt=call.prompt,
             priority=call.priority,
             resumed=len(call.resume_tokens),
+            source=source(request),
         )
-        if self.batch.switching:
+        if self.batch.closed:
             return self.refuse(call.request_id, 'switching weights')
         if self.batch.is_full():
             return self.refuse(call.request_id, 'queue is full')
@@ -91,7 +91,9 @@
         """Write the events; return whether the answer was complete."""
         call = generation.call
         request_id = self.answer_id(call.request_id)
-        left = call.max_tokens // 2 if self.take('truncate') else -1
+        left = -1
+        if self.take('truncate'):
+            left = (call.max_tokens - len(call.resume_tokens)) // 2
         while (event := await generation.events.get()) is not None:
             if left == 0:
                 return False
--- a/anvilcove/standins/faults.py
+++ b/anvilcove/standins/faults.py
@@ -4,7 +4,8 @@
 import os
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from io import RawIOBase
 from pathlib import Path
 from typing import Any
 
@@ -18,27 +19,22 @@
 
 
 class Standin:
-    """Base of the stand-ins; tests replace `now` and `exit`."""
+    """Base of the stand-ins; tests replace `now`, `sleep` and `exit`."""
 
-    def __init__(self, journal_file: str = '') -> None:
+    def __init__(self) -> None:
         """Start with all switches off and an empty journal."""
         self.faults: dict[str, Any] = {}
         self.journal: list[dict[str, Any]] = []
         self.now: Callable[[], float] = time.time
+        self.sleep: Callable[[float], Awaitable[None]] = asyncio.sleep
         self.exit: Callable[[int], Any] = os._exit
-        # Unbuffered, so that every line survives a kill.
-        self._file = (
-            Path(journal_file).open('ab', buffering=0)
-            if journal_file
-            else None
-        )
+        self._file: RawIOBase | None = None
         self._loads: deque[tuple[float, int, int]] = deque([(0.0, 0, 0)])
 
     def app(self) -> web.Application:
         """Return an application with the routes that all stand-ins have."""
         app = web.Application(client_max_size=64 * 1024 * 1024)
         app.router.add_put('/faults', self._put_faults)
-        app.router.add_get('/faults', self._get_faults)
         app.router.add_get('/journal', self._get_journal)
         return app
 
@@ -46,9 +42,6 @@
         self.set_faults(await request.json())
         return web.json_response(self.faults)
 
-    async def _get_faults(self, request: web.Request) -> web.Response:
-        return web.json_response(self.faults)
-
     def set_faults(self, switches: dict[str, Any]) -> None:
         """Merge switches; a null value turns a switch off."""
         self.write('faults', switches=switches)
@@ -58,6 +51,10 @@
             else:
                 self.faults[name] = value
 
+    def open_journal(self, path: str) -> None:
+        """Append the journal to a file; every line survives a kill."""
+        self._file = Path(path).open('ab', buffering=0)
+
     async def _get_journal(self, request: web.Request) -> web.Response:
         after = int(request.query.get('after', '0'))
         return json_response(self.journal[after:])
@@ -79,7 +76,7 @@
     async def wait_late(self) -> None:
         """Wait before an answer while `late_s` is set."""
         if self.faults.get('late_s'):
-            await asyncio.sleep(self.faults['late_s'])
+            await self.sleep(self.faults['late_s'])
 
     def crash(self, reason: str, request_id: str = '') -> None:
         """End the process without any cleanup."""
@@ -102,6 +99,8 @@
 
     def record_load(self, running: int, queued: int) -> None:
         """Remember the load for reports of the past."""
+        if self._loads[-1][1:] == (running, queued):
+            return
         now = self.now()
         self._loads.append((now, running, queued))
         while self._loads[1][0] < now - LOAD_HISTORY_S:
@@ -131,6 +130,12 @@
     )
 
 
+def source(request: web.Request) -> str:
+    """Return the address that a request came from, ip:port."""
+    peer = request.transport and request.transport.get_extra_info('peername')
+    return f'{peer[0]}:{peer[1]}' if peer else ''
+
+
 def cut_connection(request: web.Request) -> web.Response:
     """Cut the connection of a request; nothing of the answer is sent."""
     if request.transport is not None:
--- a/anvilcove/standins/orders.py
+++ b/anvilcove/standins/orders.py
@@ -87,7 +87,7 @@
         finally:
             if self.target == target:
                 self.target = None
-                self.batch.switching = False
+                self.batch.closed = self.batch.paused = False
 
     async def _fetch(self, target: tuple[str, int]) -> None:
         """Read the weights; a failing swap stops after half of them."""
@@ -114,10 +114,10 @@
 
     async def _switch(self, target: tuple[str, int]) -> None:
         """Pause briefly; generations cross a switch of the version only."""
-        self.batch.switching = target[0] == self.batch.model
+        self.batch.closed = True
         while target[0] != self.batch.model and self.batch.running:
             await asyncio.sleep(IDLE_POLL_S)
-        self.batch.switching = True
+        self.batch.paused = True
         await asyncio.sleep(self.options.switch_s)
         self.batch.model, self.batch.version = target
         self.batch.cache.clear()
--- a/anvilcove/standins/platform.py
+++ b/anvilcove/standins/platform.py
@@ -1,11 +1,9 @@
 """Stand-in of the table, object, weight and membership services."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from aiohttp import web
-from msgspec import field
 
 from anvilcove.messages.base import Message, decode
 from anvilcove.messages.membership import Members
@@ -37,8 +35,6 @@
     store_time_s: float = 0.001
     weights_bytes: int = 4 * 2**20
     weights_bytes_per_s: float = 16 * 2**20
-    journal_file: str = ''
-    faults: dict[str, Any] = field(default_factory=dict)
 
 
 class RateLimit:
@@ -67,7 +63,7 @@
     def __init__(self, options: PlatformOptions | None = None) -> None:
         """Start empty."""
         self.options = options or PlatformOptions()
-        super().__init__(self.options.journal_file)
+        super().__init__()
         self.rows: dict[str, Row] = {}
         self.objects: dict[str, bytes] = {}
         self.members: list[tuple[float, Members]] = [(0.0, Members())]
@@ -78,7 +74,6 @@
         self.weights = WeightStore(
             self, self.options.weights_bytes, self.options.weights_bytes_per_s
         )
-        self.set_faults(self.options.faults)
 
     def app(self) -> web.Application:
         """Return the application that serves all four services."""
@@ -123,7 +118,7 @@
         if not limit.allow(self.now()):
             self.write('rate_limited', writes=limit is self.writes)
             raise web.HTTPTooManyRequests()
-        await asyncio.sleep(
+        await self.sleep(
             self.faults.get('store_delay_s', self.options.store_time_s)
         )
         self._check_up()
--- a/anvilcove/standins/service.py
+++ b/anvilcove/standins/service.py
@@ -4,12 +4,11 @@
 from typing import Any
 
 from aiohttp import web
-from msgspec import field
 from xxhash import xxh32_intdigest
 
 from anvilcove.messages.base import Message, decode, encode
 from anvilcove.messages.services import ServiceAnswer, ServiceCall
-from anvilcove.standins.faults import Standin, json_response
+from anvilcove.standins.faults import Standin, json_response, source
 
 SCORING = 'scoring'
 
@@ -22,8 +21,6 @@
     workers: int = 8
     queue: int = 64
     service_time_s: float = 0.01
-    journal_file: str = ''
-    faults: dict[str, Any] = field(default_factory=dict)
 
 
 class ServiceStandin(Standin):
@@ -31,12 +28,11 @@
 
     def __init__(self, options: ServiceOptions) -> None:
         """Start idle."""
-        super().__init__(options.journal_file)
+        super().__init__()
         self.options = options
         self.workers = asyncio.Semaphore(options.workers)
         self.queued = 0
         self.running = 0
-        self.set_faults(options.faults)
 
     def app(self) -> web.Application:
         """Return the application."""
@@ -47,7 +43,12 @@
 
     async def _call(self, request: web.Request) -> web.Response:
         call = decode(await request.read(), ServiceCall)
-        self.write('received', request_id=call.request_id, body=call.body)
+        self.write(
+            'received',
+            request_id=call.request_id,
+            body=call.body,
+            source=source(request),
+        )
         options = self.options
         if self.queued + self.running >= options.queue + options.workers:
             return self.refuse(call.request_id, 'queue is full')
@@ -71,7 +72,7 @@
         poison = self.faults.get('crash_on')
         if poison and poison in encode(call.body).decode():
             self.crash(f'body contains {poison!r}', call.request_id)
-        await asyncio.sleep(self.options.service_time_s)
+        await self.sleep(self.options.service_time_s)
 
     def _answer(self, call: ServiceCall) -> web.Response:
         answer: dict[str, Any] = {
