Confirm hosts by gossip, announce urgent news, name entries

Cause: a daemon trusted only the table, so a store outage made every host refuse, and a revision reached the other hosts only by their polls.

Heard times are those of the start of an answered call, or of the own digest that a received call echoes, so that messages that waited while the process was paused confirm nothing. Every digest tells whether its host ever learned the revision from the table or a majority; a starting daemon does not count itself. Declarations and settings are checked against their types with all errors at once.

--- /dev/null
+++ b/anvilcove/commands/gossip.py
@@ -0,0 +1,156 @@
+"""Exchange digests with random peers."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from aiohttp import web
+from loguru import logger
+
+from anvilcove.daemon.context import Context, Part
+from anvilcove.daemon.parts import part
+from anvilcove.daemon.peer_client import PeerError, call_peer
+from anvilcove.daemon.replies import read_message, reply
+from anvilcove.messages.operators import ClassesShown
+from anvilcove.messages.peers import Gossip, HostDigest
+from anvilcove.settings.classes import declaration_errors
+from anvilcove.state.peers import NEVER, PeerState
+
+# Suspects in one message; the newest come first.
+GOSSIPED_SUSPECTS = 32
+FIRST_LIST_POLL_S = 0.05
+
+
+@part
+class GossipPart(Part):
+    """Push and pull digests; fetch newer declarations from a peer."""
+
+    def __init__(self, context: Context) -> None:
+        """Start without exchanges."""
+        super().__init__(context)
+        self._exchanges: set[asyncio.Task[None]] = set()
+        self._fetching = False
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes that peers call."""
+        return [
+            web.post('/peer/gossip', self._receive),
+            web.get('/peer/config', self._config),
+        ]
+
+    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+        """Return the gossip loop."""
+        return [self._loop()]
+
+    def digest(self) -> Gossip:
+        """Return what this daemon knows."""
+        context = self.context
+        now = context.clock.now()
+        hosts = context.peers.digests(now)
+        hosts[context.settings.host] = HostDigest(
+            beat=context.peers.next_beat(now),
+            revision=context.config.revision,
+            load=context.load(),
+            draining=context.draining,
+            joined=context.confirmation.joined,
+        )
+        suspects = context.policy('quarantine').digests(now)
+        return Gossip(
+            host=context.settings.host,
+            hosts=hosts,
+            leaving=context.endpoints.leaving_marks(),
+            suspects=suspects[:GOSSIPED_SUSPECTS],
+            weights=context.newest_versions,
+        )
+
+    def targets(self) -> list[PeerState]:
+        """Choose random peers, and one of the silent ones besides."""
+        context = self.context
+        heard_since_s = context.clock.now() - context.confirmation.window_s
+        others = context.peers.others()
+        heard = [p for p in others if p.beat_at_s >= heard_since_s]
+        silent = [p for p in others if p.beat_at_s < heard_since_s]
+        fanout = context.settings.timing.gossip_fanout
+        chosen = context.rng.sample(heard, min(fanout, len(heard)))
+        probes = max(fanout - len(chosen), 1)
+        return chosen + context.rng.sample(silent, min(probes, len(silent)))
+
+    def exchange_once(self) -> None:
+        """Start one exchange with each chosen peer."""
+        for peer in self.targets():
+            task = asyncio.create_task(self._exchange(peer))
+            self._exchanges.add(task)
+            task.add_done_callback(self._exchanges.discard)
+
+    async def _loop(self) -> None:
+        period_s = self.context.settings.timing.gossip_period_ms / 1000
+        while not self.context.peers.others():
+            await self.context.clock.sleep(min(FIRST_LIST_POLL_S, period_s))
+        while True:
+            self.exchange_once()
+            await self.context.clock.sleep(period_s)
+
+    async def _exchange(self, peer: PeerState) -> None:
+        asked_at_s = self.context.clock.now()
+        try:
+            answer = await call_peer(
+                self.context,
+                peer,
+                'POST',
+                '/peer/gossip',
+                Gossip,
+                self.digest(),
+            )
+        except PeerError as error:
+            logger.debug('gossip failed: {}', error)
+            return
+        self._merge(answer, asked_at_s)
+        if peer.revision > self.context.config.revision:
+            await self._fetch(peer)
+
+    async def _receive(self, request: web.Request) -> web.Response:
+        gossip = await read_message(request, Gossip)
+        self._merge(gossip, NEVER)
+        peer = self.context.peers.by_host.get(gossip.host)
+        if peer and peer.revision > self.context.config.revision:
+            task = asyncio.create_task(self._fetch(peer))
+            self._exchanges.add(task)
+            task.add_done_callback(self._exchanges.discard)
+        return reply(self.digest())
+
+    def _merge(self, gossip: Gossip, asked_at_s: float) -> None:
+        context = self.context
+        now = context.clock.now()
+        context.peers.merge(gossip.hosts, asked_at_s)
+        context.endpoints.merge_marks(gossip.leaving, now)
+        if gossip.suspects:
+            context.policy('quarantine').merge(now, gossip.suspects)
+        for model, version in gossip.weights.items():
+            context.note_version(model, version)
+
+    async def _fetch(self, peer: PeerState) -> None:
+        if self._fetching:
+            return
+        self._fetching = True
+        try:
+            shown = await call_peer(
+                self.context, peer, 'GET', '/peer/config', ClassesShown
+            )
+        except PeerError as error:
+            logger.warning('declarations not fetched: {}', error)
+            return
+        finally:
+            self._fetching = False
+        errors = declaration_errors(shown.document)
+        if errors:
+            logger.error('declarations of {} refused: {}', peer.host, errors)
+            return
+        now = self.context.clock.now()
+        if self.context.config.adopt(shown.revision, shown.document, now):
+            logger.info('revision {} fetched from a peer', shown.revision)
+
+    async def _config(self, request: web.Request) -> web.Response:
+        config = self.context.config
+        return reply(
+            ClassesShown(revision=config.revision, document=config.raw)
+        )
--- a/anvilcove/commands/membership.py
+++ b/anvilcove/commands/membership.py
@@ -5,8 +5,10 @@
 
 from loguru import logger
 
+from anvilcove.commands.announce import AnnouncePart
 from anvilcove.daemon.context import Part
 from anvilcove.daemon.parts import part
+from anvilcove.messages.peers import Announce
 from anvilcove.platform.errors import PlatformError
 
 
@@ -26,10 +28,18 @@
 
     async def refresh(self) -> None:
         """Read the list once; the last list stays when it cannot be read."""
+        context = self.context
+        asked_at_s = context.clock.now()
         try:
-            members = await self.context.ports['membership'].members()
+            members = await context.ports['membership'].members()
         except PlatformError as error:
             logger.warning('membership list not available: {}', error)
             return
-        self.context.peers.update(members.hosts)
-        self.context.endpoints.update(members.endpoints)
+        context.peers.update(members.hosts, asked_at_s)
+        marks = context.endpoints.update(members.endpoints, asked_at_s)
+        context.confirmation.list_was_read(asked_at_s)
+        if marks:
+            logger.info('endpoints leave: {}', marks)
+            context.part(AnnouncePart).send_soon(
+                Announce(host=context.settings.host, leaving=marks)
+            )
--- a/anvilcove/daemon/app.py
+++ b/anvilcove/daemon/app.py
@@ -18,6 +18,9 @@
     'anvilcove.commands.submit',
     'anvilcove.commands.membership',
     'anvilcove.commands.apply',
+    'anvilcove.commands.announce',
+    'anvilcove.commands.gossip',
+    'anvilcove.queries.entries',
 )
 ADAPTER_MODULES = (
     'anvilcove.platform.table',
--- a/anvilcove/daemon/context.py
+++ b/anvilcove/daemon/context.py
@@ -34,6 +34,7 @@
         'parts',
         'confirmation',
         'draining',
+        'newest_versions',
         '_endpoint_ports',
     )
 
@@ -65,9 +66,10 @@
         self.policies: dict[str, Any] = {}
         self.parts: dict[type[Any], Any] = {}
         self.confirmation = Confirmation(
-            settings.timing.confirm_window_ms / 1000
+            settings.timing.confirm_window_ms / 1000, self.config, self.peers
         )
         self.draining = False
+        self.newest_versions: dict[str, int] = {}
         self._endpoint_ports: dict[tuple[str, str], Any] = {}
 
     def policy(self, topic: str) -> Any:
@@ -79,9 +81,16 @@
 
     def refusal_reason(self) -> str:
         """Return why no new work may be taken, or an empty string."""
-        if not self.confirmation.holds(self.clock.now()):
-            return 'configuration is not confirmed'
-        return ''
+        return self.confirmation.problem(self.clock.now())
+
+    def load(self) -> int:
+        """Return the attempts in flight through this daemon."""
+        return sum(s.in_flight for s in self.endpoints.by_id.values())
+
+    def note_version(self, model: str, version: int) -> None:
+        """Remember the newest published weight version of a model."""
+        if version > self.newest_versions.get(model, 0):
+            self.newest_versions[model] = version
 
     def part(self, kind: type[Any]) -> Any:
         """Return the daemon's instance of a part, built on first use."""
--- a/anvilcove/messages/peers.py
+++ b/anvilcove/messages/peers.py
@@ -8,12 +8,19 @@
 
 
 class HostDigest(Message, array_like=True):
-    """Gossiped facts of one host: heartbeat, revision, load, draining."""
+    """Gossiped facts of one host.
+
+    `joined` says that the revision came from the table or from a majority.
+    `age_ms` is the time since the host certainly produced this beat, as the
+    sender knows it.
+    """
 
     beat: int
     revision: int
     load: int
     draining: bool
+    joined: bool = False
+    age_ms: int = 0
 
 
 class SuspectDigest(Message, array_like=True):
@@ -24,8 +31,11 @@
     crashes: int
 
 
-class Gossip(Message):
-    """Digest that two daemons exchange, as request and as answer."""
+class Gossip(Message, omit_defaults=True):
+    """Digest that two daemons exchange, as request and as answer.
+
+    Leaving marks are written `endpoint@address`.
+    """
 
     host: str
     hosts: dict[str, HostDigest]
@@ -34,7 +44,7 @@
     weights: dict[str, int] = field(default_factory=dict)
 
 
-class Announce(Message):
+class Announce(Message, omit_defaults=True):
     """Urgent news sent to every peer at once."""
 
     host: str
--- a/anvilcove/state/endpoints.py
+++ b/anvilcove/state/endpoints.py
@@ -8,6 +8,9 @@
 from anvilcove.messages.membership import LEAVING, EndpointMember
 
 DEFAULT_LIMIT = 8.0
+# Marks outlive the listing, because a lagging list may name the endpoint as
+# live again.
+MARK_KEPT_S = 60.0
 
 
 class EndpointState:
@@ -60,16 +63,23 @@
 class EndpointView:
     """All endpoints by identifier and by pool."""
 
-    __slots__ = ('by_id', 'ids_by_pool', 'changes')
+    __slots__ = ('by_id', 'ids_by_pool', 'changes', '_mark_until_s')
 
     def __init__(self) -> None:
         """Start empty."""
         self.by_id: dict[str, EndpointState] = {}
         self.ids_by_pool: dict[str, list[str]] = {}
         self.changes: Subject[str] = Subject()
+        self._mark_until_s: dict[str, float] = {}
 
-    def update(self, members: list[EndpointMember]) -> None:
-        """Adopt a membership list; a leaving mark is never taken back."""
+    def update(
+        self, members: list[EndpointMember], now: float = 0.0
+    ) -> list[str]:
+        """Adopt a membership list and return the new leaving marks.
+
+        A mark is never taken back while the same address is listed.
+        """
+        before = set(self.leaving_marks())
         listed = {member.endpoint for member in members}
         for gone in [e for e in self.by_id if e not in listed]:
             self._remove(gone)
@@ -82,6 +92,29 @@
                 self._add(member)
             elif member.state == LEAVING:
                 self.mark_leaving(member.endpoint)
+        self._expire_marks(now)
+        return [m for m in self.leaving_marks() if m not in before]
+
+    def leaving_marks(self) -> list[str]:
+        """Return the marks of listed endpoints as `endpoint@address`."""
+        return [
+            f'{state.endpoint}@{state.address}'
+            for state in self.by_id.values()
+            if state.leaving
+        ]
+
+    def merge_marks(self, marks: list[str], now: float) -> list[str]:
+        """Adopt marks of a peer and return those that were news."""
+        news = []
+        for mark in marks:
+            endpoint, _, address = mark.rpartition('@')
+            known = self.by_id.get(endpoint)
+            if known is not None and known.address == address:
+                if self.mark_leaving(endpoint):
+                    news.append(mark)
+            else:
+                self._mark_until_s[mark] = now + MARK_KEPT_S
+        return news
 
     def mark_leaving(self, endpoint: str) -> bool:
         """Stop new work to an endpoint; return whether this was news."""
@@ -105,12 +138,29 @@
         return [self.by_id[endpoint] for endpoint in chosen]
 
     def _add(self, member: EndpointMember) -> None:
-        self.by_id[member.endpoint] = EndpointState(member)
+        state = EndpointState(member)
+        if f'{member.endpoint}@{member.address}' in self._mark_until_s:
+            state.leaving = True
+        self.by_id[member.endpoint] = state
         self.ids_by_pool.setdefault(member.pool, []).append(member.endpoint)
         self.changes.on_next(member.endpoint)
 
     def _remove(self, endpoint: str) -> None:
         state = self.by_id.pop(endpoint)
+        if state.leaving:
+            mark = f'{state.endpoint}@{state.address}'
+            self._mark_until_s[mark] = float('inf')
         state.leaving = True
         self.ids_by_pool[state.pool].remove(endpoint)
         self.changes.on_next(endpoint)
+
+    def _expire_marks(self, now: float) -> None:
+        for mark, until_s in list(self._mark_until_s.items()):
+            endpoint, _, address = mark.rpartition('@')
+            known = self.by_id.get(endpoint)
+            if known is not None and known.address == address:
+                self._mark_until_s[mark] = now + MARK_KEPT_S
+            elif until_s == float('inf'):
+                self._mark_until_s[mark] = now + MARK_KEPT_S
+            elif until_s < now:
+                del self._mark_until_s[mark]
