--- a/anvilcove/cli/main.py
+++ b/anvilcove/cli/main.py
@@ -11,6 +11,11 @@
 # stays below its memory budget.
 MODULE_BY_PROGRAM = {
     'serve': 'anvilcove.cli.serve',
+    'classes': 'anvilcove.cli.classes',
+    'status': 'anvilcove.cli.status',
+    'drain': 'anvilcove.cli.drain',
+    'explain': 'anvilcove.cli.explain',
+    'settings': 'anvilcove.cli.settings',
     'standin': 'anvilcove.cli.standin',
     'demo': 'anvilcove.cli.demo',
 }
--- a/anvilcove/cli/serve.py
+++ b/anvilcove/cli/serve.py
@@ -4,11 +4,15 @@
 import sys
 from pathlib import Path
 
-import msgspec
-
 from anvilcove.cli.registry import program
-from anvilcove.daemon.app import Daemon
+from anvilcove.daemon.app import Daemon, load_modules
+from anvilcove.daemon.logs import Logs
 from anvilcove.settings.daemon import DaemonSettings
+from anvilcove.settings.loader import (
+    SettingsError,
+    load_settings,
+    registry_faults,
+)
 
 
 @program('serve', 'Run an entry daemon: anvilcove serve SETTINGS.yaml')
@@ -17,7 +21,19 @@
     if len(arguments) != 1:
         print('usage: anvilcove serve SETTINGS.yaml', file=sys.stderr)
         return 2
-    data = Path(arguments[0]).read_bytes()
-    settings = msgspec.yaml.decode(data, type=DaemonSettings)
-    asyncio.run(Daemon(settings).run())
+    path = Path(arguments[0])
+    try:
+        settings = load_settings(path)
+        load_modules()
+        faults = registry_faults(settings)
+        if faults:
+            raise SettingsError([f'{path}: {fault}' for fault in faults])
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return 2
+    asyncio.run(_run(settings))
     return 0
+
+
+async def _run(settings: DaemonSettings) -> None:
+    await Daemon(settings, Logs(settings.log)).run()
--- /dev/null
+++ b/anvilcove/cli/settings.py
@@ -0,0 +1,21 @@
+"""List the settings of a daemon and the keys of declarations."""
+
+import sys
+
+from anvilcove.cli.registry import program
+from anvilcove.settings.classes import ClassDocument
+from anvilcove.settings.daemon import DaemonSettings
+from anvilcove.settings.explain import explain
+
+
+@program('settings', 'List every settings key: anvilcove settings explain')
+def settings(arguments: list[str]) -> int:
+    """Print every key with its values, unit, default and meaning."""
+    if arguments != ['explain']:
+        print('usage: anvilcove settings explain', file=sys.stderr)
+        return 2
+    print('# settings of an entry daemon')
+    print('\n'.join(explain(DaemonSettings)))
+    print('\n# class declarations')
+    print('\n'.join(explain(ClassDocument)))
+    return 0
--- a/anvilcove/commands/announce.py
+++ b/anvilcove/commands/announce.py
@@ -25,7 +25,7 @@
     def __init__(self, context: Context) -> None:
         """Start with nothing to send."""
         super().__init__(context)
-        self._sending: set[asyncio.Task[list[Announced]]] = set()
+        self._sending: set[asyncio.Task[None]] = set()
 
     def routes(self) -> list[web.RouteDef]:
         """Return the route that peers call."""
@@ -41,7 +41,7 @@
 
     def send_soon(self, news: Announce) -> None:
         """Send news to all peers without waiting for the answers."""
-        task = asyncio.create_task(self.send(news))
+        task = self.context.control_task(self._send_all(news))
         self._sending.add(task)
         task.add_done_callback(self._sending.discard)
 
@@ -59,6 +59,9 @@
         """Wait until the last news were sent."""
         await asyncio.gather(*self._sending, return_exceptions=True)
 
+    async def _send_all(self, news: Announce) -> None:
+        await self.send(news)
+
     async def _call(self, peer: PeerState, news: Announce) -> Announced | None:
         try:
             return await call_peer(
@@ -81,6 +84,7 @@
         peer = context.peers.by_host.get(news.host)
         if peer is not None and news.draining:
             peer.draining = True
+            peer.beat = max(peer.beat, news.beat)
         context.endpoints.merge_marks(news.leaving, now)
         if news.suspects:
             context.policy('quarantine').merge(now, news.suspects)
--- a/anvilcove/commands/apply.py
+++ b/anvilcove/commands/apply.py
@@ -53,6 +53,8 @@
 class ConfigPart(Part):
     """Keep the declarations in force near those in the table."""
 
+    control = True
+
     def routes(self) -> list[web.RouteDef]:
         """Return the operators' routes."""
         return [
@@ -67,7 +69,7 @@
     async def refresh(self) -> None:
         """Read the row once and adopt a newer revision."""
         context = self.context
-        table = context.ports['table']
+        table = context.ports['control_table']
         asked_at_s = context.clock.now()
         try:
             row = (await table.read([CONFIG_KEY]))[CONFIG_KEY]
@@ -143,7 +145,7 @@
         return True
 
     async def _write(self, change: ApplyClasses) -> int:
-        table = self.context.ports['table']
+        table = self.context.ports['control_table']
         row = (await table.read([CONFIG_KEY]))[CONFIG_KEY]
         if _revision(row) != change.expected_revision:
             raise Conflict(_revision(row))
@@ -174,7 +176,7 @@
         The repeated compare-and-set either commits or shows a row that holds
         the own nonce (the first write took effect) or that of another.
         """
-        table = self.context.ports['table']
+        table = self.context.ports['control_table']
         for _ in range(READ_BACK_ATTEMPTS):
             try:
                 result = await table.transact(transaction)
--- /dev/null
+++ b/anvilcove/commands/drain.py
@@ -0,0 +1,42 @@
+"""Start a graceful shutdown."""
+
+from aiohttp import web
+from loguru import logger
+
+from anvilcove.commands.announce import AnnouncePart
+from anvilcove.daemon.context import Context, Part
+from anvilcove.daemon.parts import part
+from anvilcove.daemon.replies import read_message, reply
+from anvilcove.messages.operators import Drain
+from anvilcove.messages.peers import Announce
+
+
+async def start_draining(context: Context) -> None:
+    """Tell all peers, then serve while callers still hold old entry lists."""
+    if context.draining:
+        return
+    context.draining = True
+    logger.info('draining started')
+    await context.part(AnnouncePart).send(
+        Announce(
+            host=context.settings.host,
+            draining=True,
+            beat=context.peers.next_beat(context.clock.now()),
+        )
+    )
+    await context.clock.sleep(context.settings.timing.entry_ttl_ms / 1000)
+
+
+@part
+class DrainPart(Part):
+    """Serve the operators' request to stop."""
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the operators' route."""
+        return [web.post('/v1/drain', self._drain)]
+
+    async def _drain(self, request: web.Request) -> web.Response:
+        if request.can_read_body:
+            await read_message(request, Drain)
+        self.context.stop.set()
+        return reply({'draining': True})
--- a/anvilcove/commands/gossip.py
+++ b/anvilcove/commands/gossip.py
@@ -7,12 +7,13 @@
 from aiohttp import web
 from loguru import logger
 
+from anvilcove.commands.reports import merge_reports, report_digests
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
 from anvilcove.daemon.peer_client import PeerError, call_peer
 from anvilcove.daemon.replies import read_message, reply
 from anvilcove.messages.operators import ClassesShown
-from anvilcove.messages.peers import Gossip, HostDigest
+from anvilcove.messages.peers import DRAINING, JOINED, Gossip, HostDigest
 from anvilcove.settings.classes import declaration_errors
 from anvilcove.state.peers import NEVER, PeerState
 
@@ -25,6 +26,8 @@
 class GossipPart(Part):
     """Push and pull digests; fetch newer declarations from a peer."""
 
+    control = True
+
     def __init__(self, context: Context) -> None:
         """Start without exchanges."""
         super().__init__(context)
@@ -42,17 +45,25 @@
         """Return the gossip loop."""
         return [self._loop()]
 
-    def digest(self) -> Gossip:
-        """Return what this daemon knows."""
+    def digest(self, asked: Gossip | None = None) -> Gossip:
+        """Return what this daemon knows, as an answer only what is new."""
         context = self.context
         now = context.clock.now()
-        hosts = context.peers.digests(now)
+        hosts = context.peers.digests(now, asked.hosts if asked else None)
+        reports = report_digests(context.endpoints, now)
+        if asked:
+            reports = {
+                endpoint: digest
+                for endpoint, digest in reports.items()
+                if endpoint not in asked.reports
+                or digest.age_ms < asked.reports[endpoint].age_ms
+            }
         hosts[context.settings.host] = HostDigest(
             beat=context.peers.next_beat(now),
             revision=context.config.revision,
-            load=context.load(),
-            draining=context.draining,
-            joined=context.confirmation.joined,
+            load=context.in_flight,
+            flags=DRAINING * context.draining
+            + JOINED * context.confirmation.joined,
         )
         suspects = context.policy('quarantine').digests(now)
         return Gossip(
@@ -61,6 +72,7 @@
             leaving=context.endpoints.leaving_marks(),
             suspects=suspects[:GOSSIPED_SUSPECTS],
             weights=context.newest_versions,
+            reports=reports,
         )
 
     def targets(self) -> list[PeerState]:
@@ -78,7 +90,7 @@
     def exchange_once(self) -> None:
         """Start one exchange with each chosen peer."""
         for peer in self.targets():
-            task = asyncio.create_task(self._exchange(peer))
+            task = self.context.control_task(self._exchange(peer))
             self._exchanges.add(task)
             task.add_done_callback(self._exchanges.discard)
 
@@ -113,10 +125,10 @@
         self._merge(gossip, NEVER)
         peer = self.context.peers.by_host.get(gossip.host)
         if peer and peer.revision > self.context.config.revision:
-            task = asyncio.create_task(self._fetch(peer))
+            task = self.context.control_task(self._fetch(peer))
             self._exchanges.add(task)
             task.add_done_callback(self._exchanges.discard)
-        return reply(self.digest())
+        return reply(self.digest(gossip))
 
     def _merge(self, gossip: Gossip, asked_at_s: float) -> None:
         context = self.context
@@ -125,6 +137,7 @@
         context.endpoints.merge_marks(gossip.leaving, now)
         if gossip.suspects:
             context.policy('quarantine').merge(now, gossip.suspects)
+        merge_reports(context.endpoints, gossip.reports, now)
         for model, version in gossip.weights.items():
             context.note_version(model, version)
 
--- a/anvilcove/commands/membership.py
+++ b/anvilcove/commands/membership.py
@@ -16,6 +16,8 @@
 class MembershipPoller(Part):
     """Keep the known hosts and endpoints near the platform's list."""
 
+    control = True
+
     def tasks(self) -> list[Coroutine[Any, Any, None]]:
         """Return the polling loop."""
         return [self._poll()]
--- /dev/null
+++ b/anvilcove/commands/reports.py
@@ -0,0 +1,120 @@
+"""Poll load reports and cache events of a bounded number of endpoints."""
+
+from collections.abc import Coroutine
+from typing import Any
+
+from loguru import logger
+
+from anvilcove.daemon.context import Context, Part
+from anvilcove.daemon.parts import part
+from anvilcove.messages.engines import LoadReport
+from anvilcove.messages.membership import ENGINE
+from anvilcove.messages.peers import ReportDigest
+from anvilcove.platform.errors import EndpointError
+from anvilcove.state.endpoints import EndpointState, EndpointView
+
+# Endpoints polled per period, whatever their number; peers share the rest.
+POLLS_PER_PERIOD = 1
+# The one with the oldest report of a few random endpoints is polled.
+SAMPLED_ENDPOINTS = 8
+# Reports in one gossip message, and their greatest age.
+GOSSIPED_REPORTS = 5
+GOSSIPED_AGE_S = 2.0
+
+
+@part
+class ReportsPart(Part):
+    """Keep the reports of the endpoints fresh within a fixed budget."""
+
+    control = True
+
+    def __init__(self, context: Context) -> None:
+        """Start without cache events."""
+        super().__init__(context)
+        self._sequence_by_address: dict[str, int] = {}
+
+    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+        """Return the polling loop."""
+        return [self._loop()]
+
+    async def _loop(self) -> None:
+        period_s = self.context.settings.timing.report_period_ms / 1000
+        while True:
+            for _ in range(POLLS_PER_PERIOD):
+                state = self.next_endpoint()
+                if state is not None:
+                    self.context.control_task(self.poll(state))
+            await self.context.clock.sleep(period_s)
+
+    def next_endpoint(self) -> EndpointState | None:
+        """Return the least recently reported of a few random endpoints."""
+        pools = [
+            p for p, ids in self.context.endpoints.ids_by_pool.items() if ids
+        ]
+        if not pools:
+            return None
+        view = self.context.endpoints
+        counts = [len(view.ids_by_pool[pool]) for pool in pools]
+        pool = self.context.rng.choices(pools, counts)[0]
+        states = view.sample(pool, SAMPLED_ENDPOINTS, self.context.rng)
+        return min(states, key=lambda state: state.report_at_s)
+
+    async def poll(self, state: EndpointState) -> None:
+        """Read the report of an endpoint and its cache events."""
+        context = self.context
+        asked_at_s = context.clock.now()
+        port = context.endpoint_port(state, control=True)
+        try:
+            report = await port.load()
+            if report.endpoint == state.endpoint:
+                context.endpoints.set_report(state, report, asked_at_s)
+            if state.kind == ENGINE:
+                await self._poll_cache(state, port)
+        except EndpointError as error:
+            logger.debug('report of {} failed: {}', state.endpoint, error)
+
+    async def _poll_cache(self, state: EndpointState, port: Any) -> None:
+        after = self._sequence_by_address.get(state.address, 0)
+        events = (await port.cache_events(after)).events
+        if not events:
+            return
+        self._sequence_by_address[state.address] = events[-1].sequence
+        self.context.policy('routing').observe_cache(
+            self.context.clock.now(), state.endpoint, events
+        )
+
+
+def report_digests(view: EndpointView, now: float) -> dict[str, ReportDigest]:
+    """Return the newest reports for gossip."""
+    digests: dict[str, ReportDigest] = {}
+    for endpoint in reversed(view.reported):
+        state = view.by_id.get(endpoint)
+        if state is None or state.report is None or endpoint in digests:
+            continue
+        age_s = now - state.report_at_s
+        if age_s <= GOSSIPED_AGE_S:
+            digests[endpoint] = ReportDigest(
+                running=state.report.running,
+                queued=state.report.queued,
+                capacity=state.report.capacity,
+                age_ms=int(age_s * 1000),
+            )
+        if len(digests) == GOSSIPED_REPORTS:
+            break
+    return digests
+
+
+def merge_reports(
+    view: EndpointView, reports: dict[str, ReportDigest], now: float
+) -> None:
+    """Adopt the reports of a peer that are newer than the known ones."""
+    for endpoint, digest in reports.items():
+        state = view.by_id.get(endpoint)
+        if state is not None:
+            report = LoadReport(
+                endpoint=endpoint,
+                running=digest.running,
+                queued=digest.queued,
+                capacity=digest.capacity,
+            )
+            view.set_report(state, report, now - digest.age_ms / 1000)
--- a/anvilcove/daemon/app.py
+++ b/anvilcove/daemon/app.py
@@ -2,14 +2,20 @@
 
 import asyncio
 import signal
+from collections.abc import Coroutine
 from importlib import import_module
+from typing import Any
 
 from aiohttp import ClientSession, ClientTimeout, TCPConnector, web
 from loguru import logger
 
-from anvilcove.daemon.context import Context
+from anvilcove.commands.drain import start_draining
+from anvilcove.daemon.context import Context, Part
+from anvilcove.daemon.control_traffic import SKIPPED_HEADERS, control_trace
+from anvilcove.daemon.listeners import Listener, client_tls
+from anvilcove.daemon.logs import Logs
+from anvilcove.daemon.metrics import Metrics
 from anvilcove.daemon.parts import PARTS
-from anvilcove.daemon.replies import BODY_TIMEOUT, bad_request_middleware
 from anvilcove.settings.daemon import DaemonSettings
 from anvilcove.state.clock import SystemClock, random_source
 
@@ -20,7 +26,10 @@
     'anvilcove.commands.apply',
     'anvilcove.commands.announce',
     'anvilcove.commands.gossip',
+    'anvilcove.commands.drain',
+    'anvilcove.commands.reports',
     'anvilcove.queries.entries',
+    'anvilcove.queries.status',
 )
 ADAPTER_MODULES = (
     'anvilcove.platform.table',
@@ -31,6 +40,7 @@
     'anvilcove.platform.services',
 )
 POLICY_MODULES = ('anvilcove.decisions.naive',)
+CONNECT_LIMIT_S = 1.0
 
 
 def load_modules() -> None:
@@ -42,87 +52,124 @@
 def split_address(address: str) -> tuple[str, int]:
     """Split `ip:port`."""
     ip, _, port = address.rpartition(':')
-    return ip, int(port)
+    return ip.strip('[]'), int(port)
+
+
+def open_context(settings: DaemonSettings) -> Context:
+    """Open the client sessions and build the shared objects."""
+    local = settings.outgoing_ip
+    connector = TCPConnector(
+        limit=0,
+        local_addr=(local, 0) if local else None,
+        ssl=client_tls(settings.tls) or True,
+    )
+    timeout = ClientTimeout(total=None, sock_connect=CONNECT_LIMIT_S)
+    metrics = Metrics()
+    return Context(
+        settings,
+        SystemClock(),
+        random_source(settings.seed),
+        ClientSession(connector=connector, timeout=timeout),
+        control_session=ClientSession(
+            connector=connector,
+            connector_owner=False,
+            timeout=timeout,
+            skip_auto_headers=SKIPPED_HEADERS,
+            trace_configs=[control_trace(metrics)],
+        ),
+        metrics=metrics,
+    )
 
 
 class Daemon:
     """One entry daemon: start, serve, drain, stop."""
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(
+        self, settings: DaemonSettings, logs: Logs | None = None
+    ) -> None:
         """Keep the settings; nothing runs yet."""
         self.settings = settings
+        self._logs = logs
         self.context: Context | None = None
         self._tasks: list[asyncio.Task[None]] = []
-        self._runner: web.AppRunner | None = None
-        self._stop = asyncio.Event()
+        self._listener: Listener | None = None
 
     async def start(self) -> Context:
         """Open the listener and start the background tasks."""
         load_modules()
-        local = self.settings.outgoing_ip
-        session = ClientSession(
-            connector=TCPConnector(
-                limit=0, local_addr=(local, 0) if local else None
-            ),
-            timeout=ClientTimeout(total=None, sock_connect=1.0),
-        )
-        context = Context(
-            self.settings,
-            SystemClock(),
-            random_source(self.settings.seed),
-            session,
-        )
+        context = open_context(self.settings)
         self.context = context
-        limits = self.settings.limits
-        app = web.Application(
-            middlewares=[bad_request_middleware],
-            client_max_size=limits.body_bytes,
-        )
-        app[BODY_TIMEOUT] = limits.body_timeout_ms / 1000
-        app.router.add_get('/healthz', _healthy)
+        context.logs = self._logs
+        self._listener = Listener(context)
+        router = self._listener.app.router
+        router.add_get('/healthz', _healthy)
         for kind in PARTS:
-            app.router.add_routes(context.part(kind).routes())
-        self._runner = web.AppRunner(
-            app,
-            access_log=None,
-            max_field_size=limits.header_bytes,
-            max_line_size=limits.header_bytes,
-        )
-        await self._runner.setup()
-        ip, port = split_address(self.settings.listen_address)
-        await web.TCPSite(self._runner, ip, port, backlog=512).start()
+            router.add_routes(context.part(kind).routes())
+        await self._listener.open(*split_address(self.settings.listen_address))
         for kind in PARTS:
-            for task in context.part(kind).tasks():
-                self._tasks.append(asyncio.create_task(task))
+            self._run_tasks(context.part(kind))
         logger.info('daemon started')
         return context
 
     def request_stop(self) -> None:
-        """Ask for a graceful shutdown."""
-        self._stop.set()
+        """Ask for a graceful shutdown; a second request changes nothing."""
+        if self.context is not None:
+            self.context.stop.set()
 
     async def stop(self) -> None:
-        """Drain every part, then close the listener and the session."""
-        assert self.context is not None and self._runner is not None
-        self.context.draining = True
+        """Drain the daemon, then close the listener and the sessions."""
+        assert self.context is not None and self._listener is not None
+        context = self.context
+        await start_draining(context)
+        limit_s = self.settings.timing.drain_limit_ms / 1000
+        until_s = context.clock.now() + limit_s
+        if not await self._listener.close(limit_s):
+            logger.warning('requests were in flight at the drain limit')
         for kind in PARTS:
-            await self.context.part(kind).drain()
+            await self._drain(context.part(kind), until_s)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self._runner.cleanup()
-        await self.context.session.close()
+        await self._listener.cleanup()
+        await context.control_session.close()
+        await context.session.close()
         logger.info('daemon stopped')
 
     async def run(self) -> None:
         """Serve until SIGTERM, SIGINT or a drain call."""
         loop = asyncio.get_running_loop()
+        context = await self.start()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.request_stop)
-        await self.start()
-        await self._stop.wait()
+        await context.stop.wait()
         await self.stop()
 
+    def _run_tasks(self, part: Part) -> None:
+        assert self.context is not None
+        for work in part.tasks():
+            guarded = _logged(work)
+            if part.control:
+                self._tasks.append(self.context.control_task(guarded))
+            else:
+                self._tasks.append(asyncio.create_task(guarded))
+
+    async def _drain(self, part: Part, until_s: float) -> None:
+        assert self.context is not None
+        left_s = max(until_s - self.context.clock.now(), 1.0)
+        try:
+            async with asyncio.timeout(left_s):
+                await part.drain()
+        except Exception:
+            logger.exception('drain of {} failed', type(part).__name__)
+
+
+async def _logged(work: Coroutine[Any, Any, None]) -> None:
+    """Run a background task and log the error that ends it."""
+    try:
+        await work
+    except Exception:
+        logger.exception('background task ended')
+
 
 async def _healthy(request: web.Request) -> web.Response:
     return web.json_response({'alive': True})
--- a/anvilcove/daemon/context.py
+++ b/anvilcove/daemon/context.py
@@ -1,12 +1,17 @@
 """Objects that the parts of one daemon share."""
 
+import asyncio
 import random
 from collections.abc import Coroutine
 from typing import Any
 
 from aiohttp import ClientSession, web
 
+from anvilcove.daemon.control_traffic import run_metered
+from anvilcove.daemon.counted_table import CountedTable
 from anvilcove.daemon.decision_log import DecisionLog
+from anvilcove.daemon.logs import Logs
+from anvilcove.daemon.metrics import Metrics
 from anvilcove.decisions.registry import policy_class
 from anvilcove.platform.registry import adapter_class
 from anvilcove.settings.daemon import DaemonSettings
@@ -25,6 +30,10 @@
         'clock',
         'rng',
         'session',
+        'control_session',
+        'metrics',
+        'logs',
+        'stop',
         'config',
         'endpoints',
         'peers',
@@ -34,6 +43,7 @@
         'parts',
         'confirmation',
         'draining',
+        'in_flight',
         'newest_versions',
         '_endpoint_ports',
     )
@@ -44,33 +54,53 @@
         clock: Clock,
         rng: random.Random,
         session: ClientSession,
+        control_session: ClientSession | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         """Build state, ports and policies from the settings."""
         self.settings = settings
         self.clock = clock
         self.rng = rng
         self.session = session
+        # Calls of the control loops; their traffic is counted.
+        self.control_session = control_session or session
+        self.metrics = metrics or Metrics()
+        self.logs: Logs | None = None
+        # Set to start a graceful shutdown.
+        self.stop = asyncio.Event()
         self.config = ConfigState()
         self.endpoints = EndpointView()
         self.peers = PeerTable(settings.host)
         self.decisions = DecisionLog(settings)
-        self.ports = {
-            name: adapter_class(name, adapter.kind)(adapter, session)
-            for name, adapter in (
-                ('table', settings.platform.table),
-                ('objects', settings.platform.objects),
-                ('weights', settings.platform.weights),
-                ('membership', settings.platform.membership),
-            )
-        }
+        self.ports = self._platform_ports()
         self.policies: dict[str, Any] = {}
         self.parts: dict[type[Any], Any] = {}
         self.confirmation = Confirmation(
             settings.timing.confirm_window_ms / 1000, self.config, self.peers
         )
         self.draining = False
+        # Requests of callers and trainers that the listener is serving.
+        self.in_flight = 0
         self.newest_versions: dict[str, int] = {}
-        self._endpoint_ports: dict[tuple[str, str], Any] = {}
+        self._endpoint_ports: dict[tuple[str, str, bool], Any] = {}
+
+    def _platform_ports(self) -> dict[str, Any]:
+        """Build the ports; `control_table` is that of the control loops."""
+        platform = self.settings.platform
+        data, control = self.session, self.control_session
+        ports = {
+            name: adapter_class(port, adapter.kind)(adapter, session)
+            for name, port, adapter, session in (
+                ('table', 'table', platform.table, data),
+                ('control_table', 'table', platform.table, control),
+                ('objects', 'objects', platform.objects, data),
+                ('weights', 'weights', platform.weights, control),
+                ('membership', 'membership', platform.membership, control),
+            )
+        }
+        for name in ('table', 'control_table'):
+            ports[name] = CountedTable(ports[name], self.metrics)
+        return ports
 
     def policy(self, topic: str) -> Any:
         """Return this daemon's instance of a policy, built on first use."""
@@ -83,10 +113,6 @@
         """Return why no new work may be taken, or an empty string."""
         return self.confirmation.problem(self.clock.now())
 
-    def load(self) -> int:
-        """Return the attempts in flight through this daemon."""
-        return sum(s.in_flight for s in self.endpoints.by_id.values())
-
     def note_version(self, model: str, version: int) -> None:
         """Remember the newest published weight version of a model."""
         if version > self.newest_versions.get(model, 0):
@@ -98,21 +124,38 @@
             self.parts[kind] = kind(self)
         return self.parts[kind]
 
-    def endpoint_port(self, state: EndpointState) -> Any:
-        """Return the adapter of an endpoint, built on first use."""
-        key = (state.kind, state.address)
+    def endpoint_port(
+        self, state: EndpointState, control: bool = False
+    ) -> Any:
+        """Return the adapter of an endpoint, built on first use.
+
+        With `control`, its traffic is counted as that of the control loops.
+        """
+        key = (state.kind, state.address, control)
         if key not in self._endpoint_ports:
             kinds = {
                 'engine': self.settings.platform.engine_kind,
                 'service': self.settings.platform.service_kind,
             }
             cls = adapter_class(state.kind, kinds[state.kind])
-            self._endpoint_ports[key] = cls(state.address, self.session)
+            session = self.control_session if control else self.session
+            self._endpoint_ports[key] = cls(state.address, session)
         return self._endpoint_ports[key]
 
+    def control_task(
+        self, work: Coroutine[Any, Any, None]
+    ) -> 'asyncio.Task[None]':
+        """Run a coroutine of the control loops; count its processor time."""
+        return asyncio.create_task(run_metered(work, self.metrics))
+
 
 class Part:
-    """A feature of the daemon: routes, background tasks and drain."""
+    """A feature of the daemon: routes, background tasks and drain.
+
+    The processor time of the tasks of a `control` part is counted.
+    """
+
+    control = False
 
     def __init__(self, context: Context) -> None:
         """Keep the shared objects."""
--- /dev/null
+++ b/anvilcove/daemon/counted_table.py
@@ -0,0 +1,53 @@
+"""Table port that counts its calls."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from anvilcove.daemon.metrics import Metrics
+from anvilcove.messages.table import Row, Transaction, TransactionResult
+from anvilcove.platform.errors import StoreAnswerLost, StoreUnavailable
+from anvilcove.platform.ports import TablePort
+
+
+class CountedTable:
+    """Pass calls on and count them by the kind of their first key."""
+
+    __slots__ = ('_table', '_metrics')
+
+    def __init__(self, table: TablePort, metrics: Metrics) -> None:
+        """Wrap a table port."""
+        self._table = table
+        self._metrics = metrics
+
+    async def transact(self, change: Transaction) -> TransactionResult:
+        """Apply a transaction."""
+        keys = [put.key for put in change.puts] or change.deletes
+        with self._counted('write', keys):
+            return await self._table.transact(change)
+
+    async def read(self, keys: list[str]) -> dict[str, Row]:
+        """Read rows in one snapshot."""
+        with self._counted('read', keys):
+            return await self._table.read(keys)
+
+    async def scan(
+        self, prefix: str, after: str = '', limit: int = 1000
+    ) -> list[Row]:
+        """Read the rows of a prefix in key order."""
+        with self._counted('read', [prefix]):
+            return await self._table.scan(prefix, after, limit)
+
+    @contextmanager
+    def _counted(self, operation: str, keys: list[str]) -> Iterator[None]:
+        kind = keys[0].partition('/')[0] if keys else 'none'
+        result = 'ok'
+        try:
+            yield
+        except StoreUnavailable:
+            result = 'unavailable'
+            raise
+        except StoreAnswerLost:
+            result = 'lost'
+            raise
+        finally:
+            self._metrics.store_call(operation, kind, result)
--- /dev/null
+++ b/anvilcove/daemon/listeners.py
@@ -0,0 +1,264 @@
+"""Listeners with limits, authentication and JSON errors."""
+
+import asyncio
+import ssl
+from typing import Any
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+from loguru import logger
+
+from anvilcove.daemon.auth import is_allowed
+from anvilcove.daemon.context import Context
+from anvilcove.daemon.metrics import is_control_path
+from anvilcove.daemon.replies import (
+    BODY_TIMEOUT,
+    BadRequest,
+    Handler,
+    refusal,
+)
+from anvilcove.messages.base import encode
+from anvilcove.messages.callers import Refusal
+from anvilcove.settings.daemon import TlsSettings
+
+BACKLOG = 512
+CLOSE_LIMIT_S = 2.0
+IDLE_POLL_S = 0.02
+
+
+class GuardedHandler(RequestHandler):
+    """Connection that must send its headers in time."""
+
+    __slots__ = ('_headers_limit_s', '_headers_timer')
+
+    def __init__(self, *arguments: Any, limit_s: float, **options: Any):
+        """Keep the time limit of the headers."""
+        super().__init__(*arguments, **options)
+        self._headers_limit_s = limit_s
+        self._headers_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start the time limit."""
+        super().connection_made(transport)
+        self._start_timer()
+
+    def data_received(self, data: bytes) -> None:
+        """Run the time limit while headers are incomplete."""
+        super().data_received(data)
+        if self.is_idle():
+            self._start_timer()
+        else:
+            self._stop_timer()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop the time limit."""
+        self._stop_timer()
+        super().connection_lost(exc)
+
+    def is_idle(self) -> bool:
+        """Tell whether no request was received completely."""
+        return self._current_request is None and not self._messages
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer a request that could not be parsed with JSON."""
+        if status >= 500:
+            return super().handle_error(request, status, exc, message)
+        response = refusal(status, 'bad_request', 'request is not valid HTTP')
+        response.force_close()
+        return response
+
+    def _start_timer(self) -> None:
+        if self._headers_timer is None:
+            loop = asyncio.get_running_loop()
+            self._headers_timer = loop.call_later(
+                self._headers_limit_s, self._expired
+            )
+
+    def _stop_timer(self) -> None:
+        if self._headers_timer is not None:
+            self._headers_timer.cancel()
+            self._headers_timer = None
+
+    def _expired(self) -> None:
+        self._headers_timer = None
+        if self.is_idle() and isinstance(self.transport, asyncio.Transport):
+            self.transport.write(
+                _raw_refusal(408, 'slow_headers', 'headers not received')
+            )
+            self.force_close()
+
+
+class _Refuser(asyncio.Protocol):
+    """Connection above the limit: refused and closed."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        transport.write(
+            _raw_refusal(503, 'too_many_connections', 'try another host')
+        )
+        transport.close()
+
+
+def _raw_refusal(status: int, error: str, reason: str) -> bytes:
+    body = encode(Refusal(error=error, reason=reason))
+    head = (
+        f'HTTP/1.1 {status} Refused\r\nContent-Type: application/json\r\n'
+        f'Content-Length: {len(body)}\r\nConnection: close\r\n\r\n'
+    )
+    return head.encode() + body
+
+
+class Listener:
+    """The listener of a daemon and its connections."""
+
+    __slots__ = (
+        'context',
+        'app',
+        'closing',
+        '_runner',
+        '_server',
+    )
+
+    def __init__(self, context: Context) -> None:
+        """Build an application without routes."""
+        self.context = context
+        self.closing = False
+        limits = context.settings.limits
+        self.app = web.Application(
+            middlewares=[self._guard],
+            client_max_size=limits.body_bytes,
+        )
+        self.app[BODY_TIMEOUT] = limits.body_timeout_ms / 1000
+        self.app.on_response_prepare.append(self._prepare)
+        self._runner: web.AppRunner | None = None
+        self._server: asyncio.Server | None = None
+
+    async def open(self, ip: str, port: int) -> None:
+        """Open the listener."""
+        limits = self.context.settings.limits
+        self._runner = web.AppRunner(
+            self.app,
+            access_log=None,
+            shutdown_timeout=CLOSE_LIMIT_S,
+            max_field_size=limits.header_bytes,
+            max_line_size=limits.header_bytes,
+        )
+        await self._runner.setup()
+        self._server = await asyncio.get_running_loop().create_server(
+            self._connection,
+            ip,
+            port,
+            ssl=server_tls(self.context.settings.tls),
+            backlog=BACKLOG,
+        )
+
+    async def close(self, limit_s: float) -> bool:
+        """Refuse new connections and finish the requests in flight.
+
+        Idle connections are closed, the others after their answer. Return
+        whether all requests ended within the limit.
+        """
+        assert self._server is not None and self._runner is not None
+        self.closing = True
+        self._server.close()
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + limit_s
+        while self._close_idle() and loop.time() < until_s:
+            await asyncio.sleep(IDLE_POLL_S)
+        return self.context.in_flight == 0
+
+    async def cleanup(self) -> None:
+        """Close what is left."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def _close_idle(self) -> int:
+        assert self._runner is not None and self._runner.server is not None
+        for connection in self._runner.server.connections:
+            if isinstance(connection, GuardedHandler) and connection.is_idle():
+                connection.close()
+        return self.context.in_flight
+
+    def _connection(self) -> asyncio.Protocol:
+        assert self._runner is not None and self._runner.server is not None
+        server = self._runner.server
+        limits = self.context.settings.limits
+        if len(server.connections) >= limits.connections:
+            return _Refuser()
+        return GuardedHandler(
+            server,
+            loop=asyncio.get_running_loop(),
+            limit_s=limits.header_timeout_ms / 1000,
+            **server._kwargs,
+        )
+
+    async def _prepare(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers.popall('Server', None)
+        if self.closing:
+            response.headers['Connection'] = 'close'
+            response.force_close()
+        if is_control_path(request.path):
+            self.context.metrics.control_served(request, response)
+
+    @web.middleware
+    async def _guard(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        """Authenticate, count, and turn errors into JSON answers."""
+        if not is_allowed(request, self.context.settings.keys):
+            return refusal(401, 'unauthorized', 'a valid key is required')
+        counted = not is_control_path(request.path)
+        self.context.in_flight += counted
+        try:
+            return await handler(request)
+        except BadRequest as error:
+            return error.response
+        except web.HTTPException as error:
+            return refusal(
+                error.status, 'refused', f'{request.method}: {error.reason}'
+            )
+        except (ConnectionError, asyncio.CancelledError):
+            raise
+        except Exception:
+            logger.exception('handler of {} failed', request.path)
+            if request.task.done() or _started(request):
+                raise
+            return refusal(500, 'internal_error', 'see the log of the host')
+        finally:
+            self.context.in_flight -= counted
+
+
+def _started(request: web.Request) -> bool:
+    """Tell whether part of an answer was already sent."""
+    return request.writer is not None and request.writer.output_size > 0
+
+
+def server_tls(tls: TlsSettings) -> ssl.SSLContext | None:
+    """Return the context of the listener, None for plain TCP."""
+    if not tls.certificate_file:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(tls.certificate_file, tls.key_file)
+    return context
+
+
+def client_tls(tls: TlsSettings) -> ssl.SSLContext | None:
+    """Return the context of calls to peers, None for plain TCP.
+
+    Peers are reached by IP number and named by the shared authority, so the
+    host name is not checked.
+    """
+    if not tls.certificate_file:
+        return None
+    authority = tls.authority_file or tls.certificate_file
+    context = ssl.create_default_context(cafile=authority)
+    context.check_hostname = False
+    return context
--- /dev/null
+++ b/anvilcove/daemon/metrics.py
@@ -0,0 +1,247 @@
+"""Metrics of one daemon in the Prometheus text format."""
+
+import resource
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+from anvilcove.messages.callers import ANSWERED
+
+if TYPE_CHECKING:
+    from anvilcove.daemon.context import Context
+
+CONTROL_PATHS = ('/peer/gossip', '/peer/announce', '/peer/config')
+LATENCY_BUCKETS_S = [0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 10.0, 60.0]
+STALENESS_BUCKETS = [0.0, 1.0, 2.0, 4.0, 8.0]
+# Reasons come from policies; the number of series stays bounded.
+MOST_REASONS = 32
+OTHER = 'other'
+
+
+def is_control_path(path: str) -> bool:
+    """Tell whether a call belongs to the control traffic."""
+    return path in CONTROL_PATHS
+
+
+class Metrics:
+    """Counters that the parts of a daemon call, and their rendering."""
+
+    def __init__(self) -> None:
+        """Start all counters at zero."""
+        self.registry = Registry()
+        self._reasons: set[str] = set()
+        self._finished = self._counter(
+            'requests_total', 'Requests by class and final outcome.'
+        )
+        self._on_time = self._counter(
+            'requests_on_time_total', 'Requests answered before the deadline.'
+        )
+        self._latency = Histogram(
+            'anvilcove_request_duration_seconds',
+            'Time from arrival to the final outcome.',
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self._refused = self._counter(
+            'refusals_total', 'Requests refused as not run, by reason.'
+        )
+        self._retries = self._counter(
+            'retries_total', 'Attempts after the first one.'
+        )
+        self._ejections = self._counter(
+            'ejections_total', 'Ejections by endpoint.'
+        )
+        self._store = self._counter(
+            'store_calls_total', 'Store calls by operation, kind and result.'
+        )
+        self._messages = self._counter(
+            'control_messages_total', 'Control messages by kind.'
+        )
+        self._bytes = self._counter(
+            'control_bytes_total', 'Control traffic by kind and direction.'
+        )
+        self._processor = self._counter(
+            'control_processor_seconds_total',
+            'Processor time of the control loops.',
+        )
+        self._staleness = Histogram(
+            'anvilcove_delivered_staleness_versions',
+            'Versions that a sample was behind the newest at its delivery.',
+            registry=self.registry,
+            buckets=STALENESS_BUCKETS,
+        )
+        self._gauges: dict[str, Gauge] = {}
+
+    def request_finished(
+        self, class_name: str, outcome: str, latency_s: float, on_time: bool
+    ) -> None:
+        """Count a request that reached its final outcome."""
+        labels = {'class': class_name}
+        self._finished.inc({**labels, 'outcome': outcome})
+        self._latency.observe(labels, latency_s)
+        if on_time and outcome == ANSWERED:
+            self._on_time.inc(labels)
+
+    def request_refused(self, class_name: str, reason: str) -> None:
+        """Count a refusal as not run."""
+        if reason not in self._reasons:
+            if len(self._reasons) >= MOST_REASONS:
+                reason = OTHER
+            self._reasons.add(reason)
+        self._refused.inc({'class': class_name, 'reason': reason})
+
+    def retried(self, class_name: str) -> None:
+        """Count an attempt after the first one."""
+        self._retries.inc({'class': class_name})
+
+    def retry_budget(self, left: float) -> None:
+        """Set the retries that the budget still allows."""
+        self._gauge(
+            'retry_budget', 'Retries that the budget still allows.', {}, left
+        )
+
+    def ejected(self, endpoint: str) -> None:
+        """Count an ejection."""
+        self._ejections.inc({'endpoint': endpoint})
+
+    def store_call(self, operation: str, kind: str, result: str) -> None:
+        """Count a store call; operation is read or write."""
+        self._store.inc(
+            {'operation': operation, 'kind': kind, 'result': result}
+        )
+
+    def sample_delivered(self, class_name: str, staleness: int) -> None:
+        """Count a delivered sample by its staleness in versions."""
+        self._staleness.observe({'class': class_name}, float(staleness))
+
+    def control_called(self, kind: str, sent: int, received: int) -> None:
+        """Count a control call that this daemon made."""
+        self._messages.inc({'kind': kind})
+        self._bytes.add({'kind': kind, 'direction': 'sent'}, sent)
+        self._bytes.add({'kind': kind, 'direction': 'received'}, received)
+
+    def control_served(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Count a control call of a peer."""
+        received = len(request.method) + len(request.raw_path) + 12
+        received += sum(len(k) + len(v) + 4 for k, v in request.raw_headers)
+        received += request.content_length or 0
+        sent = 19 + sum(
+            len(k) + len(v) + 4 for k, v in response.headers.items()
+        )
+        sent += response.content_length or 0
+        kind = 'served_' + request.path.rpartition('/')[2]
+        self.control_called(kind, sent, received)
+
+    def control_processor(self, seconds: float) -> None:
+        """Add processor time of the control loops."""
+        self._processor.add({}, seconds)
+
+    def class_summary(self, class_name: str) -> dict[str, Any]:
+        """Return outcomes and on-time share of a class since the start."""
+        outcomes = {
+            labels['outcome']: int(value)
+            for labels, value in self._finished.get_all()
+            if labels['class'] == class_name
+        }
+        finished = sum(outcomes.values())
+        on_time = self._count(self._on_time, {'class': class_name})
+        share = on_time / finished if finished else None
+        return {'outcomes': outcomes, 'on_time_share': share}
+
+    def render(self, context: 'Context') -> bytes:
+        """Return all metrics as text."""
+        self._collect(context)
+        text: bytes = render(self.registry, [])[0]
+        return text
+
+    def _collect(self, context: 'Context') -> None:
+        now = context.clock.now()
+        config = context.config
+        self._gauge(
+            'configuration_revision', 'Revision in force.', {}, config.revision
+        )
+        self._gauge(
+            'configuration_age_seconds',
+            'Time since the revision came into force.',
+            {},
+            now - config.adopted_at_s,
+        )
+        self._gauge(
+            'confirmed',
+            'Whether new work is taken.',
+            {},
+            float(context.confirmation.holds(now)),
+        )
+        for target in config.document.classes:
+            share = self.class_summary(target.name)['on_time_share']
+            if share is not None:
+                self._gauge(
+                    'requests_on_time_ratio',
+                    'Share of requests answered before the deadline.',
+                    {'class': target.name},
+                    share,
+                )
+        self._collect_endpoints(context)
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        self._gauge(
+            'processor_seconds',
+            'Processor time of the process.',
+            {},
+            usage.ru_utime + usage.ru_stime,
+        )
+        self._gauge(
+            'resident_memory_bytes',
+            'Largest resident memory of the process.',
+            {},
+            usage.ru_maxrss * 1024,
+        )
+
+    def _collect_endpoints(self, context: 'Context') -> None:
+        for name in ('endpoint_in_flight', 'endpoint_limit', 'version_skew'):
+            if name in self._gauges:
+                self._gauges[name].values.clear()
+        newest = context.newest_versions
+        for state in context.endpoints.by_id.values():
+            labels = {'endpoint': state.endpoint}
+            self._gauge(
+                'endpoint_in_flight',
+                'Attempts in flight by endpoint.',
+                labels,
+                state.in_flight,
+            )
+            self._gauge(
+                'endpoint_limit',
+                'Attempts that may be in flight by endpoint.',
+                labels,
+                state.limit,
+            )
+            if state.version:
+                self._gauge(
+                    'version_skew',
+                    'Weight versions behind the newest by endpoint.',
+                    labels,
+                    max(newest.get(state.pool, 0) - state.version, 0),
+                )
+
+    def _counter(self, name: str, meaning: str) -> Counter:
+        return Counter(f'anvilcove_{name}', meaning, registry=self.registry)
+
+    def _gauge(
+        self, name: str, meaning: str, labels: dict[str, str], value: float
+    ) -> None:
+        if name not in self._gauges:
+            self._gauges[name] = Gauge(
+                f'anvilcove_{name}', meaning, registry=self.registry
+            )
+        self._gauges[name].set(labels, value)
+
+    @staticmethod
+    def _count(counter: Counter, labels: dict[str, str]) -> float:
+        try:
+            return float(counter.get(labels))
+        except KeyError:
+            return 0.0
--- a/anvilcove/daemon/peer_client.py
+++ b/anvilcove/daemon/peer_client.py
@@ -5,6 +5,7 @@
 from aiohttp import ClientError, ClientTimeout
 
 from anvilcove.daemon.context import Context
+from anvilcove.daemon.metrics import is_control_path
 from anvilcove.messages.base import MessageError, decode, encode
 from anvilcove.state.peers import PeerState
 
@@ -33,10 +34,13 @@
 ) -> M:
     """Call a peer and decode its answer, or raise PeerError."""
     headers = {'Authorization': f'Bearer {context.settings.keys.peer}'}
+    control = is_control_path(path)
+    session = context.control_session if control else context.session
+    scheme = 'https' if context.settings.tls.certificate_file else 'http'
     try:
-        async with context.session.request(
+        async with session.request(
             method,
-            f'http://{peer.address}{path}',
+            f'{scheme}://{peer.address}{path}',
             data=None if message is None else encode(message),
             headers=headers,
             timeout=ClientTimeout(total=timeout_s),
--- a/anvilcove/daemon/replies.py
+++ b/anvilcove/daemon/replies.py
@@ -51,14 +51,3 @@
         ) from None
     except MessageError as error:
         raise BadRequest(refusal(400, 'invalid_body', str(error))) from error
-
-
-@web.middleware
-async def bad_request_middleware(
-    request: web.Request, handler: Handler
-) -> web.StreamResponse:
-    """Turn BadRequest into its response."""
-    try:
-        return await handler(request)
-    except BadRequest as error:
-        return error.response
--- a/anvilcove/messages/operators.py
+++ b/anvilcove/messages/operators.py
@@ -5,6 +5,7 @@
 from msgspec import field
 
 from anvilcove.messages.base import Message
+from anvilcove.settings.daemon import Level
 
 
 class ApplyClasses(Message):
@@ -42,7 +43,7 @@
 class LogLevel(Message):
     """Change the level of the log."""
 
-    level: str
+    level: Level
 
 
 class StatusReport(Message):
--- a/anvilcove/platform/http.py
+++ b/anvilcove/platform/http.py
@@ -37,6 +37,7 @@
     timeout_s: float,
     message: object | None = None,
     data: bytes | None = None,
+    headers: dict[str, str] | None = None,
 ) -> AsyncIterator[ClientResponse]:
     """Call a store; raise StoreUnavailable only if nothing was applied."""
     body = encode(message) if message is not None else data
@@ -45,7 +46,7 @@
             method,
             url,
             data=body,
-            headers=HEADERS,
+            headers=HEADERS if body is not None else headers,
             timeout=ClientTimeout(total=timeout_s, sock_connect=timeout_s),
         ) as response:
             if response.status in REFUSED_STATUSES:
--- a/anvilcove/platform/membership.py
+++ b/anvilcove/platform/membership.py
@@ -14,7 +14,7 @@
 class HttpMembership:
     """Membership list over HTTP with JSON."""
 
-    __slots__ = ('_base', '_session', '_timeout_s')
+    __slots__ = ('_base', '_session', '_timeout_s', '_etag', '_members')
 
     def __init__(
         self, settings: AdapterSettings, session: ClientSession
@@ -23,13 +23,29 @@
         self._base = f'http://{settings.address}'
         self._session = session
         self._timeout_s = settings.timeout_ms / 1000
+        self._etag = ''
+        self._members = Members()
 
     async def members(self) -> Members:
-        """Read the current list."""
+        """Read the current list.
+
+        A list that did not change is not transferred again, if the service
+        names its entity tag; the same object is returned then.
+        """
+        known = {'If-None-Match': self._etag} if self._etag else {}
         async with store_call(
-            self._session, 'GET', f'{self._base}/members', self._timeout_s
+            self._session,
+            'GET',
+            f'{self._base}/members',
+            self._timeout_s,
+            headers=known,
         ) as response:
+            if response.status == 304:
+                return self._members
             try:
-                return decode(await response.read(), Members)
+                members = decode(await response.read(), Members)
             except MessageError as error:
                 raise StoreUnavailable(str(error)) from error
+            self._etag = response.headers.get('ETag', '')
+            self._members = members
+            return members
--- a/anvilcove/queries/entries.py
+++ b/anvilcove/queries/entries.py
@@ -33,7 +33,7 @@
         if not hosts:
             return refusal(503, 'not_ready', 'no entry host is known')
         loads = {p.host: p.load for p in context.peers.others()}
-        loads[context.settings.host] = context.load()
+        loads[context.settings.host] = context.in_flight
         chosen = context.policy('entries').choose(
             now,
             request.query.get('caller', ''),
--- /dev/null
+++ b/anvilcove/queries/status.py
@@ -0,0 +1,117 @@
+"""Tell operators the state of one daemon and change its log level."""
+
+from typing import Any
+
+from aiohttp import web
+from loguru import logger
+from msgspec import to_builtins
+
+from anvilcove.daemon.context import Part
+from anvilcove.daemon.parts import part
+from anvilcove.daemon.replies import read_message, reply
+from anvilcove.messages.operators import LogLevel, StatusReport
+from anvilcove.state.peers import NEVER
+
+
+@part
+class StatusPart(Part):
+    """Serve status, decisions, metrics and the log level."""
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the operators' routes and `/metrics`."""
+        return [
+            web.get('/v1/status', self._status),
+            web.get('/v1/decisions', self._decisions),
+            web.put('/v1/log-level', self._set_level),
+            web.get('/metrics', self._metrics),
+        ]
+
+    def report(self) -> StatusReport:
+        """Return a snapshot of this daemon."""
+        context = self.context
+        reason = context.refusal_reason()
+        state = 'draining' if context.draining else reason or 'ready'
+        return StatusReport(
+            host=context.settings.host,
+            data_centre=context.settings.data_centre,
+            state=state,
+            revision=context.config.revision,
+            confirmed=not reason,
+            hosts=self._hosts(),
+            endpoints=self._endpoints(),
+            classes={
+                target.name: {
+                    'target': to_builtins(target),
+                    **context.metrics.class_summary(target.name),
+                }
+                for target in context.config.document.classes
+            },
+            versions=dict(context.newest_versions),
+        )
+
+    def _hosts(self) -> dict[str, dict[str, Any]]:
+        context = self.context
+        now = context.clock.now()
+        hosts: dict[str, dict[str, Any]] = {}
+        for peer in context.peers.by_host.values():
+            own = peer.host == context.settings.host
+            heard = peer.beat_at_s != NEVER
+            hosts[peer.host] = {
+                'address': peer.address,
+                'data_centre': peer.data_centre,
+                'listed': peer.state,
+                'draining': context.draining if own else peer.draining,
+                'revision': context.config.revision if own else peer.revision,
+                'load': context.in_flight if own else peer.load,
+                'heard_ago_s': 0.0
+                if own
+                else round(now - peer.beat_at_s, 3)
+                if heard
+                else None,
+            }
+        return hosts
+
+    def _endpoints(self) -> dict[str, dict[str, Any]]:
+        now = self.context.clock.now()
+        return {
+            state.endpoint: {
+                'pool': state.pool,
+                'data_centre': state.data_centre,
+                'leaving': state.leaving,
+                'in_flight': state.in_flight,
+                'limit': state.limit,
+                'ejected': state.ejected_until_s > now,
+                'version': state.version,
+                'report': to_builtins(state.report),
+                'report_age_s': round(now - state.report_at_s, 3)
+                if state.report
+                else None,
+            }
+            for state in self.context.endpoints.by_id.values()
+        }
+
+    async def _status(self, request: web.Request) -> web.Response:
+        return reply(self.report())
+
+    async def _decisions(self, request: web.Request) -> web.Response:
+        subject = request.query.get('subject', '')
+        return reply(
+            [
+                record
+                for record in self.context.decisions.recent
+                if not subject or record.subject == subject
+            ]
+        )
+
+    async def _set_level(self, request: web.Request) -> web.Response:
+        change = await read_message(request, LogLevel)
+        if self.context.logs is not None:
+            self.context.logs.set_level(change.level)
+        logger.info('log level is {}', change.level)
+        return reply(change)
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        return web.Response(
+            body=self.context.metrics.render(self.context),
+            headers={'Content-Type': 'text/plain; version=0.0.4'},
+        )
--- a/anvilcove/settings/classes.py
+++ b/anvilcove/settings/classes.py
@@ -3,17 +3,14 @@
 from collections import Counter
 from typing import Annotated, Any
 
-from msgspec import Meta, convert, field
+from msgspec import convert, field
 
 from anvilcove.messages.base import Message
 from anvilcove.settings.check import Fault, find_faults, show
+from anvilcove.settings.meta import amount, milliseconds, name, share
 
-Name = Annotated[
-    str, Meta(min_length=1, description='Unique name of the class.')
-]
-Pool = Annotated[
-    str, Meta(min_length=1, description='Pool of endpoints that serves it.')
-]
+Name = Annotated[str, name('Unique name of the class.')]
+Pool = Annotated[str, name('Pool of endpoints that serves the class.')]
 
 
 class InteractiveClass(Message, tag='interactive', tag_field='kind'):
@@ -21,22 +18,9 @@
 
     name: Name
     pool: Pool
-    deadline_ms: Annotated[
-        int,
-        Meta(
-            gt=0,
-            description='Time until the answer is late.',
-            extra={'unit': 'ms'},
-        ),
-    ]
+    deadline_ms: Annotated[int, milliseconds('Time until an answer is late.')]
     on_time_share: Annotated[
-        float,
-        Meta(
-            ge=0,
-            le=1,
-            description='Target share of answers before the deadline.',
-            extra={'unit': 'share'},
-        ),
+        float, share('Target share of timely answers.')
     ] = 0.999
 
     @property
@@ -51,12 +35,7 @@
     name: Name
     pool: Pool
     complete_within_ms: Annotated[
-        int,
-        Meta(
-            gt=0,
-            description='Time within which a call completes.',
-            extra={'unit': 'ms'},
-        ),
+        int, milliseconds('Time within which a call completes.')
     ]
 
     @property
@@ -70,23 +49,14 @@
 
     name: Name
     pool: Pool
-    model: Annotated[
-        str, Meta(min_length=1, description='Model that the trainer updates.')
-    ]
+    model: Annotated[str, name('Model that the trainer updates.')]
     step_within_ms: Annotated[
-        int,
-        Meta(
-            gt=0,
-            description='Time within which a step completes.',
-            extra={'unit': 'ms'},
-        ),
+        int, milliseconds('Time within which a step completes.')
     ]
     max_staleness_versions: Annotated[
         int,
-        Meta(
-            ge=0,
-            description='Newest version minus the oldest one of a sample.',
-            extra={'unit': 'versions'},
+        amount(
+            'Versions that a sample may be behind the newest.', 'versions', 0
         ),
     ]
 
@@ -126,10 +96,10 @@
         for item in classes
         if isinstance(item, dict) and isinstance(item.get('name'), str)
     ]
-    for name, count in Counter(names).items():
+    for repeated, count in Counter(names).items():
         if count > 1:
             faults.append(
-                Fault(f'{path}.classes', show(name), 'each name only once')
+                Fault(f'{path}.classes', show(repeated), 'each name only once')
             )
     return faults
 
--- a/anvilcove/state/endpoints.py
+++ b/anvilcove/state/endpoints.py
@@ -1,6 +1,7 @@
 """What one daemon knows of the endpoints."""
 
 import random
+from collections import deque
 
 from reactivex import Subject
 
@@ -11,6 +12,7 @@
 # Marks outlive the listing, because a lagging list may name the endpoint as
 # live again.
 MARK_KEPT_S = 60.0
+REMEMBERED_REPORTS = 16
 
 
 class EndpointState:
@@ -63,13 +65,23 @@
 class EndpointView:
     """All endpoints by identifier and by pool."""
 
-    __slots__ = ('by_id', 'ids_by_pool', 'changes', '_mark_until_s')
+    __slots__ = (
+        'by_id',
+        'ids_by_pool',
+        'changes',
+        'reported',
+        '_leaving',
+        '_mark_until_s',
+    )
 
     def __init__(self) -> None:
         """Start empty."""
         self.by_id: dict[str, EndpointState] = {}
         self.ids_by_pool: dict[str, list[str]] = {}
         self.changes: Subject[str] = Subject()
+        # Endpoints in the order of their last reports, for gossip.
+        self.reported: deque[str] = deque(maxlen=REMEMBERED_REPORTS)
+        self._leaving: set[str] = set()
         self._mark_until_s: dict[str, float] = {}
 
     def update(
@@ -99,8 +111,7 @@
         """Return the marks of listed endpoints as `endpoint@address`."""
         return [
             f'{state.endpoint}@{state.address}'
-            for state in self.by_id.values()
-            if state.leaving
+            for state in map(self.by_id.__getitem__, self._leaving)
         ]
 
     def merge_marks(self, marks: list[str], now: float) -> list[str]:
@@ -122,9 +133,19 @@
         if known is None or known.leaving:
             return False
         known.leaving = True
+        self._leaving.add(endpoint)
         self.changes.on_next(endpoint)
         return True
 
+    def set_report(
+        self, state: EndpointState, report: LoadReport, at_s: float
+    ) -> None:
+        """Keep a report that is newer than the known one."""
+        if at_s > state.report_at_s:
+            state.report = report
+            state.report_at_s = at_s
+            self.reported.append(state.endpoint)
+
     def in_pool(self, pool: str) -> list[EndpointState]:
         """Return the endpoints of a pool."""
         return [self.by_id[e] for e in self.ids_by_pool.get(pool, [])]
@@ -141,6 +162,8 @@
         state = EndpointState(member)
         if f'{member.endpoint}@{member.address}' in self._mark_until_s:
             state.leaving = True
+        if state.leaving:
+            self._leaving.add(member.endpoint)
         self.by_id[member.endpoint] = state
         self.ids_by_pool.setdefault(member.pool, []).append(member.endpoint)
         self.changes.on_next(member.endpoint)
@@ -151,6 +174,7 @@
             mark = f'{state.endpoint}@{state.address}'
             self._mark_until_s[mark] = float('inf')
         state.leaving = True
+        self._leaving.discard(endpoint)
         self.ids_by_pool[state.pool].remove(endpoint)
         self.changes.on_next(endpoint)
 
--- a/anvilcove/state/peers.py
+++ b/anvilcove/state/peers.py
@@ -3,12 +3,12 @@
 from collections import OrderedDict
 
 from anvilcove.messages.membership import LIVE, HostMember
-from anvilcove.messages.peers import HostDigest
+from anvilcove.messages.peers import DRAINING, JOINED, HostDigest
 
 # Own digests whose time is remembered; more than are sent in a window of 3 s.
 REMEMBERED_BEATS = 128
 NEVER = float('-inf')
-LONGEST_AGE_MS = 3_600_000
+LONGEST_AGE_DS = 36_000
 
 
 class PeerState:
@@ -48,21 +48,20 @@
 
     def digest(self, now: float) -> HostDigest:
         """Return what is gossiped about this host."""
-        age_ms = min((now - self.beat_at_s) * 1000, LONGEST_AGE_MS)
+        age_ds = min((now - self.beat_at_s) * 10, LONGEST_AGE_DS)
         return HostDigest(
             beat=self.beat,
             revision=self.revision,
             load=self.load,
-            draining=self.draining,
-            joined=self.joined,
-            age_ms=int(age_ms) + 1,
+            flags=DRAINING * self.draining + JOINED * self.joined,
+            age_ds=int(age_ds) + 1,
         )
 
     def merge(self, digest: HostDigest, basis_s: float) -> None:
         """Adopt a digest that was sent after `basis_s`."""
         if digest.beat < self.beat:
             return
-        self.beat_at_s = max(self.beat_at_s, basis_s - digest.age_ms / 1000)
+        self.beat_at_s = max(self.beat_at_s, basis_s - digest.age_ds / 10)
         if digest.beat > self.beat:
             self.beat = digest.beat
             self.revision = digest.revision
@@ -116,9 +115,20 @@
             self._sent_at_by_beat.popitem(last=False)
         return self.own_beat
 
-    def digests(self, now: float) -> dict[str, HostDigest]:
-        """Return the digests of the other hosts that were ever heard."""
-        return {p.host: p.digest(now) for p in self.others() if p.beat}
+    def digests(
+        self, now: float, known: dict[str, HostDigest] | None = None
+    ) -> dict[str, HostDigest]:
+        """Return the digests of the other hosts that were ever heard.
+
+        Those that tell the receiver nothing new are left out; `known` is
+        what it sent.
+        """
+        known = known or {}
+        return {
+            p.host: p.digest(now)
+            for p in self.others()
+            if p.beat and (p.host not in known or p.beat > known[p.host].beat)
+        }
 
     def merge(
         self, hosts: dict[str, HostDigest], asked_at_s: float = NEVER
