Check keys, limits, logs and TLS with real processes

Cause: nothing guarded the keys and the limits of the listener. Change: features/access.feature with four scenarios over TCP: keys of the operator and peer routes, bad and slow bodies, secrets in the log, TLS.

--- /dev/null
+++ b/features/access.feature
@@ -0,0 +1,80 @@
+Feature: Only valid and authorized calls have an effect
+
+  Scenario: Operator and peer routes need their key
+    Guards against a caller who changes the configuration, stops a daemon or
+    feeds it false news, and against a peer key that opens operator routes.
+    Given a site with 2 hosts, 2 services and settings
+      """
+      {}
+      """
+    And the class declarations
+      """
+      classes:
+        - {kind: interactive, name: lookup, pool: account-app, deadline_ms: 500}
+      """
+    Then each of these calls to host h1 is refused with 401
+      | method | path          | key                | body                                                                             |
+      | GET    | /v1/classes   | none               |                                                                                  |
+      | GET    | /v1/classes   | demo-peer-key      |                                                                                  |
+      | PUT    | /v1/classes   | demo-operator-kez  | {"expected_revision": 1, "document": {"classes": []}}                            |
+      | GET    | /v1/status    | none               |                                                                                  |
+      | POST   | /v1/drain     | none               | {}                                                                               |
+      | PUT    | /v1/log-level | none               | {"level": "ERROR"}                                                               |
+      | GET    | /v1/decisions | none               |                                                                                  |
+      | POST   | /peer/announce | demo-operator-key | {"host": "h2", "draining": true, "revision": 9, "document": {"classes": []}}     |
+      | POST   | /peer/gossip  | none               | {"host": "h2", "hosts": {"h2": [99999, 1, 0, 1, 0]}}                             |
+      | GET    | /peer/config  | none               |                                                                                  |
+    And host h1 is ready with revision 1
+    And host h1 names 2 entries
+
+  Scenario: Bad bodies are refused and never reach an endpoint
+    Guards against lenient decoding, unlimited bodies and connections that
+    are held open by slow senders.
+    Given a site with 1 host, 2 services and settings
+      """
+      limits: {body_timeout_ms: 300, header_timeout_ms: 300, body_bytes: 2000, connections: 20}
+      """
+    And the class declarations
+      """
+      classes:
+        - {kind: interactive, name: lookup, pool: account-app, deadline_ms: 500}
+      """
+    Then each of these calls to host h1 is refused
+      | method | path         | status | body                                                                              |
+      | POST   | /v1/requests | 400    | {"request_id": "r", "class_name": "lookup"                                        |
+      | POST   | /v1/requests | 400    | {"request_id": "r", "class_name": "lookup", "caller": "c", "body": {}, "boddy": 1} |
+      | POST   | /v1/requests | 400    | {"request_id": "r", "class_name": "lookup", "caller": 7, "body": {}}              |
+      | POST   | /v1/requests | 413    | oversize                                                                          |
+      | PUT    | /v1/log-level | 400   | {"level": "LOUD"}                                                                 |
+      | POST   | /v1/nothing  | 404    | {}                                                                                |
+      | DELETE | /v1/requests | 405    | {}                                                                                |
+    And a body that never ends is refused with 408 at host h1
+    And headers that never end are refused with 408 at host h1
+    And connection 21 to host h1 is refused with 503
+    And no service received a call
+
+  Scenario: Keys and bodies stay out of the log
+    Guards against secrets in the log, also in the traceback of an error.
+    Given a site with 1 host, 2 services and settings
+      """
+      log: {level: TRACE}
+      """
+    And the class declarations
+      """
+      classes:
+        - {kind: interactive, name: lookup, pool: account-app, deadline_ms: 500}
+      """
+    When a caller sends {"account": "iban-4711"} to class lookup at host h1
+    And the log level of host h1 is set to ERROR
+    Then the outcome is answered
+    And every line in the log of host h1 is a JSON object
+    And the log of host h1 does not contain iban-4711
+    And the log of host h1 does not contain demo-operator-key
+    And the log of host h1 does not contain demo-peer-key
+
+  Scenario: A listener with a certificate serves only TLS
+    Guards against a configured certificate that is not used, and against
+    peers that cannot talk to each other over TLS.
+    Given a site with 2 hosts, 2 services and TLS
+    Then host h1 is ready over TLS with 2 hosts heard
+    And a plain connection to host h1 gets no answer
--- /dev/null
+++ b/features/steps/access_steps.py
@@ -0,0 +1,248 @@
+"""Steps for keys, limits, logs and TLS."""
+
+import asyncio
+import contextlib
+import datetime
+import ipaddress
+import json
+import ssl
+
+from behave import given, then, when
+from control_steps import call, journal, plan_site
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from site_steps import host_url, run, wait_for
+
+from anvilcove.demo.site import OPERATOR_KEY
+
+ANSWER_LIMIT_S = 20.0
+
+
+def key_headers(key):
+    """Return the header for a key, none for `none`."""
+    return {} if key == 'none' else {'Authorization': f'Bearer {key}'}
+
+
+def check_refusal(row, status, answer, expected):
+    """Check status and the JSON reason of a refused call."""
+    assert status == expected, (row.cells, status, answer)
+    assert answer['error'] and answer['reason'], (row.cells, answer)
+
+
+@then('each of these calls to host {host} is refused with 401')
+def refused_with_401(context, host):
+    """Make calls with wrong keys."""
+    for row in context.table:
+        status, answer = run(
+            context,
+            call(
+                context,
+                host,
+                row['method'],
+                row['path'],
+                row['body'] or None,
+                key_headers(row['key']),
+            ),
+        )
+        check_refusal(row, status, answer, 401)
+
+
+@then('each of these calls to host {host} is refused')
+def refused(context, host):
+    """Make calls with bad bodies."""
+    for row in context.table:
+        body = row['body']
+        if body == 'oversize':
+            body = json.dumps({'request_id': 'r' * 4000})
+        status, answer = run(
+            context, call(context, host, row['method'], row['path'], body)
+        )
+        check_refusal(row, status, answer, int(row['status']))
+
+
+async def send_raw(context, host, data):
+    """Send bytes, then nothing, and return all that is answered."""
+    address = context.site.settings_by_host[host].listen_address
+    ip, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    async with asyncio.timeout(ANSWER_LIMIT_S):
+        writer.write(data)
+        answer = await reader.readuntil(b'}')
+    writer.close()
+    return answer
+
+
+@then('a body that never ends is refused with 408 at host {host}')
+def slow_body(context, host):
+    """Send half a body."""
+    head = (
+        b'POST /v1/requests HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\n'
+    )
+    answer = run(context, send_raw(context, host, head + b'{"request'))
+    assert b' 408 ' in answer and b'slow_body' in answer, answer
+
+
+@then('headers that never end are refused with 408 at host {host}')
+def slow_headers(context, host):
+    """Send half a header."""
+    head = b'POST /v1/requests HTTP/1.1\r\nHos'
+    answer = run(context, send_raw(context, host, head))
+    assert b' 408 ' in answer and b'slow_headers' in answer, answer
+
+
+@then('connection {number:d} to host {host} is refused with 503')
+def too_many(context, number, host):
+    """Open connections until the limit."""
+
+    async def open_all():
+        address = context.site.settings_by_host[host].listen_address
+        ip, _, port = address.rpartition(':')
+        opened = []
+        try:
+            for _ in range(number):
+                opened.append(await asyncio.open_connection(ip, int(port)))
+            last = opened[-1][0]
+            async with asyncio.timeout(ANSWER_LIMIT_S):
+                return await last.read()
+        finally:
+            for _, writer in opened:
+                writer.close()
+
+    answer = run(context, open_all())
+    assert b' 503 ' in answer and b'too_many_connections' in answer, answer
+
+
+@then('no service received a call')
+def no_calls(context):
+    """Check the journals of the services."""
+    for member in context.site.members.endpoints:
+        lines = run(context, journal(context, member.endpoint))
+        calls = [line for line in lines if 'request_id' in line]
+        assert not calls, calls
+
+
+@when('the log level of host {host} is set to {level}')
+def set_level(context, host, level):
+    """Change the level."""
+    body = {'level': level}
+    answer = run(context, call(context, host, 'PUT', '/v1/log-level', body))
+    assert answer == (200, body), answer
+
+
+def log_text(context, host):
+    """Return the log of a host."""
+    return (context.site.processes.folder / f'{host}.log').read_text()
+
+
+@then('every line in the log of host {host} is a JSON object')
+def json_lines(context, host):
+    """Check the form of the log."""
+    lines = [json.loads(line) for line in log_text(context, host).splitlines()]
+    assert lines and all('message' in line for line in lines), lines
+
+
+@then('the log of host {host} does not contain {text}')
+def not_logged(context, host, text):
+    """Check that a secret was not logged."""
+    assert text not in log_text(context, host)
+
+
+def write_certificate(folder):
+    """Write a self-signed certificate for loopback addresses."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, 'hosts')])
+    start = datetime.datetime(2020, 1, 1, tzinfo=datetime.UTC)
+    ip = x509.IPAddress(ipaddress.ip_address('127.1.0.1'))
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(1)
+        .not_valid_before(start)
+        .not_valid_after(start + datetime.timedelta(days=36_500))
+        .add_extension(x509.SubjectAlternativeName([ip]), critical=False)
+        .add_extension(x509.BasicConstraints(True, None), critical=True)
+        .sign(key, hashes.SHA256())
+    )
+    pem = serialization.Encoding.PEM
+    (folder / 'host.pem').write_bytes(certificate.public_bytes(pem))
+    (folder / 'host.key').write_bytes(
+        key.private_bytes(
+            pem,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+
+
+@given('a site with {hosts:d} hosts, {services:d} services and TLS')
+def start_tls_site(context, hosts, services):
+    """Start daemons that serve over TLS."""
+    write_certificate(context.folder)
+    files = {
+        'certificate_file': str(context.folder / 'host.pem'),
+        'key_file': str(context.folder / 'host.key'),
+    }
+    plan_site(context, hosts, services, {'tls': files})
+    # The readiness check of the site speaks plain HTTP.
+    settings_by_host = context.site.settings_by_host
+    listed = context.site.members.hosts[:]
+    context.site.settings_by_host = {}
+
+    async def start():
+        context.site.members.hosts[:] = []
+        await context.site.start(context.session)
+        context.site.members.hosts[:] = listed
+        context.site.settings_by_host = settings_by_host
+        await context.session.put(
+            f'http://{context.site.platform_address}/members',
+            json=json.loads(encode_members(context.site.members)),
+        )
+        for host in settings_by_host:
+            await context.site.start_host(host)
+
+    run(context, start())
+
+
+def encode_members(members):
+    """Return a membership list as JSON."""
+    from anvilcove.messages.base import encode
+
+    return encode(members)
+
+
+@then('host {host} is ready over TLS with {count:d} hosts heard')
+def ready_over_tls(context, host, count):
+    """Wait until the daemon answers over TLS and hears its peers."""
+    trust = ssl.create_default_context(cafile=context.folder / 'host.pem')
+    trust.check_hostname = False
+    url = host_url(context, host).replace('http:', 'https:') + '/v1/status'
+
+    async def heard():
+        with contextlib.suppress(OSError):
+            async with context.session.get(
+                url, ssl=trust, headers=key_headers(OPERATOR_KEY)
+            ) as response:
+                hosts = (await response.json())['hosts'].values()
+                return (
+                    sum(h['heard_ago_s'] is not None for h in hosts) == count
+                )
+        return False
+
+    run(context, wait_for(heard))
+
+
+@then('a plain connection to host {host} gets no answer')
+def no_plain_answer(context, host):
+    """Check that plain HTTP is not served."""
+
+    async def ask():
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            return await send_raw(
+                context, host, b'GET /healthz HTTP/1.1\r\n\r\n'
+            )
+        return b''
+
+    assert b'alive' not in run(context, ask())
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -1,15 +1,64 @@
-"""Steps for readiness, entries and configuration."""
+"""Steps for sites with settings, readiness, entries and calls with keys."""
 
 import asyncio
+import json
 
-from behave import then, when
-from site_steps import host_url, run, wait_for
+import yaml
+from behave import given, then, when
+from site_steps import OPERATOR_HEADERS, host_url, run, wait_for
+
+from anvilcove.demo.site import Site, SiteShape
+
+DATA_CENTRES = ['casa-ain', 'casa-sidi', 'casa-maarif']
+
+
+def change_settings(settings, changes):
+    """Set the nested keys of one daemon's settings."""
+    for section, values in changes.items():
+        for key, value in values.items():
+            setattr(getattr(settings, section), key, value)
+
+
+def plan_site(context, hosts, services, changes, engines=0):
+    """Plan a site without starting it."""
+    shape = SiteShape(
+        'test',
+        DATA_CENTRES,
+        hosts,
+        ('advisor-llm', engines),
+        ('account-app', services),
+    )
+    context.site = Site(shape, context.folder)
+    context.site.plan()
+    for settings in context.site.settings_by_host.values():
+        change_settings(settings, changes)
+
+
+@given('a site with {hosts:d} hosts, {services:d} services and settings')
+@given('a site with {hosts:d} host, {services:d} services and settings')
+def start_site_with(context, hosts, services):
+    """Start a site whose daemons have the settings of the text."""
+    plan_site(context, hosts, services, yaml.safe_load(context.text))
+    run(context, context.site.start(context.session))
+
+
+async def call(context, host, method, path, body=None, headers=None):
+    """Call a host and return status and decoded answer."""
+    data = body if isinstance(body, str | bytes) else json.dumps(body)
+    async with context.session.request(
+        method,
+        f'{host_url(context, host)}{path}',
+        data=None if body is None else data,
+        headers=OPERATOR_HEADERS if headers is None else headers,
+    ) as response:
+        text = await response.text()
+        return response.status, json.loads(text) if text else None
 
 
 async def is_ready(context, host):
     """Tell whether a host's daemon is ready."""
-    async with context.session.get(f'{host_url(context, host)}/readyz') as r:
-        return r.status == 200
+    status, _ = await call(context, host, 'GET', '/readyz')
+    return status == 200
 
 
 @when('every host is ready')
@@ -25,17 +74,58 @@
     run(context, wait())
 
 
+@then('host {host} is ready with revision {revision:d}')
+def ready_with(context, host, revision):
+    """Check readiness and the revision in force."""
+    status, answer = run(context, call(context, host, 'GET', '/readyz'))
+    assert (status, answer['revision']) == (200, revision), answer
+
+
+async def entries(context, host):
+    """Return the entry list that a host tells."""
+    path = '/v1/entries?caller=shop-1&data_centre=casa-ain'
+    status, answer = await call(context, host, 'GET', path)
+    assert status == 200, answer
+    return answer
+
+
 @then('host {host} names {count:d} entries')
 def check_entries(context, host, count):
     """Check the entry list."""
+    answer = run(context, entries(context, host))
+    listed = {m.host for m in context.site.members.hosts}
+    named = {e['host'] for e in answer['entries']}
+    assert len(named) == count and named <= listed, answer
+    ttl_ms = context.site.settings_by_host[host].timing.entry_ttl_ms
+    assert answer['ttl_s'] == ttl_ms / 1000, answer
 
-    async def fetch():
-        url = f'{host_url(context, host)}/v1/entries?caller=shop-1'
-        async with context.session.get(url) as response:
-            return await response.json()
 
-    answer = run(context, fetch())
-    listed = {m.host for m in context.site.members.hosts}
-    assert len(answer['entries']) == count, answer
-    assert {e['host'] for e in answer['entries']} <= listed
-    assert answer['ttl_s'] == 10.0
+async def journal(context, endpoint):
+    """Return what reached an endpoint."""
+    member = next(
+        m for m in context.site.members.endpoints if m.endpoint == endpoint
+    )
+    url = f'http://{member.address}/journal'
+    async with context.session.get(url) as response:
+        return await response.json()
+
+
+async def platform_journal(context):
+    """Return what the platform recorded."""
+    url = f'http://{context.site.platform_address}/journal'
+    async with context.session.get(url) as response:
+        return await response.json()
+
+
+async def set_faults(context, switches):
+    """Set fault switches of the platform."""
+    url = f'http://{context.site.platform_address}/faults'
+    async with context.session.put(url, json=switches) as response:
+        assert response.status == 200, await response.text()
+
+
+@when('the platform has the faults {switches}')
+@given('the platform has the faults {switches}')
+def platform_faults(context, switches):
+    """Switch faults of the platform on."""
+    run(context, set_faults(context, json.loads(switches)))
--- a/tools/measure_control.py
+++ b/tools/measure_control.py
@@ -105,4 +105,4 @@
     with tempfile.TemporaryDirectory() as path:
         asyncio.run(measure(Path(path)))
         if '--logs' in sys.argv:
-            print((Path(path) / 'h1.log').read_text()[:3000])
+            print((Path(path) / 'logs/h1.log').read_text()[:3000])
