Add the real variants of the decision policies

Change: admission by deadline, gradient limits, routing by least expected wait, outlier ejection, retry budget, percentile hedging, content quarantine, rendezvous entries and placement by demand; they become the defaults. The dispatcher tells routing about finished attempts (RoutingPolicy.finished); HedgingPolicy gains spend(). Conclusion: the variants are wired; their targets are not measured yet.

--- a/anvilcove/commands/dispatch.py
+++ b/anvilcove/commands/dispatch.py
@@ -140,6 +140,9 @@
         state.in_flight -= 1
         context.policy('limits').finished(now, result)
         state.limit = context.policy('limits').limit(state.endpoint)
+        context.policy('routing').finished(
+            now, result, state.pool, slot.request.kind
+        )
         pool = context.endpoints.ids_by_pool.get(state.pool, [])
         state.ejected_until_s = context.policy('ejection').finished(
             now, result, pool
--- a/anvilcove/daemon/app.py
+++ b/anvilcove/daemon/app.py
@@ -27,7 +27,18 @@
     'anvilcove.platform.engines',
     'anvilcove.platform.services',
 )
-POLICY_MODULES = ('anvilcove.decisions.naive',)
+POLICY_MODULES = (
+    'anvilcove.decisions.naive',
+    'anvilcove.decisions.admission',
+    'anvilcove.decisions.limits',
+    'anvilcove.decisions.routing',
+    'anvilcove.decisions.ejection',
+    'anvilcove.decisions.retry',
+    'anvilcove.decisions.hedging',
+    'anvilcove.decisions.quarantine',
+    'anvilcove.decisions.entries',
+    'anvilcove.decisions.placement',
+)
 
 
 def load_modules() -> None:
--- a/anvilcove/decisions/interfaces.py
+++ b/anvilcove/decisions/interfaces.py
@@ -15,6 +15,8 @@
     GiveUp,
     Isolate,
     NoRoute,
+    PlacementOrder,
+    PlacementState,
     PoolLoad,
     Refuse,
     Reject,
@@ -68,6 +70,11 @@
     ) -> Route | NoRoute:
         """Choose among the endpoints that have room."""
 
+    def finished(
+        self, now: float, result: AttemptResult, pool: str, kind: str
+    ) -> None:
+        """Learn from a finished attempt of a class kind in a pool."""
+
     def observe_cache(
         self, now: float, endpoint: str, events: list[CacheEvent]
     ) -> None:
@@ -104,6 +111,9 @@
     def delay_s(self, class_name: str) -> float | None:
         """Return the delay before the second attempt, None for never."""
 
+    def spend(self) -> bool:
+        """Take one hedge from the budget when its delay has passed."""
+
 
 class QuarantinePolicy(Protocol):
     """Find the content that crashes the endpoints that run it."""
@@ -124,6 +134,13 @@
         """Return the counts to gossip, most recent first."""
 
 
+class PlacementPolicy(Protocol):
+    """Decide which engine holds which model, adapter, version and role."""
+
+    def plan(self, now: float, state: PlacementState) -> list[PlacementOrder]:
+        """Return the orders to give now, each with its reason."""
+
+
 class EntriesPolicy(Protocol):
     """Choose the entry hosts that a caller is told."""
 
--- a/anvilcove/decisions/naive.py
+++ b/anvilcove/decisions/naive.py
@@ -10,6 +10,8 @@
     Candidate,
     GiveUp,
     NoRoute,
+    PlacementOrder,
+    PlacementState,
     PoolLoad,
     Refuse,
     RetryAfter,
@@ -85,6 +87,11 @@
             return Route(state.endpoint, [candidate], 'next in turn')
         return NoRoute('no live endpoint in the pool')
 
+    def finished(
+        self, now: float, result: AttemptResult, pool: str, kind: str
+    ) -> None:
+        """Learn nothing."""
+
     def observe_cache(
         self, now: float, endpoint: str, events: list[CacheEvent]
     ) -> None:
@@ -170,6 +177,10 @@
         """Never hedge."""
         return None
 
+    def spend(self) -> bool:
+        """Never hedge."""
+        return False
+
 
 @policy('quarantine', 'naive')
 class AllowAll:
@@ -198,6 +209,20 @@
         return []
 
 
+@policy('placement', 'naive')
+class NeverMove:
+    """Leave every engine as it is."""
+
+    __slots__ = ()
+
+    def __init__(self, settings: DaemonSettings) -> None:
+        """Take no settings."""
+
+    def plan(self, now: float, state: PlacementState) -> list[PlacementOrder]:
+        """Move nothing."""
+        return []
+
+
 @policy('entries', 'naive')
 class FirstHosts:
     """Tell every caller the same hosts."""
--- a/anvilcove/decisions/types.py
+++ b/anvilcove/decisions/types.py
@@ -126,6 +126,50 @@
     reason: str
 
 
+class PlacedEndpoint(Struct):
+    """What an engine holds now."""
+
+    endpoint: str
+    model: str
+    role: str = ''
+    version: int = 0
+    adapters: list[str] = field(default_factory=list)
+    in_flight: int = 0
+
+
+class PlacementDemand(Struct):
+    """Demand for a model and role, and how its target is met."""
+
+    model: str
+    requests_per_s: float
+    service_time_s: float
+    role: str = ''
+    adapter: str = ''
+    version: int = 0
+    on_time_share: float = 1.0
+    target_share: float = 0.0
+
+
+class PlacementState(Struct):
+    """Live engines of a pool, their slots and the demand on them."""
+
+    endpoints: list[PlacedEndpoint]
+    demands: list[PlacementDemand]
+    slots: float = 1.0
+
+
+class PlacementOrder(Struct, frozen=True):
+    """Order to an engine, with its reason; `kind` as in EngineOrder."""
+
+    endpoint: str
+    kind: str
+    reason: str
+    model: str = ''
+    version: int = 0
+    adapter: str = ''
+    role: str = ''
+
+
 class DecisionRecord(Struct):
     """One decision as it is logged and recorded."""
 
--- a/anvilcove/settings/daemon.py
+++ b/anvilcove/settings/daemon.py
@@ -75,18 +75,18 @@
 class PolicySettings(Message):
     """Registered variant of each decision policy."""
 
-    admission: str = 'naive'
-    limits: str = 'naive'
-    routing: str = 'naive'
-    ejection: str = 'naive'
-    retry: str = 'naive'
-    hedging: str = 'naive'
-    quarantine: str = 'naive'
+    admission: str = 'deadline'
+    limits: str = 'gradient'
+    routing: str = 'least_expected_wait'
+    ejection: str = 'outlier'
+    retry: str = 'budget'
+    hedging: str = 'percentile'
+    quarantine: str = 'content'
     groups: str = 'naive'
     staleness: str = 'naive'
     rollout: str = 'naive'
-    placement: str = 'naive'
-    entries: str = 'naive'
+    placement: str = 'demand'
+    entries: str = 'rendezvous'
 
 
 class DaemonSettings(Message):
