--- a/anvilcove/daemon/app.py
+++ b/anvilcove/daemon/app.py
@@ -39,8 +39,19 @@
     'anvilcove.platform.engines',
     'anvilcove.platform.services',
 )
-POLICY_MODULES = ('anvilcove.decisions.naive',)
 CONNECT_LIMIT_S = 1.0
+POLICY_MODULES = (
+    'anvilcove.decisions.naive',
+    'anvilcove.decisions.admission',
+    'anvilcove.decisions.limits',
+    'anvilcove.decisions.routing',
+    'anvilcove.decisions.ejection',
+    'anvilcove.decisions.retry',
+    'anvilcove.decisions.hedging',
+    'anvilcove.decisions.quarantine',
+    'anvilcove.decisions.entries',
+    'anvilcove.decisions.placement',
+)
 
 
 def load_modules() -> None:
--- a/anvilcove/settings/daemon.py
+++ b/anvilcove/settings/daemon.py
@@ -121,18 +121,18 @@
 class PolicySettings(Message):
     """Registered variant of each decision policy."""
 
-    admission: Variant = 'naive'
-    limits: Variant = 'naive'
-    routing: Variant = 'naive'
-    ejection: Variant = 'naive'
-    retry: Variant = 'naive'
-    hedging: Variant = 'naive'
-    quarantine: Variant = 'naive'
+    admission: Variant = 'deadline'
+    limits: Variant = 'gradient'
+    routing: Variant = 'least_expected_wait'
+    ejection: Variant = 'outlier'
+    retry: Variant = 'budget'
+    hedging: Variant = 'percentile'
+    quarantine: Variant = 'content'
     groups: Variant = 'naive'
     staleness: Variant = 'naive'
     rollout: Variant = 'naive'
-    placement: Variant = 'naive'
-    entries: Variant = 'naive'
+    placement: Variant = 'demand'
+    entries: Variant = 'rendezvous'
 
 
 class DaemonSettings(Message):
