Claim not-repeatable requests and retry repeatable ones

Cause: a request had one attempt, a repeated identifier ran again, and a call that must not be repeated was sent without any record of it. Change: a claim row before the first byte of a not-repeatable request, written in groups with one open transaction; attach by identifier and by key, here and at peers; an attempt loop with retries, hedging of service calls, isolation of suspected contents and a last check before each send; streams to callers; strict checks of submitted requests.

--- /dev/null
+++ b/anvilcove/commands/claim.py
@@ -0,0 +1,241 @@
+"""Claim not-repeatable requests in the table before they are sent."""
+
+import asyncio
+import time
+import uuid
+from collections.abc import Coroutine
+from typing import Any
+
+from aiohttp import web
+from loguru import logger
+
+from anvilcove.commands.job import (
+    CONFLICT_STATUS,
+    GivenUp,
+    Job,
+    conflict,
+)
+from anvilcove.commands.row_writer import RowWrite, RowWriter
+from anvilcove.daemon.context import Context, Part
+from anvilcove.daemon.parts import part
+from anvilcove.daemon.peer_client import PeerError, call_peer
+from anvilcove.daemon.replies import reply
+from anvilcove.messages.callers import ANSWERED, NOT_RUN, Outcome
+from anvilcove.messages.peers import ClaimState
+from anvilcove.messages.table import Row
+from anvilcove.platform.errors import PlatformError
+from anvilcove.queries.attach import AttachPart
+from anvilcove.state.claims import (
+    ABANDONED,
+    ACTIVE,
+    CLAIMED,
+    DONE,
+    NO_MEMORY,
+    RELEASED,
+    UNKNOWN_RESULT,
+    ClaimRow,
+    NonceBook,
+    claim_row,
+    claim_value,
+)
+
+# A claim that the store has not taken by then is refused, so that callers
+# with long deadlines are not held back by an outage.
+CLAIM_LIMIT_S = 2.0
+PENDING_RESULTS = 4_000
+
+
+class Held:
+    """A claim that this daemon holds; only its holder sends."""
+
+    __slots__ = ('row', 'key', 'revision')
+
+    def __init__(self, row: ClaimRow, key: str, revision: int) -> None:
+        """Keep the row as it is in the table."""
+        self.row = row
+        self.key = key
+        self.revision = revision
+
+
+@part
+class ClaimPart(Part):
+    """Hold, look up, finish and release claims."""
+
+    def __init__(self, context: Context) -> None:
+        """Start without claims."""
+        super().__init__(context)
+        self.nonces = NonceBook()
+        self.writer = RowWriter(context)
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the route for peers."""
+        return [web.get('/peer/claims/{nonce}', self._claim_state)]
+
+    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+        """Return the loop that writes rows."""
+        return [self.writer.run()]
+
+    async def _claim_state(self, request: web.Request) -> web.Response:
+        nonce = request.match_info['nonce']
+        return reply(ClaimState(nonce=nonce, state=self.nonces.state(nonce)))
+
+    async def take(self, job: Job) -> Held | Outcome:
+        """Return the claim, or the outcome if others have settled it.
+
+        Raise GivenUp if the store has not taken the claim in time.
+        """
+        revision: int | None = 0
+        while revision is not None:
+            taken = await self._insert(job, revision)
+            if isinstance(taken, Held):
+                return taken
+            settled = await self._settle(job, taken)
+            if isinstance(settled, Outcome):
+                return settled
+            revision = settled
+            if self.context.clock.now() >= job.route.deadline_at_s:
+                raise GivenUp('no claim before the deadline')
+        return job.unknown('the holder of the claim does not answer')
+
+    async def _insert(self, job: Job, revision: int) -> Held | Row:
+        """Write a claim with a new nonce; return the other's row if lost."""
+        claim = ClaimRow(
+            nonce=uuid.uuid4().hex,
+            host=self.context.settings.host,
+            request_id=job.message.request_id,
+            body_hash=job.route.content,
+            state=CLAIMED,
+            at_s=time.time(),
+        )
+        key = job.record.claim_key
+        write = RowWrite(key, revision, claim_value(claim))
+        self.nonces.activate(claim.nonce)
+        self.writer.add(write, urgent=True)
+        left_s = job.route.deadline_at_s - self.context.clock.now()
+        try:
+            async with asyncio.timeout(min(left_s, CLAIM_LIMIT_S)):
+                row = await asyncio.shield(write.future)
+        except TimeoutError:
+            self._abandon(claim, write)
+            raise GivenUp('the store has not taken the claim', 1.0) from None
+        except asyncio.CancelledError:
+            self._abandon(claim, write)
+            raise
+        if write.wrote(row):
+            return Held(claim, key, row.revision)
+        self.nonces.forget(claim.nonce)
+        return row
+
+    def _abandon(self, claim: ClaimRow, write: RowWrite) -> None:
+        """Never send under a nonce; its row may still appear later."""
+        self.nonces.abandon(claim.nonce)
+        write.dropped = True
+
+        def release_late(future: 'asyncio.Future[Row]') -> None:
+            if not future.cancelled() and write.wrote(future.result()):
+                late = Held(claim, write.key, future.result().revision)
+                self._write_end(late, RELEASED, None)
+
+        write.future.add_done_callback(release_late)
+
+    async def _settle(self, job: Job, row: Row) -> Outcome | int | None:
+        """Find out how the holder of a row ended.
+
+        Return its outcome, the revision of a row that may be replaced, or
+        None if the holder may have run the request and does not tell.
+        """
+        if row.value is None:
+            return row.revision
+        claim = claim_row(row.value)
+        if claim is None:
+            return None
+        if claim.body_hash != job.route.content:
+            job.record.status = CONFLICT_STATUS
+            return conflict(job.message.request_id)
+        if claim.outcome is not None:
+            return job.answered(claim.outcome)
+        if claim.state == RELEASED:
+            return row.revision
+        state = await self._nonce_state(claim)
+        if state == ABANDONED:
+            return row.revision
+        if state == ACTIVE:
+            outcome = await self._attach(job, claim)
+            if outcome is not None:
+                return outcome
+        return await self._settle_again(job, row)
+
+    async def _settle_again(self, job: Job, row: Row) -> Outcome | int | None:
+        """Follow a row that has changed since it was read."""
+        try:
+            rows: dict[str, Row] = await self.context.ports['table'].read(
+                [row.key]
+            )
+        except PlatformError as error:
+            logger.warning('claim not read again: {}', error)
+            return None
+        now = self.context.clock.now()
+        new = rows[row.key]
+        if new.revision != row.revision and now < job.route.deadline_at_s:
+            return await self._settle(job, new)
+        claim = claim_row(new.value) if new.value else None
+        if claim and await self._nonce_state(claim) == ABANDONED:
+            return new.revision
+        return None
+
+    async def _attach(self, job: Job, claim: ClaimRow) -> Outcome | None:
+        """Wait for the holder's outcome; None if it did not run or tell."""
+        outcome: Outcome | None = await self.context.part(
+            AttachPart
+        ).wait_at_host(claim.host, claim.request_id, job.route.deadline_at_s)
+        if outcome is None or outcome.outcome == NOT_RUN:
+            return None
+        return job.answered(outcome)
+
+    async def _nonce_state(self, claim: ClaimRow) -> str:
+        if claim.host == self.context.settings.host:
+            return self.nonces.state(claim.nonce)
+        peer = self.context.peers.by_host.get(claim.host)
+        if peer is None:
+            return NO_MEMORY
+        path = f'/peer/claims/{claim.nonce}'
+        try:
+            answer = await call_peer(
+                self.context, peer, 'GET', path, ClaimState
+            )
+        except PeerError as error:
+            logger.warning('holder of a claim not reached: {}', error)
+            return NO_MEMORY
+        return answer.state if answer.nonce == claim.nonce else NO_MEMORY
+
+    def release(self, held: Held) -> None:
+        """Give up a claim under which nothing was run."""
+        self.nonces.abandon(held.row.nonce)
+        self._write_end(held, RELEASED, None)
+
+    def finish(self, job: Job, held: Held, outcome: Outcome) -> None:
+        """Store an answer or that the result is unknown."""
+        state = DONE if outcome.outcome == ANSWERED else UNKNOWN_RESULT
+        write = self._write_end(held, state, outcome)
+        if write is None:
+            self.nonces.forget(held.row.nonce)
+            return
+        job.record.pinned = True
+
+        def stored(future: 'asyncio.Future[Row]') -> None:
+            job.record.pinned = False
+            self.nonces.forget(held.row.nonce)
+
+        write.future.add_done_callback(stored)
+
+    def _write_end(
+        self, held: Held, state: str, outcome: Outcome | None
+    ) -> RowWrite | None:
+        if self.writer.pending >= PENDING_RESULTS:
+            logger.error('end of claim {} not stored', held.key)
+            return None
+        held.row.state = state
+        held.row.outcome = outcome
+        write = RowWrite(held.key, held.revision, claim_value(held.row))
+        self.writer.add(write, urgent=False)
+        return write
--- a/anvilcove/commands/dispatch.py
+++ b/anvilcove/commands/dispatch.py
@@ -1,32 +1,44 @@
 """Wait for room at an endpoint and account for every attempt."""
 
 import asyncio
-import heapq
-import itertools
+from collections.abc import Coroutine
+from typing import Any
 
+from msgspec.structs import replace
 from reactivex.abc import DisposableBase
 
+from anvilcove.commands.capacity import Capacity
+from anvilcove.commands.isolation import Isolation
+from anvilcove.commands.pool_queue import PoolQueue, Waiter
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
 from anvilcove.decisions.types import (
+    CANCELLED,
     CRASH,
     OK,
+    TRAINER,
     AttemptResult,
     DecisionRecord,
+    PoolLoad,
     Route,
     RouteRequest,
 )
 from anvilcove.state.endpoints import EndpointState
 
+# Ejections end without an event, so waiting requests look for room this often.
+WAKE_PERIOD_S = 0.05
+# Weight of the newest attempt in the mean service time of a pool.
+SERVICE_TIME_WEIGHT = 0.1
+
 
 class NoSlot(Exception):
-    """Raised when no endpoint had room before the deadline; nothing ran."""
+    """Raised when no endpoint can take the request; nothing ran."""
 
 
 class Slot:
     """One attempt at one endpoint; release it exactly once."""
 
-    __slots__ = ('dispatcher', 'state', 'request', 'started_at_s')
+    __slots__ = ('dispatcher', 'state', 'request', 'started_at_s', 'isolated')
 
     def __init__(
         self,
@@ -40,6 +52,7 @@
         self.state = state
         self.request = request
         self.started_at_s = now
+        self.isolated = request.isolated
         state.in_flight += 1
 
     def release(self, outcome: str) -> None:
@@ -47,16 +60,6 @@
         self.dispatcher.released(self, outcome)
 
 
-class _Waiter:
-    __slots__ = ('request', 'future')
-
-    def __init__(
-        self, request: RouteRequest, future: 'asyncio.Future[Slot]'
-    ) -> None:
-        self.request = request
-        self.future = future
-
-
 @part
 class Dispatcher(Part):
     """Give room by priority number, then by earliest deadline."""
@@ -64,66 +67,139 @@
     def __init__(self, context: Context) -> None:
         """Start with empty queues."""
         super().__init__(context)
-        self._heap_by_pool: dict[
-            str, list[tuple[int, float, int, _Waiter]]
-        ] = {}
-        self._sequence = itertools.count()
+        self._queue_by_pool: dict[str, PoolQueue[Slot]] = {}
+        self._isolation = Isolation(context.endpoints)
         self._subscription: DisposableBase = (
-            context.endpoints.changes.subscribe(lambda _: self.wake_all())
+            context.endpoints.changes.subscribe(
+                lambda _: self._endpoints_changed()
+            )
         )
         self.contents_by_endpoint: dict[str, dict[str, int]] = {}
+        self.service_time_s_by_pool: dict[str, float] = {}
+        self._in_flight_by_pool: dict[str, int] = {}
+        self._capacity = Capacity(context.endpoints)
+
+    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+        """Return the loop that finds room after an ejection has ended."""
+        return [self._wake_periodically()]
+
+    async def _wake_periodically(self) -> None:
+        while True:
+            await self.context.clock.sleep(WAKE_PERIOD_S)
+            self.wake_all()
 
     async def acquire(self, request: RouteRequest, priority: int) -> Slot:
-        """Wait for room at an endpoint, or raise NoSlot at the deadline."""
-        slot = None if self.queued(request.pool) else self._try(request)
+        """Wait for room at an endpoint.
+
+        Raise NoSlot at the deadline, or at once when the pool has no live
+        endpoint; rollout samples wait for one instead.
+        """
+        slot = self.try_acquire(request)
         if slot is not None:
             return slot
-        future: asyncio.Future[Slot] = (
-            asyncio.get_running_loop().create_future()
-        )
-        waiter = _Waiter(request, future)
-        heap = self._heap_by_pool.setdefault(request.pool, [])
-        entry = (
-            priority,
-            request.deadline_at_s,
-            next(self._sequence),
-            waiter,
-        )
-        heapq.heappush(heap, entry)
+        if self._hopeless(request):
+            raise NoSlot('the pool has no live endpoint')
+        return await self._wait(request, priority)
+
+    def try_acquire(self, request: RouteRequest) -> Slot | None:
+        """Return a slot if there is room and nobody waits for it."""
+        return None if self.queued(request.pool) else self._try(request)
+
+    async def _wait(self, request: RouteRequest, priority: int) -> Slot:
+        queue = self._queue_by_pool.setdefault(request.pool, PoolQueue())
+        waiter = queue.add(request, priority)
         self.wake(request.pool)
         try:
             left_s = request.deadline_at_s - self.context.clock.now()
             async with asyncio.timeout(max(left_s, 0.0)):
-                return await future
+                slot = await waiter.future
         except TimeoutError:
+            self._return_slot(waiter)
             raise NoSlot('no endpoint had room before the deadline') from None
+        except asyncio.CancelledError:
+            self._return_slot(waiter)
+            raise
         finally:
-            if future.cancelled() and entry in heap:
-                heap.remove(entry)
-                heapq.heapify(heap)
+            queue.remove(waiter)
+            self._forget_reservation(request)
+        return slot
+
+    def _return_slot(self, waiter: Waiter[Slot]) -> None:
+        """Give back a slot that arrived together with the end of the wait."""
+        future = waiter.future
+        if future.done() and not future.cancelled() and not future.exception():
+            future.result().release(CANCELLED)
 
     def queued(self, pool: str) -> int:
         """Return the number of waiting requests of a pool."""
-        return len(self._heap_by_pool.get(pool, []))
+        queue = self._queue_by_pool.get(pool)
+        return queue.size if queue else 0
+
+    def queued_by_priority(self, pool: str) -> dict[int, int]:
+        """Return the number of waiting requests by priority number."""
+        queue = self._queue_by_pool.get(pool)
+        return dict(queue.count_by_priority) if queue else {}
+
+    def load(self, pool: str) -> PoolLoad:
+        """Return the load of a pool as this daemon knows it."""
+        endpoints, limit = self._capacity.of(self.context.clock.now(), pool)
+        return PoolLoad(
+            endpoints=endpoints,
+            limit=limit,
+            in_flight=self._in_flight_by_pool.get(pool, 0),
+            queued=self.queued(pool),
+            queued_by_priority=self.queued_by_priority(pool),
+            service_time_s=self.service_time_s_by_pool.get(pool, 0.0),
+        )
 
     def wake_all(self) -> None:
         """Give out room in every pool."""
-        for pool in list(self._heap_by_pool):
-            self.wake(pool)
+        for pool, queue in list(self._queue_by_pool.items()):
+            if queue.size:
+                self.wake(pool)
 
     def wake(self, pool: str) -> None:
-        """Give out the room of a pool in queue order."""
-        heap = self._heap_by_pool.get(pool, [])
-        while heap:
-            waiter = heap[0][3]
-            if waiter.future.done():
-                heapq.heappop(heap)
-                continue
+        """Give out the room of a pool in queue order.
+
+        A request that may not use every endpoint does not hold up those
+        behind it.
+        """
+        queue = self._queue_by_pool.get(pool)
+        if queue is None:
+            return
+        skipped = []
+        while (waiter := queue.first()) is not None:
             slot = self._try(waiter.request)
-            if slot is None:
-                return
-            heapq.heappop(heap)
-            waiter.future.set_result(slot)
+            if slot is not None:
+                queue.pop()
+                waiter.future.set_result(slot)
+                continue
+            if not waiter.request.isolated and not waiter.request.excluded:
+                break
+            if waiter.request.isolated:
+                self._isolation.reserve(waiter.request)
+            skipped.append(queue.pop())
+        queue.push_back(skipped)
+
+    def _endpoints_changed(self) -> None:
+        for queue in self._queue_by_pool.values():
+            for waiter in queue.waiting():
+                if self._hopeless(waiter.request):
+                    waiter.future.set_exception(
+                        NoSlot('the pool has no live endpoint')
+                    )
+        self.wake_all()
+
+    def _hopeless(self, request: RouteRequest) -> bool:
+        if request.kind == TRAINER:
+            return False
+        states = self.context.endpoints.in_pool(request.pool)
+        return all(state.leaving for state in states)
+
+    def _forget_reservation(self, request: RouteRequest) -> None:
+        if request.isolated:
+            self._isolation.withdraw(request)
+            self.wake(request.pool)
 
     def released(self, slot: Slot, outcome: str) -> None:
         """Learn from a finished attempt and give out its room."""
@@ -138,6 +214,11 @@
             class_name=slot.request.class_name,
         )
         state.in_flight -= 1
+        self._in_flight_by_pool[state.pool] -= 1
+        if slot.isolated:
+            self._isolation.end(state)
+        if outcome == OK:
+            self._learn_service_time(state.pool, result.latency_s)
         context.policy('limits').finished(now, result)
         state.limit = context.policy('limits').limit(state.endpoint)
         pool = context.endpoints.ids_by_pool.get(state.pool, [])
@@ -147,6 +228,12 @@
         self._account_content(now, slot, outcome)
         self.wake(state.pool)
 
+    def _learn_service_time(self, pool: str, latency_s: float) -> None:
+        mean_s = self.service_time_s_by_pool.get(pool, latency_s)
+        self.service_time_s_by_pool[pool] = mean_s + SERVICE_TIME_WEIGHT * (
+            latency_s - mean_s
+        )
+
     def _account_content(self, now: float, slot: Slot, outcome: str) -> None:
         contents = self.contents_by_endpoint.get(slot.state.endpoint, {})
         content = slot.request.content
@@ -163,14 +250,34 @@
             contents.pop(content, None)
 
     def _try(self, request: RouteRequest) -> Slot | None:
+        now = self.context.clock.now()
+        route = self._route(now, request)
+        if route is None:
+            return None
+        self._record(now, request, route)
+        state = self.context.endpoints.by_id[route.endpoint]
+        if request.isolated:
+            self._isolation.begin(state)
+        contents = self.contents_by_endpoint.setdefault(state.endpoint, {})
+        contents[request.content] = contents.get(request.content, 0) + 1
+        in_flight = self._in_flight_by_pool.get(state.pool, 0)
+        self._in_flight_by_pool[state.pool] = in_flight + 1
+        return Slot(self, state, request, now)
+
+    def _route(self, now: float, request: RouteRequest) -> Route | None:
         context = self.context
-        now = context.clock.now()
+        if request.isolated:
+            return self._isolation.choose(now, request)
+        if self._isolation.endpoints:
+            excluded = request.excluded | self._isolation.endpoints
+            request = replace(request, excluded=excluded)
         route = context.policy('routing').choose(
             now, request, context.endpoints, context.rng
         )
-        if not isinstance(route, Route):
-            return None
-        context.decisions.record(
+        return route if isinstance(route, Route) else None
+
+    def _record(self, now: float, request: RouteRequest, route: Route) -> None:
+        self.context.decisions.record(
             DecisionRecord(
                 at_s=now,
                 decision='route',
@@ -179,10 +286,6 @@
                 choice=route.endpoint,
                 reason=route.reason,
                 candidates=route.candidates,
-                revision=context.config.revision,
+                revision=self.context.config.revision,
             )
         )
-        state = context.endpoints.by_id[route.endpoint]
-        contents = self.contents_by_endpoint.setdefault(state.endpoint, {})
-        contents[request.content] = contents.get(request.content, 0) + 1
-        return Slot(self, state, request, now)
--- /dev/null
+++ b/anvilcove/commands/job.py
@@ -0,0 +1,100 @@
+"""One request of a caller on its way to a final outcome."""
+
+from msgspec.structs import replace
+
+from anvilcove.decisions.types import RouteRequest
+from anvilcove.messages.callers import (
+    ANSWERED,
+    FAILED,
+    NOT_RUN,
+    UNKNOWN,
+    Outcome,
+    SubmitRequest,
+)
+from anvilcove.settings.classes import ClassTarget
+from anvilcove.state.answers import RequestRecord
+
+STATUS_BY_OUTCOME = {ANSWERED: 200, NOT_RUN: 503, UNKNOWN: 502, FAILED: 502}
+OVERLOAD_STATUS = 429
+CONFLICT_STATUS = 409
+RETRY_AFTER_S = 0.5
+CONFLICT_REASON = 'the same identifier or key was used with another body'
+
+
+class GivenUp(Exception):
+    """Raised when a request is not attempted any further."""
+
+    def __init__(
+        self,
+        reason: str,
+        retry_after_s: float = RETRY_AFTER_S,
+        status: int = STATUS_BY_OUTCOME[NOT_RUN],
+    ) -> None:
+        """Keep the retry-after time and the HTTP status of a refusal."""
+        super().__init__(reason)
+        self.retry_after_s = retry_after_s
+        self.status = status
+
+
+class Job:
+    """A request with its target, deadline and what has happened to it."""
+
+    __slots__ = (
+        'message',
+        'target',
+        'record',
+        'route',
+        'priority',
+        'may_have_run',
+    )
+
+    def __init__(
+        self,
+        message: SubmitRequest,
+        target: ClassTarget,
+        record: RequestRecord,
+        route: RouteRequest,
+    ) -> None:
+        """Start before the first attempt."""
+        self.message = message
+        self.target = target
+        self.record = record
+        self.route = route
+        self.priority = 0
+        # Number of attempts that may have run something.
+        self.may_have_run = 0
+
+    def answered(self, outcome: Outcome) -> Outcome:
+        """Return an answer under the identifier of this request."""
+        return replace(outcome, request_id=self.message.request_id)
+
+    def ended(self, error: GivenUp) -> Outcome:
+        """Return the final outcome of a request that was given up on."""
+        kind = NOT_RUN
+        if self.may_have_run:
+            kind = FAILED if self.message.repeatable else UNKNOWN
+        self.record.status = (
+            error.status if kind == NOT_RUN else STATUS_BY_OUTCOME[kind]
+        )
+        return Outcome(
+            request_id=self.message.request_id,
+            outcome=kind,
+            reason=str(error),
+            retry_after_ms=int(error.retry_after_s * 1000),
+        )
+
+    def unknown(self, reason: str) -> Outcome:
+        """Return the outcome of work that may have run."""
+        return Outcome(
+            request_id=self.message.request_id,
+            outcome=UNKNOWN,
+            reason=reason,
+            retry_after_ms=int(RETRY_AFTER_S * 1000),
+        )
+
+
+def conflict(request_id: str) -> Outcome:
+    """Return the refusal of a known identifier or key with another body."""
+    return Outcome(
+        request_id=request_id, outcome=NOT_RUN, reason=CONFLICT_REASON
+    )
--- /dev/null
+++ b/anvilcove/commands/pool_queue.py
@@ -0,0 +1,82 @@
+"""Queue of the requests that wait for an endpoint of one pool."""
+
+import asyncio
+import heapq
+import itertools
+from collections.abc import Iterator
+from typing import Generic, TypeVar
+
+from anvilcove.decisions.types import RouteRequest
+
+S = TypeVar('S')
+
+
+class Waiter(Generic[S]):
+    """One waiting request and the future of its slot."""
+
+    __slots__ = ('request', 'priority', 'future')
+
+    def __init__(self, request: RouteRequest, priority: int) -> None:
+        """Create the future on the running loop."""
+        self.request = request
+        self.priority = priority
+        self.future: asyncio.Future[S] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+
+class PoolQueue(Generic[S]):
+    """Waiting requests by priority number, then by earliest deadline."""
+
+    __slots__ = ('size', 'count_by_priority', '_heap', '_sequence')
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.size = 0
+        self.count_by_priority: dict[int, int] = {}
+        self._heap: list[tuple[int, float, int, Waiter[S]]] = []
+        self._sequence = itertools.count()
+
+    def add(self, request: RouteRequest, priority: int) -> Waiter[S]:
+        """Queue a request; `remove` must follow in every case."""
+        waiter: Waiter[S] = Waiter(request, priority)
+        entry = (
+            priority,
+            request.deadline_at_s,
+            next(self._sequence),
+            waiter,
+        )
+        heapq.heappush(self._heap, entry)
+        self.size += 1
+        count = self.count_by_priority.get(priority, 0)
+        self.count_by_priority[priority] = count + 1
+        return waiter
+
+    def remove(self, waiter: Waiter[S]) -> None:
+        """Stop counting a request; its entry leaves the heap later."""
+        waiter.future.cancel()
+        self.size -= 1
+        self.count_by_priority[waiter.priority] -= 1
+
+    def first(self) -> Waiter[S] | None:
+        """Return the request that is served next."""
+        while self._heap and self._heap[0][3].future.done():
+            heapq.heappop(self._heap)
+        return self._heap[0][3] if self._heap else None
+
+    def pop(self) -> tuple[int, float, int, Waiter[S]]:
+        """Take the first entry out of the heap."""
+        return heapq.heappop(self._heap)
+
+    def push_back(
+        self, entries: list[tuple[int, float, int, Waiter[S]]]
+    ) -> None:
+        """Return entries that were taken out."""
+        for entry in entries:
+            heapq.heappush(self._heap, entry)
+
+    def waiting(self) -> Iterator[Waiter[S]]:
+        """Iterate over the requests without a slot."""
+        for entry in list(self._heap):
+            if not entry[3].future.done():
+                yield entry[3]
--- /dev/null
+++ b/anvilcove/commands/sending.py
@@ -0,0 +1,98 @@
+"""Send one attempt to an endpoint and collect its answer."""
+
+import asyncio
+from typing import Any
+
+from anvilcove.commands.job import Job
+from anvilcove.daemon.context import Context
+from anvilcove.decisions.types import CRASH, ERROR, OVERLOADED
+from anvilcove.messages.callers import ANSWERED, Outcome, VersionRange
+from anvilcove.messages.engines import Generate, TokenEvent
+from anvilcove.messages.membership import SERVICE
+from anvilcove.messages.services import ServiceCall
+from anvilcove.platform.errors import (
+    EndpointCrashed,
+    EndpointError,
+    EndpointFailed,
+    EndpointNotRun,
+)
+from anvilcove.state.endpoints import EndpointState
+
+DEFAULT_MAX_TOKENS = 16
+
+
+def result_of(error: EndpointError) -> str:
+    """Return the result of an attempt that raised an error."""
+    if isinstance(error, EndpointNotRun):
+        return OVERLOADED if error.overloaded else ERROR
+    return CRASH if isinstance(error, EndpointCrashed) else ERROR
+
+
+async def send(
+    context: Context,
+    job: Job,
+    state: EndpointState,
+    timeout_s: float,
+    fresh_connection: bool,
+) -> Outcome:
+    """Send a request to an endpoint, or raise EndpointError."""
+    port = context.endpoint_port(state)
+    message = job.message
+    if state.kind != SERVICE:
+        return await _generate(port, job, timeout_s)
+    answer = await port.call(
+        ServiceCall(request_id=message.request_id, body=message.body),
+        timeout_s,
+        fresh_connection=fresh_connection,
+    )
+    return Outcome(
+        request_id=message.request_id,
+        outcome=ANSWERED,
+        answer=answer.answer,
+        complete=True,
+    )
+
+
+async def _generate(port: Any, job: Job, timeout_s: float) -> Outcome:
+    """Generate the tokens that earlier attempts did not produce."""
+    message = job.message
+    request = Generate(
+        request_id=message.request_id,
+        prompt=message.body['prompt'],
+        max_tokens=message.body.get('max_tokens', DEFAULT_MAX_TOKENS),
+        model=getattr(job.target, 'model', ''),
+        priority=-job.priority,
+        resume_tokens=[event.text for event in job.record.tokens],
+    )
+    try:
+        async with asyncio.timeout(timeout_s):
+            async for event in port.generate(request):
+                if isinstance(event, TokenEvent):
+                    job.record.add_token(event)
+    except TimeoutError:
+        raise EndpointFailed('no complete answer in time') from None
+    tokens = job.record.tokens
+    return Outcome(
+        request_id=message.request_id,
+        outcome=ANSWERED,
+        answer={'tokens': [event.text for event in tokens]},
+        complete=True,
+        versions=version_ranges(tokens),
+    )
+
+
+def version_ranges(tokens: list[TokenEvent]) -> list[VersionRange]:
+    """Return the ranges of tokens that one version produced."""
+    versions: list[VersionRange] = []
+    for event in tokens:
+        if versions and versions[-1].version == event.version:
+            versions[-1].end = event.index + 1
+        else:
+            versions.append(
+                VersionRange(
+                    version=event.version,
+                    start=event.index,
+                    end=event.index + 1,
+                )
+            )
+    return versions
--- a/anvilcove/commands/submit.py
+++ b/anvilcove/commands/submit.py
@@ -1,183 +1,288 @@
 """Serve the requests of callers."""
 
-from typing import Any
+import asyncio
 
 from aiohttp import web
+from loguru import logger
+from msgspec.structs import replace
 
-from anvilcove.commands.dispatch import Dispatcher, NoSlot
-from anvilcove.daemon.context import Part
+from anvilcove.commands.attempts import Attempts
+from anvilcove.commands.claim import ClaimPart
+from anvilcove.commands.dispatch import Dispatcher
+from anvilcove.commands.job import (
+    CONFLICT_STATUS,
+    OVERLOAD_STATUS,
+    STATUS_BY_OUTCOME,
+    GivenUp,
+    Job,
+    conflict,
+)
+from anvilcove.commands.non_repeatable import run_claimed
+from anvilcove.commands.streaming import stream_record
+from anvilcove.commands.validation import faults, generation_faults
+from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
-from anvilcove.daemon.replies import read_message, reply
+from anvilcove.daemon.replies import (
+    BadRequest,
+    read_message,
+    refusal,
+    reply,
+)
 from anvilcove.decisions.types import (
-    CRASH,
-    ERROR,
-    OK,
-    OVERLOADED,
     PRIORITY_BY_KIND,
-    PoolLoad,
+    DecisionRecord,
     Refuse,
     RouteRequest,
 )
 from anvilcove.messages.callers import (
-    ANSWERED,
     FAILED,
     NOT_RUN,
     UNKNOWN,
     Outcome,
     SubmitRequest,
-    VersionRange,
 )
-from anvilcove.messages.engines import Generate, TokenEvent
-from anvilcove.messages.services import ServiceCall
-from anvilcove.platform.errors import (
-    EndpointCrashed,
-    EndpointFailed,
-    EndpointNotRun,
+from anvilcove.messages.membership import ENGINE
+from anvilcove.queries.attach import AttachPart, asked_first
+from anvilcove.settings.classes import (
+    BackgroundClass,
+    ClassTarget,
+    InteractiveClass,
 )
-from anvilcove.settings.classes import ClassTarget
+from anvilcove.state.answers import RequestRecord
+from anvilcove.state.claims import claim_key
 from anvilcove.state.content import content_hash
-from anvilcove.state.endpoints import EndpointState
 
-STATUS_BY_OUTCOME = {ANSWERED: 200, NOT_RUN: 503, UNKNOWN: 502, FAILED: 502}
 DEFAULT_DEADLINE_S = 30.0
+UNDECLARED_RETRY_S = 1.0
+DRAIN_CHECK_S = 0.05
 
 
 @part
 class SubmitPart(Part):
     """Admit, route and run the requests of callers."""
 
+    def __init__(self, context: Context) -> None:
+        """Share the answers with those who attach to them."""
+        super().__init__(context)
+        self.attempts = Attempts(context)
+        self.attach: AttachPart = context.part(AttachPart)
+
     def routes(self) -> list[web.RouteDef]:
         """Return the callers' routes."""
         return [web.post('/v1/requests', self._submit)]
 
-    async def _submit(self, request: web.Request) -> web.Response:
+    async def drain(self) -> None:
+        """Finish what is in flight and store the ends of the claims."""
+        clock = self.context.clock
+        limit_s = self.context.settings.timing.drain_limit_ms / 1000
+        end_s = clock.now() + limit_s
+        claims: ClaimPart = self.context.part(ClaimPart)
+        while clock.now() < end_s and (
+            self.attach.book.in_flight or claims.writer.pending
+        ):
+            await clock.sleep(DRAIN_CHECK_S)
+
+    async def _submit(self, request: web.Request) -> web.StreamResponse:
         message = await read_message(request, SubmitRequest)
-        outcome = await self.run(message)
-        return reply(outcome, STATUS_BY_OUTCOME[outcome.outcome])
+        _refuse_faults(list(faults(message)))
+        record = self._known(message)
+        if record is None:
+            self._check_body(message)
+            record = self._start(message)
+        if record.fingerprint != _fingerprint(message):
+            return reply(conflict(message.request_id), CONFLICT_STATUS)
+        self.attach.book.add_alias(record, message.request_id)
+        if message.stream:
+            with self.attach.watching(record):
+                return await stream_record(request, record, message.request_id)
+        outcome = await self.attach.wait_record(record, float('inf'), request)
+        if not isinstance(outcome, Outcome):
+            raise ConnectionResetError('the caller is gone')
+        own = replace(outcome, request_id=message.request_id)
+        return reply(own, record.status)
 
-    async def run(self, message: SubmitRequest) -> Outcome:
-        """Run one request to its final outcome."""
-        context = self.context
-        target = context.config.target(message.class_name)
-        if target is None:
-            return _not_run(message, 'class is not declared', 1_000)
-        now = context.clock.now()
-        reason = context.refusal_reason()
-        if reason:
-            return _not_run(message, reason, 1_000)
-        deadline_s = message.deadline_ms / 1000 or DEFAULT_DEADLINE_S
-        verdict = context.policy('admission').offer(
-            now, target, self._pool_load(target), now + deadline_s
+    def _known(self, message: SubmitRequest) -> RequestRecord | None:
+        """Return the record of the same identifier or key."""
+        now = self.context.clock.now()
+        book = self.attach.book
+        record = book.find(now, message.request_id)
+        if record is None and not message.repeatable:
+            key = claim_key(message.caller, message.key)
+            record = book.find_claim(now, key)
+        return record
+
+    def _check_body(self, message: SubmitRequest) -> None:
+        """Refuse a body that the endpoints of the class cannot take."""
+        target = self.context.config.target(message.class_name)
+        if target is not None:
+            states = self.context.endpoints.in_pool(target.pool)
+            if states and states[0].kind == ENGINE:
+                _refuse_faults(list(generation_faults(message)))
+
+    def _start(self, message: SubmitRequest) -> RequestRecord:
+        """Start the work on a request; it does not depend on its caller."""
+        key = ''
+        if not message.repeatable:
+            key = claim_key(message.caller, message.key)
+        record = RequestRecord(
+            message.request_id, _fingerprint(message), key, message.repeatable
         )
-        if isinstance(verdict, Refuse):
-            return _not_run(
-                message, verdict.reason, int(verdict.retry_after_s * 1000)
+        self.attach.book.start(record)
+        record.task = asyncio.create_task(self._finish(message, record))
+        return record
+
+    async def _finish(
+        self, message: SubmitRequest, record: RequestRecord
+    ) -> None:
+        """Run a request and publish its outcome in every case."""
+        outcome = Outcome(
+            request_id=message.request_id,
+            outcome=FAILED,
+            reason='the request was stopped',
+        )
+        try:
+            outcome = await self.run(message, record)
+        except Exception:
+            logger.exception('request {} failed', message.request_id)
+        finally:
+            if outcome.outcome == FAILED and not message.repeatable:
+                outcome.outcome = UNKNOWN
+            status = record.status or STATUS_BY_OUTCOME[outcome.outcome]
+            self.attach.book.finish(
+                self.context.clock.now(), record, outcome, status
             )
-        return await self._attempt(message, target, now + deadline_s)
 
-    async def _attempt(
-        self, message: SubmitRequest, target: ClassTarget, deadline_s: float
+    async def run(
+        self, message: SubmitRequest, record: RequestRecord
     ) -> Outcome:
-        request = RouteRequest(
+        """Run one request to its final outcome."""
+        target = self.context.config.target(message.class_name)
+        if target is None:
+            error = GivenUp('class is not declared', UNDECLARED_RETRY_S)
+            return await self._refused(message, record, error)
+        job = self._job(message, target, record)
+        try:
+            self._admit(job)
+            if message.repeatable:
+                return await self.attempts.run_repeatable(job)
+            return await run_claimed(self.context, self.attempts, job)
+        except GivenUp as error:
+            return await self._refused(message, record, error)
+
+    def _job(
+        self,
+        message: SubmitRequest,
+        target: ClassTarget,
+        record: RequestRecord,
+    ) -> Job:
+        now = self.context.clock.now()
+        route = RouteRequest(
             request_id=message.request_id,
             class_name=target.name,
             kind=target.kind,
             pool=target.pool,
             content=content_hash(target.name, message.body),
-            deadline_at_s=deadline_s,
+            prefixes=_prefixes(message),
+            deadline_at_s=now + _deadline_s(message, target),
         )
-        try:
-            slot = await self.context.part(Dispatcher).acquire(
-                request, PRIORITY_BY_KIND[target.kind]
-            )
-        except NoSlot as error:
-            return _not_run(message, str(error), 500)
-        outcome = ERROR
-        try:
-            left_s = deadline_s - self.context.clock.now()
-            answer = await self._send(message, slot.state, left_s)
-            outcome = OK
-            return answer
-        except EndpointNotRun as error:
-            outcome = OVERLOADED if error.overloaded else ERROR
-            return _not_run(message, str(error), 500)
-        except EndpointFailed as error:
-            if isinstance(error, EndpointCrashed):
-                outcome = CRASH
-            return Outcome(
-                request_id=message.request_id,
-                outcome=FAILED if message.repeatable else UNKNOWN,
-                reason=str(error),
+        return Job(message, target, record, route)
+
+    def _admit(self, job: Job) -> None:
+        """Refuse at once what cannot be run now, or set its priority."""
+        context = self.context
+        now = context.clock.now()
+        self.attempts.check_refusal(job)
+        verdict = context.policy('admission').offer(
+            now,
+            job.target,
+            context.part(Dispatcher).load(job.target.pool),
+            job.route.deadline_at_s,
+        )
+        if isinstance(verdict, Refuse):
+            raise GivenUp(
+                verdict.reason, verdict.retry_after_s, OVERLOAD_STATUS
             )
-        finally:
-            slot.release(outcome)
+        job.priority = max(verdict.priority, PRIORITY_BY_KIND[job.target.kind])
 
-    async def _send(
-        self, message: SubmitRequest, state: EndpointState, timeout_s: float
+    async def _refused(
+        self, message: SubmitRequest, record: RequestRecord, error: GivenUp
     ) -> Outcome:
-        port = self.context.endpoint_port(state)
-        if state.kind == 'service':
-            answer = await port.call(
-                ServiceCall(request_id=message.request_id, body=message.body),
-                timeout_s,
-            )
-            return Outcome(
-                request_id=message.request_id,
-                outcome=ANSWERED,
-                answer=answer.answer,
-                complete=True,
+        """Refuse a request for which this host has run nothing.
+
+        A not-repeatable request that names another host was sent there
+        before, so only that host can tell that it was not run.
+        """
+        self._record_refusal(message, error)
+        first = asked_first(message.request_id)
+        if (
+            not message.repeatable
+            and first
+            and first != self.context.settings.host
+        ):
+            return await self._ask_first(message, first, error)
+        record.status = error.status
+        return Outcome(
+            request_id=message.request_id,
+            outcome=NOT_RUN,
+            reason=str(error),
+            retry_after_ms=int(error.retry_after_s * 1000),
+        )
+
+    async def _ask_first(
+        self, message: SubmitRequest, host: str, error: GivenUp
+    ) -> Outcome:
+        now = self.context.clock.now()
+        left_s = message.deadline_ms / 1000 or DEFAULT_DEADLINE_S
+        outcome = await self.attach.wait_at_host(
+            host, message.request_id, now + left_s
+        )
+        if outcome is not None:
+            return replace(outcome, request_id=message.request_id)
+        return Outcome(
+            request_id=message.request_id,
+            outcome=UNKNOWN,
+            reason=f'{error}; {host} does not tell whether it was run',
+            retry_after_ms=int(error.retry_after_s * 1000),
+        )
+
+    def _record_refusal(self, message: SubmitRequest, error: GivenUp) -> None:
+        self.context.decisions.record(
+            DecisionRecord(
+                at_s=self.context.clock.now(),
+                decision='refuse',
+                subject=message.request_id,
+                class_name=message.class_name,
+                choice='',
+                reason=str(error),
+                revision=self.context.config.revision,
             )
-        return await _generate(port, message)
-
-    def _pool_load(self, target: ClassTarget) -> PoolLoad:
-        states = self.context.endpoints.in_pool(target.pool)
-        return PoolLoad(
-            endpoints=len(states),
-            limit=sum(state.limit for state in states),
-            in_flight=sum(state.in_flight for state in states),
-            queued=self.context.part(Dispatcher).queued(target.pool),
         )
 
 
-async def _generate(port: Any, message: SubmitRequest) -> Outcome:
-    tokens: list[str] = []
-    versions: list[VersionRange] = []
-    request = Generate(
-        request_id=message.request_id,
-        prompt=message.body.get('prompt', ''),
-        max_tokens=message.body.get('max_tokens', 16),
-    )
-    async for event in port.generate(request):
-        if isinstance(event, TokenEvent):
-            tokens.append(event.text)
-            extend_versions(versions, event)
-    return Outcome(
-        request_id=message.request_id,
-        outcome=ANSWERED,
-        answer={'tokens': tokens},
-        complete=True,
-        versions=versions,
+def _refuse_faults(found: list[str]) -> None:
+    if found:
+        raise BadRequest(refusal(400, 'invalid_body', '; '.join(found)))
+
+
+def _fingerprint(message: SubmitRequest) -> str:
+    """Return the same text for what must have the same outcome."""
+    key = '' if message.repeatable else message.key
+    return content_hash(
+        message.class_name,
+        {'caller': message.caller, 'key': key, 'body': message.body},
     )
 
 
-def extend_versions(versions: list[VersionRange], event: TokenEvent) -> None:
-    """Add a token to the version ranges of an answer."""
-    if versions and versions[-1].version == event.version:
-        versions[-1].end = event.index + 1
-    else:
-        versions.append(
-            VersionRange(
-                version=event.version, start=event.index, end=event.index + 1
-            )
-        )
+def _deadline_s(message: SubmitRequest, target: ClassTarget) -> float:
+    if message.deadline_ms:
+        return message.deadline_ms / 1000
+    if isinstance(target, InteractiveClass):
+        return target.deadline_ms / 1000
+    if isinstance(target, BackgroundClass):
+        return target.complete_within_ms / 1000
+    return DEFAULT_DEADLINE_S
 
 
-def _not_run(
-    message: SubmitRequest, reason: str, retry_after_ms: int
-) -> Outcome:
-    return Outcome(
-        request_id=message.request_id,
-        outcome=NOT_RUN,
-        reason=reason,
-        retry_after_ms=retry_after_ms,
-    )
+def _prefixes(message: SubmitRequest) -> list[str]:
+    prompt = message.body.get('prompt')
+    return [prompt] if isinstance(prompt, str) else []
--- a/anvilcove/daemon/app.py
+++ b/anvilcove/daemon/app.py
@@ -16,6 +16,8 @@
 PART_MODULES = (
     'anvilcove.commands.dispatch',
     'anvilcove.commands.submit',
+    'anvilcove.commands.claim',
+    'anvilcove.queries.attach',
     'anvilcove.commands.membership',
     'anvilcove.commands.apply',
 )
