Add the path of a trainer's step

Cause: trainers had no way to submit a step or to receive a batch. Change: steps opened and held under a lease in their row, samples generated through the dispatcher with versions from the token events, batches fixed while the trainer waits, delivered at any host, taken back to open when newer weights put them outside the bound, and acknowledged by moving a cursor; publishing of weights; group and staleness policies with naive variants; the trainer library with an example.

--- /dev/null
+++ b/anvilcove/commands/attempts.py
@@ -0,0 +1,133 @@
+"""One attempt of a sample at an engine, and its score."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import aclosing
+
+from loguru import logger
+
+from anvilcove.commands.dispatch import Dispatcher, NoSlot, Slot
+from anvilcove.daemon.context import Context
+from anvilcove.decisions.types import (
+    CANCELLED,
+    CRASH,
+    ERROR,
+    OK,
+    OVERLOADED,
+    PRIORITY_BY_KIND,
+    TRAINER,
+    RouteRequest,
+)
+from anvilcove.messages.engines import Generate, TokenEvent
+from anvilcove.messages.services import ServiceCall
+from anvilcove.messages.trainers import Sample
+from anvilcove.platform.errors import (
+    EndpointCrashed,
+    EndpointError,
+    EndpointNotRun,
+)
+from anvilcove.state.endpoints import EndpointState
+from anvilcove.state.steps import Attempt, SampleRun
+
+# An engine that sends nothing for so long is given up for the attempt. The
+# first token may wait behind requests of higher priority.
+FIRST_TOKEN_LIMIT_S = 30.0
+TOKEN_LIMIT_S = 10.0
+SCORING_POOL = 'scoring'
+SCORING_LIMIT_S = 5.0
+SCORING_RETRY_S = 0.2
+
+
+class AttemptFailed(Exception):
+    """Raised when what an attempt produced cannot be used."""
+
+
+def outcome_of(error: Exception) -> str:
+    """Return the outcome of an attempt for limits and ejection."""
+    if isinstance(error, AttemptFailed):
+        return CANCELLED
+    if isinstance(error, EndpointNotRun) and error.overloaded:
+        return OVERLOADED
+    return CRASH if isinstance(error, EndpointCrashed) else ERROR
+
+
+async def acquire_slot(context: Context, request: RouteRequest) -> Slot:
+    """Wait for room, or raise NoSlot; cancelling leaks no room."""
+    waiting = asyncio.ensure_future(
+        context.part(Dispatcher).acquire(request, PRIORITY_BY_KIND[TRAINER])
+    )
+    try:
+        return await asyncio.shield(waiting)
+    except asyncio.CancelledError:
+        waiting.add_done_callback(_give_back)
+        raise
+
+
+def _give_back(waiting: 'asyncio.Future[Slot]') -> None:
+    if not waiting.cancelled() and waiting.exception() is None:
+        waiting.result().release(CANCELLED)
+
+
+async def generate(
+    context: Context,
+    state: EndpointState,
+    request: Generate,
+    attempt: Attempt,
+) -> AsyncIterator[TokenEvent]:
+    """Yield tokens as they are added to the attempt, until the end."""
+    loop = asyncio.get_running_loop()
+    events = context.endpoint_port(state).generate(request)
+    async with asyncio.timeout(FIRST_TOKEN_LIMIT_S) as limit:
+        async with aclosing(events):
+            async for event in events:
+                if not isinstance(event, TokenEvent):
+                    return
+                if event.version < 0:
+                    raise AttemptFailed('token without a version')
+                attempt.add(event.text, event.version, context.clock.now())
+                limit.reschedule(loop.time() + TOKEN_LIMIT_S)
+                yield event
+
+
+async def score(context: Context, sample: SampleRun, result: Sample) -> float:
+    """Return the score of a sample, 0 where no scoring pool is listed."""
+    while context.endpoints.in_pool(SCORING_POOL):
+        try:
+            return await _score_once(context, sample, result)
+        except (EndpointError, NoSlot) as error:
+            logger.info('sample {} not scored: {}', result.sample_id, error)
+            await context.clock.sleep(SCORING_RETRY_S)
+    return 0.0
+
+
+async def _score_once(
+    context: Context, sample: SampleRun, result: Sample
+) -> float:
+    request = RouteRequest(
+        request_id=result.sample_id,
+        class_name='',
+        kind=TRAINER,
+        pool=SCORING_POOL,
+        deadline_at_s=context.clock.now() + SCORING_LIMIT_S,
+    )
+    slot = await acquire_slot(context, request)
+    outcome = CANCELLED
+    try:
+        call = ServiceCall(
+            request_id=f'{result.sample_id}/score',
+            body={'prompt': sample.group.prompt, 'tokens': result.tokens},
+        )
+        port = context.endpoint_port(slot.state)
+        answer = (await port.call(call, SCORING_LIMIT_S)).answer
+        outcome = OK
+    except EndpointError as error:
+        outcome = outcome_of(error)
+        raise
+    finally:
+        slot.release(outcome)
+    return _number(answer)
+
+
+def _number(answer: object) -> float:
+    value = answer.get('score') if isinstance(answer, dict) else answer
+    return float(value) if isinstance(value, int | float) else 0.0
--- /dev/null
+++ b/anvilcove/commands/fixing.py
@@ -0,0 +1,142 @@
+"""Fix the batch of a held step while its trainer waits for it."""
+
+import asyncio
+
+from aiohttp import web
+from loguru import logger
+from msgspec import structs
+from xxhash import xxh3_128_hexdigest
+
+from anvilcove.commands.steps import Steps
+from anvilcove.commands.weights import WeightsPart
+from anvilcove.daemon.context import Context, Part
+from anvilcove.daemon.parts import part
+from anvilcove.daemon.replies import read_message, reply
+from anvilcove.messages.base import encode
+from anvilcove.messages.steps import (
+    FIXED,
+    MISSING,
+    OPEN,
+    FixStep,
+    StepFix,
+    batch_object,
+    weights_key,
+    weights_version,
+)
+from anvilcove.messages.table import Check
+from anvilcove.messages.trainers import Batch
+from anvilcove.platform.errors import PlatformError
+from anvilcove.state.steps import StepRun
+
+MAX_WAIT_MS = 1_000
+RETRY_S = 0.2
+
+
+@part
+class Fixing(Part):
+    """Fix held steps; fixing is the handoff to the trainer."""
+
+    def __init__(self, context: Context) -> None:
+        """Use the held steps."""
+        super().__init__(context)
+        self.steps: Steps = context.part(Steps)
+        self.weights: WeightsPart = context.part(WeightsPart)
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the peers' route."""
+        return [web.post('/peer/steps/{trainer}/{step}/fix', self._fix)]
+
+    async def _fix(self, request: web.Request) -> web.Response:
+        message = await read_message(request, FixStep)
+        step = request.match_info['step']
+        number = int(step) if step.isdecimal() else 0
+        state = await self.fix(
+            request.match_info['trainer'],
+            number,
+            message.fence,
+            min(message.wait_ms, MAX_WAIT_MS) / 1000,
+        )
+        return reply(StepFix(state=state))
+
+    async def fix(
+        self, trainer: str, step: int, fence: int, wait_s: float
+    ) -> str:
+        """Wait for the samples and fix the step; return its state here.
+
+        A held step with a higher fence than the asker has read is open.
+        """
+        run = self.steps.book.get(trainer, step)
+        if run is None or run.row.fence < fence:
+            return MISSING
+        if run.waiting_since_s is None:
+            run.waiting_since_s = self.context.clock.now()
+        try:
+            async with asyncio.timeout(wait_s):
+                while not await self._fix_once(run):
+                    await asyncio.sleep(0)
+        except TimeoutError:
+            return OPEN
+        return FIXED if run.row.state == FIXED else MISSING
+
+    async def _fix_once(self, run: StepRun) -> bool:
+        """Wait until no sample is missing; return whether work has ended."""
+        await run.complete.wait()
+        return await asyncio.shield(
+            self.steps.runner.spawn(self._try_until_answered(run))
+        )
+
+    async def _try_until_answered(self, run: StepRun) -> bool:
+        while True:
+            try:
+                return await self._try_fix(run)
+            except PlatformError as error:
+                logger.warning('step {} not fixed yet: {}', run.step_id, error)
+                await self.context.clock.sleep(RETRY_S)
+
+    async def _try_fix(self, run: StepRun) -> bool:
+        """Fix the batch if it is in bound; return whether work has ended."""
+        async with run.lock:
+            if run.dropped or run.row.state == FIXED:
+                self.steps.drop(run, 'fixed')
+                return True
+            row = run.row
+            key = weights_key(row.model)
+            weights = (await self.context.ports['table'].read([key]))[key]
+            newest = weights_version(weights)
+            self.weights.observe(row.model, newest)
+            stale = run.stale_samples(newest)
+            for sample in stale:
+                self.steps.runner.restart(run, sample)
+            if not run.complete.is_set():
+                return False
+            digest = await self._store(run)
+            oldest = run.oldest()
+            fixed = structs.replace(
+                row,
+                state=FIXED,
+                batch=digest,
+                oldest=newest if oldest is None else oldest,
+            )
+            check = Check(key=key, revision=weights.revision)
+            if await self.steps.write(run, fixed, check):
+                self.steps.drop(run, 'fixed')
+                return True
+            return run.dropped
+
+    async def _store(self, run: StepRun) -> str:
+        """Write the batch as an object before the row names it."""
+        body, row = run.body, run.row
+        batch = Batch(
+            trainer=body.trainer,
+            step=body.step,
+            epoch=row.epoch,
+            model=row.model,
+            samples=[s.result for s in run.samples if s.result is not None],
+        )
+        data = encode(batch)
+        digest = xxh3_128_hexdigest(data)
+        if run.stored_batch != digest:
+            name = batch_object(body.trainer, body.step, row.epoch, digest)
+            await self.context.ports['objects'].put(name, data)
+            run.stored_batch = digest
+        return digest
--- /dev/null
+++ b/anvilcove/commands/samples.py
@@ -0,0 +1,485 @@
+"""Generate the samples of the steps that this daemon holds."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from loguru import logger
+
+from anvilcove.commands.attempts import (
+    AttemptFailed,
+    acquire_slot,
+    generate,
+    outcome_of,
+    score,
+)
+from anvilcove.commands.dispatch import NoSlot, Slot
+from anvilcove.commands.weights import WeightsPart
+from anvilcove.daemon.context import Context, Part
+from anvilcove.daemon.parts import part
+from anvilcove.decisions.groups import SampleView, StepNeed
+from anvilcove.decisions.types import (
+    CANCELLED,
+    OK,
+    DecisionRecord,
+    Isolate,
+    Reject,
+    RetryAfter,
+    RetryRequest,
+    RouteRequest,
+)
+from anvilcove.messages.engines import Generate
+from anvilcove.messages.trainers import Sample
+from anvilcove.platform.errors import EndpointError
+from anvilcove.state.content import content_hash
+from anvilcove.state.steps import (
+    Attempt,
+    SampleRun,
+    StepBook,
+    StepRun,
+    is_stale,
+    oldest_version,
+)
+
+# A sample waits this long for room before another sample may go first.
+SLOT_WAIT_S = 1.0
+IDLE_PERIOD_S = 0.1
+MAX_BACKOFF_S = 2.0
+# An engine's version, as seen in its tokens, is trusted this long.
+VERSION_MEMORY_S = 1.0
+# Retries of samples go on while the step is open; this only bounds one.
+ATTEMPT_DEADLINE_S = 60.0
+
+
+@part
+class SampleRunner(Part):
+    """Give the samples of all held steps to the engines."""
+
+    def __init__(self, context: Context) -> None:
+        """Start without steps."""
+        super().__init__(context)
+        self.book = StepBook()
+        self._wake_by_pool: dict[str, asyncio.Event] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._version_by_endpoint: dict[str, tuple[int, float]] = {}
+        self.weights: WeightsPart = context.part(WeightsPart)
+        self.weights.changes.subscribe(self._weights_changed)
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Run a coroutine until it ends or the daemon stops."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def start(self, run: StepRun) -> None:
+        """Start to generate the samples of a step that have no result."""
+        views = [
+            SampleView(
+                position=position,
+                content=self.content(run, sample),
+                max_tokens=sample.group.max_tokens,
+            )
+            for position, sample in enumerate(run.samples)
+            if sample.result is None
+        ]
+        now = self.context.clock.now()
+        for position in self.context.policy('groups').order(now, views):
+            self._queue(run, run.samples[position])
+        self._wake(self._pool(run))
+
+    def stop(self, run: StepRun) -> None:
+        """Cancel everything that runs for a step."""
+        run.dropped = True
+        run.pending.clear()
+        for sample in run.samples:
+            self.stop_attempts(sample)
+        for task in list(run.tasks):
+            task.cancel()
+
+    def content(self, run: StepRun, sample: SampleRun) -> str:
+        """Return the hash of what a sample runs."""
+        group = sample.group
+        known = run.content_by_group.get(group.group)
+        if known is None:
+            known = run.content_by_group[group.group] = content_hash(
+                run.row.class_name,
+                {'prompt': group.prompt, 'max_tokens': group.max_tokens},
+            )
+        return known
+
+    def restart(self, run: StepRun, sample: SampleRun) -> None:
+        """Generate a sample again from its prompt, before the others."""
+        run.clear_result(sample)
+        sample.forget_tokens()
+        self.stop_attempts(sample)
+        self._queue(run, sample, first=True)
+        self._wake(self._pool(run))
+
+    def stop_attempts(
+        self, sample: SampleRun, winner: Attempt | None = None
+    ) -> None:
+        """Cancel the attempts of a sample at their engines."""
+        for attempt in sample.attempts:
+            if attempt is winner:
+                continue
+            if attempt.task is not None:
+                attempt.task.cancel()
+            self.spawn(self._cancel(attempt))
+        sample.attempts = [a for a in sample.attempts if a is winner]
+
+    async def _cancel(self, attempt: Attempt) -> None:
+        state = self.context.endpoints.by_id.get(attempt.endpoint)
+        if state is None:
+            return
+        try:
+            await self.context.endpoint_port(state).cancel(attempt.request_id)
+        except EndpointError as error:
+            logger.debug('cancel of {}: {}', attempt.request_id, error)
+
+    def _queue(
+        self, run: StepRun, sample: SampleRun, first: bool = False
+    ) -> None:
+        if run.dropped or sample.queued or sample.result is not None:
+            return
+        sample.queued = True
+        if first:
+            run.pending.appendleft(sample)
+        else:
+            run.pending.append(sample)
+
+    def _pool(self, run: StepRun) -> str:
+        target = self.context.config.target(run.row.class_name)
+        return run.row.model if target is None else target.pool
+
+    def _wake(self, pool: str) -> None:
+        if pool not in self._wake_by_pool:
+            self._wake_by_pool[pool] = asyncio.Event()
+            self.spawn(self._pump(pool))
+        self._wake_by_pool[pool].set()
+
+    async def _pump(self, pool: str) -> None:
+        """Start the samples of a pool, one at a time as room appears."""
+        wake = self._wake_by_pool[pool]
+        while True:
+            wake.clear()
+            choice = self._choose(pool)
+            if choice is None:
+                try:
+                    async with asyncio.timeout(IDLE_PERIOD_S):
+                        await wake.wait()
+                except TimeoutError:
+                    pass
+                continue
+            await self._start_one(*choice)
+
+    def _choose(self, pool: str) -> tuple[StepRun, SampleRun] | None:
+        now = self.context.clock.now()
+        runs = {
+            run.step_id: run
+            for run in self.book.by_id.values()
+            if run.pending
+            and self._pool(run) == pool
+            and self._has_engine(run, run.pending[0], pool)
+        }
+        if not runs:
+            return None
+        needs = [need_of(run) for run in runs.values()]
+        chosen = self.context.policy('groups').next(now, needs)
+        run = runs[chosen.trainer, chosen.step]
+        sample = run.pending.popleft()
+        sample.queued = False
+        return run, sample
+
+    def _has_engine(self, run: StepRun, sample: SampleRun, pool: str) -> bool:
+        known = len(self.context.endpoints.ids_by_pool.get(pool, []))
+        return known > len(self.excluded(run, sample, pool))
+
+    def excluded(self, run: StepRun, sample: SampleRun, pool: str) -> set[str]:
+        """Return the engines that must not run a sample now.
+
+        These are engines known to run a version that is out of bound, and
+        the engine that failed last if there is another one.
+        """
+        ids = self.context.endpoints.ids_by_pool.get(pool, [])
+        old = self._old_engines(run)
+        both = old | sample.excluded
+        return old if len(ids) <= len(both) else both
+
+    def _old_engines(self, run: StepRun) -> set[str]:
+        """Return engines whose tokens a moment ago were out of bound."""
+        now = self.context.clock.now()
+        newest = self.weights.newest(run.row.model)
+        for endpoint, (_, at_s) in list(self._version_by_endpoint.items()):
+            if now - at_s > VERSION_MEMORY_S:
+                del self._version_by_endpoint[endpoint]
+        return {
+            endpoint
+            for endpoint, (version, _) in self._version_by_endpoint.items()
+            if endpoint in self.context.endpoints.by_id
+            and not self._viable(run, version, newest)
+        }
+
+    def _viable(
+        self, run: StepRun, oldest: int | None, newest: int, left_s: float = 0
+    ) -> bool:
+        if oldest is None:
+            return True
+        return bool(
+            self.context.policy('staleness').viable(
+                self.context.clock.now(),
+                oldest,
+                newest,
+                run.row.bound,
+                run.row.model,
+                left_s,
+            )
+        )
+
+    def viable(
+        self, run: StepRun, attempt: Attempt, sample: SampleRun
+    ) -> bool:
+        """Tell whether an attempt will be in bound when it ends."""
+        return self._viable(
+            run,
+            oldest_version(attempt.versions),
+            self.weights.newest(run.row.model),
+            self._left_s(run, attempt, sample),
+        )
+
+    def _left_s(
+        self, run: StepRun, attempt: Attempt, sample: SampleRun
+    ) -> float:
+        groups = self.context.policy('groups')
+        rate = groups.rate(attempt.endpoint)
+        if rate <= 0:
+            return 0.0
+        expected = groups.expected_tokens(
+            self.content(run, sample), sample.group.max_tokens
+        )
+        return float(max(0.0, expected - len(attempt.tokens)) / rate)
+
+    async def _start_one(self, run: StepRun, sample: SampleRun) -> None:
+        """Wait for room for a sample and start its attempt."""
+        request = self.route_request(run, sample)
+        if request is None:
+            self._accept_nothing(run, sample)
+            return
+        self.context.policy('retry').started(self.context.clock.now())
+        try:
+            slot = await acquire_slot(self.context, request)
+        except NoSlot:
+            self._queue(run, sample, first=True)
+            return
+        if run.dropped or sample.result is not None:
+            slot.release(CANCELLED)
+            return
+        self.begin(run, sample, slot, resume=True)
+
+    def route_request(
+        self, run: StepRun, sample: SampleRun
+    ) -> RouteRequest | None:
+        """Return what the dispatcher needs, None if it must never run."""
+        now = self.context.clock.now()
+        content = self.content(run, sample)
+        verdict = self.context.policy('quarantine').verdict(now, content)
+        if isinstance(verdict, Reject):
+            return None
+        pool = self._pool(run)
+        return RouteRequest(
+            request_id=run.sample_id(sample),
+            class_name=run.row.class_name,
+            kind='trainer',
+            pool=pool,
+            content=content,
+            prefixes=[sample.group.prompt],
+            excluded=self.excluded(run, sample, pool),
+            deadline_at_s=now + SLOT_WAIT_S,
+            isolated=isinstance(verdict, Isolate),
+        )
+
+    def _accept_nothing(self, run: StepRun, sample: SampleRun) -> None:
+        """Give a quarantined prompt an empty sample: it must not run again."""
+        sample_id = run.sample_id(sample)
+        self.context.decisions.record(
+            DecisionRecord(
+                at_s=self.context.clock.now(),
+                decision='refuse_sample',
+                subject=sample_id,
+                class_name=run.row.class_name,
+                choice='empty',
+                reason='its content crashes endpoints',
+                revision=self.context.config.revision,
+            )
+        )
+        run.set_result(
+            sample,
+            Sample(
+                sample_id=sample_id,
+                group=sample.group.group,
+                index=sample.index,
+                tokens=[],
+                versions=[],
+            ),
+        )
+
+    def begin(
+        self, run: StepRun, sample: SampleRun, slot: Slot, resume: bool
+    ) -> Attempt:
+        """Start an attempt of a sample in a slot."""
+        sample.count += 1
+        request_id = f'{run.sample_id(sample)}/{run.row.fence}.{sample.count}'
+        now = self.context.clock.now()
+        attempt = Attempt(request_id, slot.state.endpoint, now)
+        if resume and sample.tokens:
+            attempt.resume(sample.tokens, sample.versions)
+        sample.started_at_s = sample.started_at_s or now
+        sample.attempts.append(attempt)
+        task = self.spawn(self._attempt(run, sample, attempt, slot))
+        attempt.task = task
+        run.tasks.add(task)
+        task.add_done_callback(run.tasks.discard)
+        return attempt
+
+    async def _attempt(
+        self, run: StepRun, sample: SampleRun, attempt: Attempt, slot: Slot
+    ) -> None:
+        outcome = CANCELLED
+        try:
+            await self._generate(run, sample, attempt, slot)
+            outcome = OK
+            attempt.ended = True
+        except (EndpointError, AttemptFailed, TimeoutError) as error:
+            outcome = outcome_of(error)
+            reason = repr(error)
+        finally:
+            slot.release(outcome)
+        if outcome == OK:
+            await self._finish(run, sample, attempt)
+        else:
+            await self._failed(run, sample, attempt, reason)
+
+    async def _generate(
+        self, run: StepRun, sample: SampleRun, attempt: Attempt, slot: Slot
+    ) -> None:
+        group = sample.group
+        request = Generate(
+            request_id=attempt.request_id,
+            prompt=group.prompt,
+            max_tokens=group.max_tokens,
+            model=run.row.model,
+            priority=self.context.policy('groups').engine_priority(
+                need_of(run), run.left_by_group[group.group], group.samples
+            ),
+            resume_tokens=list(attempt.tokens),
+        )
+        async for _ in generate(self.context, slot.state, request, attempt):
+            now = self.context.clock.now()
+            last = attempt.versions[-1]
+            self._version_by_endpoint[attempt.endpoint] = (last.version, now)
+            first = last.end - last.start == 1
+            if first and not self.viable(run, attempt, sample):
+                raise AttemptFailed('version is out of bound')
+
+    async def _finish(
+        self, run: StepRun, sample: SampleRun, attempt: Attempt
+    ) -> None:
+        """Keep the result of a complete attempt unless one was first."""
+        now = self.context.clock.now()
+        groups = self.context.policy('groups')
+        tokens = len(attempt.tokens)
+        groups.finished(
+            self.content(run, sample), tokens, sample.group.max_tokens
+        )
+        groups.observe_rate(
+            attempt.endpoint,
+            tokens - attempt.resumed,
+            now - attempt.started_at_s,
+        )
+        result = Sample(
+            sample_id=run.sample_id(sample),
+            group=sample.group.group,
+            index=sample.index,
+            tokens=attempt.tokens,
+            versions=attempt.versions,
+        )
+        result.score = await score(self.context, sample, result)
+        if sample.result is not None or attempt not in sample.attempts:
+            return
+        self.stop_attempts(sample, winner=attempt)
+        sample.attempts = []
+        newest = self.weights.newest(run.row.model)
+        if is_stale(attempt.versions, newest, run.row.bound):
+            self.restart(run, sample)
+            return
+        run.set_result(sample, result)
+
+    async def _failed(
+        self, run: StepRun, sample: SampleRun, attempt: Attempt, reason: str
+    ) -> None:
+        """Keep the tokens and queue the sample again after a delay."""
+        logger.info('attempt {}: {}', attempt.request_id, reason)
+        if attempt not in sample.attempts:
+            return
+        sample.attempts.remove(attempt)
+        sample.failures += 1
+        sample.excluded = {attempt.endpoint}
+        if attempt.versions and self.viable(run, attempt, sample):
+            sample.keep(attempt)
+        if sample.attempts:
+            return
+        await self.context.clock.sleep(self._backoff_s(sample))
+        if not sample.attempts:
+            self._queue(run, sample, first=True)
+            self._wake(self._pool(run))
+
+    def _backoff_s(self, sample: SampleRun) -> float:
+        now = self.context.clock.now()
+        decision = self.context.policy('retry').next_attempt(
+            now,
+            RetryRequest(
+                attempt=sample.failures, deadline_at_s=now + ATTEMPT_DEADLINE_S
+            ),
+            self.context.rng,
+        )
+        if isinstance(decision, RetryAfter):
+            return decision.delay_s
+        return float(min(MAX_BACKOFF_S, 0.05 * 2 ** min(sample.failures, 8)))
+
+    def _weights_changed(self, model: str) -> None:
+        """Restart what newer weights put outside the bound."""
+        newest = self.weights.newest(model)
+        for run in list(self.book.by_id.values()):
+            if run.row.model != model:
+                continue
+            for sample in run.stale_samples(newest):
+                self.restart(run, sample)
+            for sample in run.samples:
+                self._check_attempts(run, sample)
+
+    def _check_attempts(self, run: StepRun, sample: SampleRun) -> None:
+        oldest = oldest_version(sample.versions)
+        newest = self.weights.newest(run.row.model)
+        if not self._viable(run, oldest, newest):
+            sample.forget_tokens()
+        if sample.attempts and not any(
+            self.viable(run, attempt, sample) for attempt in sample.attempts
+        ):
+            self.restart(run, sample)
+
+    async def close(self) -> None:
+        """Stop everything, after the steps were handed over."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+def need_of(run: StepRun) -> StepNeed:
+    """Return what the groups policy needs to know of a step."""
+    return StepNeed(
+        trainer=run.body.trainer,
+        step=run.body.step,
+        opened_at_s=run.opened_at_s,
+        waiting_since_s=run.waiting_since_s,
+        missing=run.missing,
+    )
--- /dev/null
+++ b/anvilcove/commands/weights.py
@@ -0,0 +1,120 @@
+"""Publish weight versions and follow the newest one of each model."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from aiohttp import web
+from loguru import logger
+from reactivex import Subject
+
+from anvilcove.daemon.context import Context, Part
+from anvilcove.daemon.parts import part
+from anvilcove.daemon.replies import read_message, refusal, reply
+from anvilcove.messages.steps import (
+    WeightsRow,
+    row_value,
+    weights_key,
+    weights_version,
+)
+from anvilcove.messages.table import Check, Put, Transaction
+from anvilcove.messages.trainers import PublishWeights, WeightsPublished
+from anvilcove.platform.errors import PlatformError, StoreAnswerLost
+from anvilcove.settings.classes import TrainerClass
+
+POLL_PERIOD_S = 1.0
+PUBLISH_LIMIT_S = 3.0
+
+
+def trainer_classes(context: Context) -> list[TrainerClass]:
+    """Return the declared classes of trainers."""
+    return [
+        target
+        for target in context.config.document.classes
+        if isinstance(target, TrainerClass)
+    ]
+
+
+@part
+class WeightsPart(Part):
+    """Newest version per model; a version never goes back."""
+
+    def __init__(self, context: Context) -> None:
+        """Start without versions; `changes` names models with news."""
+        super().__init__(context)
+        self.newest_by_model: dict[str, int] = {}
+        self.changes: Subject[str] = Subject()
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the trainers' route."""
+        return [web.post('/v1/weights', self._publish)]
+
+    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+        """Return the polling loop."""
+        return [self._poll()]
+
+    def newest(self, model: str) -> int:
+        """Return the newest version known, 0 for none."""
+        return self.newest_by_model.get(model, 0)
+
+    def observe(self, model: str, version: int) -> None:
+        """Adopt a version that the table held at some time."""
+        if version <= self.newest(model):
+            return
+        self.newest_by_model[model] = version
+        now = self.context.clock.now()
+        self.context.policy('staleness').published(now, model, version)
+        self.changes.on_next(model)
+
+    async def _poll(self) -> None:
+        while True:
+            models = {c.model for c in trainer_classes(self.context)}
+            if models:
+                await self._refresh(sorted(models))
+            await self.context.clock.sleep(POLL_PERIOD_S)
+
+    async def _refresh(self, models: list[str]) -> None:
+        try:
+            rows = await self.context.ports['table'].read(
+                [weights_key(model) for model in models]
+            )
+        except PlatformError as error:
+            logger.warning('weight versions not available: {}', error)
+            return
+        for model in models:
+            self.observe(model, weights_version(rows[weights_key(model)]))
+
+    async def _publish(self, request: web.Request) -> web.Response:
+        message = await read_message(request, PublishWeights)
+        if message.version < 1 or not message.model:
+            return refusal(
+                400, 'invalid_body', 'model or version is out of range'
+            )
+        try:
+            async with asyncio.timeout(PUBLISH_LIMIT_S):
+                version = await self._raise(message)
+        except (PlatformError, TimeoutError) as error:
+            return refusal(503, 'store_unavailable', repr(error))
+        self.observe(message.model, version)
+        answer = WeightsPublished(model=message.model, version=version)
+        return reply(answer, 200 if version == message.version else 409)
+
+    async def _raise(self, message: PublishWeights) -> int:
+        """Return the version that the row holds in the end."""
+        table = self.context.ports['table']
+        key = weights_key(message.model)
+        value = row_value(WeightsRow(version=message.version))
+        while True:
+            row = (await table.read([key]))[key]
+            version = weights_version(row)
+            if version >= message.version:
+                return version
+            change = Transaction(
+                checks=[Check(key=key, revision=row.revision)],
+                puts=[Put(key=key, value=value)],
+            )
+            try:
+                if (await table.transact(change)).committed:
+                    return message.version
+            except StoreAnswerLost as error:
+                logger.warning('answer of the store was lost: {}', error)
--- a/anvilcove/daemon/app.py
+++ b/anvilcove/daemon/app.py
@@ -18,6 +18,11 @@
     'anvilcove.commands.submit',
     'anvilcove.commands.membership',
     'anvilcove.commands.apply',
+    'anvilcove.commands.weights',
+    'anvilcove.commands.steps',
+    'anvilcove.commands.samples',
+    'anvilcove.commands.fixing',
+    'anvilcove.commands.batches',
 )
 ADAPTER_MODULES = (
     'anvilcove.platform.table',
@@ -27,7 +32,12 @@
     'anvilcove.platform.engines',
     'anvilcove.platform.services',
 )
-POLICY_MODULES = ('anvilcove.decisions.naive',)
+POLICY_MODULES = (
+    'anvilcove.decisions.naive',
+    'anvilcove.decisions.naive_training',
+    'anvilcove.decisions.groups',
+    'anvilcove.decisions.staleness',
+)
 
 
 def load_modules() -> None:
--- /dev/null
+++ b/anvilcove/decisions/naive_training.py
@@ -0,0 +1,84 @@
+"""Plain variants of the training policies, the baseline of comparisons."""
+
+from anvilcove.decisions.groups import (
+    NORMAL_PRIORITY,
+    Move,
+    Rerun,
+    SampleView,
+    StepNeed,
+    StragglerView,
+    Wait,
+)
+from anvilcove.decisions.registry import policy
+from anvilcove.settings.daemon import DaemonSettings
+
+
+@policy('groups', 'naive')
+@policy('groups', 'in_order')
+class InOrder:
+    """Start samples in the order of the step and wait for stragglers."""
+
+    __slots__ = ()
+
+    def __init__(self, settings: DaemonSettings) -> None:
+        """Take no settings."""
+
+    def order(self, now: float, samples: list[SampleView]) -> list[int]:
+        """Return the positions as they are."""
+        return [sample.position for sample in samples]
+
+    def next(self, now: float, needs: list[StepNeed]) -> StepNeed:
+        """Return the step that was opened first."""
+        return min(needs, key=lambda need: need.opened_at_s)
+
+    def engine_priority(
+        self, need: StepNeed, left_in_group: int, group_size: int
+    ) -> int:
+        """Return the same priority for every sample."""
+        return NORMAL_PRIORITY
+
+    def finished(self, content: str, tokens: int, max_tokens: int) -> None:
+        """Learn nothing."""
+
+    def observe_rate(self, endpoint: str, tokens: int, seconds: float) -> None:
+        """Learn nothing."""
+
+    def rate(self, endpoint: str) -> float:
+        """Know no rate."""
+        return 0.0
+
+    def expected_tokens(self, content: str, max_tokens: int) -> float:
+        """Expect the largest length."""
+        return float(max_tokens)
+
+    def straggler(
+        self, now: float, view: StragglerView
+    ) -> Move | Rerun | Wait:
+        """Wait."""
+        return Wait()
+
+
+@policy('staleness', 'naive')
+@policy('staleness', 'ignore')
+class IgnoreStaleness:
+    """Run every sample to its end; the fix still checks the bound."""
+
+    __slots__ = ()
+
+    def __init__(self, settings: DaemonSettings) -> None:
+        """Take no settings."""
+
+    def published(self, now: float, model: str, version: int) -> None:
+        """Learn nothing."""
+
+    def viable(
+        self,
+        now: float,
+        oldest: int,
+        newest: int,
+        bound: int,
+        model: str = '',
+        left_s: float = 0.0,
+    ) -> bool:
+        """Regard every sample as viable."""
+        return True
--- /dev/null
+++ b/anvilcove/state/steps.py
@@ -0,0 +1,246 @@
+"""Training steps that this daemon holds, with the samples in memory."""
+
+import asyncio
+from collections import deque
+
+from anvilcove.messages.callers import VersionRange
+from anvilcove.messages.steps import StepRow
+from anvilcove.messages.trainers import GroupSpec, Sample, SubmitStep
+
+StepId = tuple[str, int]
+
+
+def oldest_version(versions: list[VersionRange]) -> int | None:
+    """Return the oldest version of some tokens, None without tokens."""
+    return min((item.version for item in versions), default=None)
+
+
+class Attempt:
+    """One run of a sample at one endpoint."""
+
+    __slots__ = (
+        'request_id',
+        'endpoint',
+        'tokens',
+        'versions',
+        'resumed',
+        'started_at_s',
+        'token_at_s',
+        'ended',
+        'task',
+    )
+
+    def __init__(self, request_id: str, endpoint: str, now: float) -> None:
+        """Start without tokens."""
+        self.request_id = request_id
+        self.endpoint = endpoint
+        self.tokens: list[str] = []
+        self.versions: list[VersionRange] = []
+        self.resumed = 0
+        self.started_at_s = now
+        self.token_at_s = now
+        self.ended = False
+        self.task: asyncio.Task[None] | None = None
+
+    def resume(self, tokens: list[str], versions: list[VersionRange]) -> None:
+        """Continue after tokens of an earlier attempt."""
+        self.tokens = list(tokens)
+        self.versions = [
+            VersionRange(version=v.version, start=v.start, end=v.end)
+            for v in versions
+        ]
+        self.resumed = len(tokens)
+
+    def add(self, text: str, version: int, now: float) -> None:
+        """Add a token and the version that produced it."""
+        position = len(self.tokens)
+        self.tokens.append(text)
+        self.token_at_s = now
+        if self.versions and self.versions[-1].version == version:
+            self.versions[-1].end = position + 1
+        else:
+            self.versions.append(
+                VersionRange(version=version, start=position, end=position + 1)
+            )
+
+
+class SampleRun:
+    """One wanted sample: its attempts, kept tokens and result."""
+
+    __slots__ = (
+        'group',
+        'index',
+        'result',
+        'attempts',
+        'count',
+        'failures',
+        'moves',
+        'queued',
+        'tokens',
+        'versions',
+        'excluded',
+        'started_at_s',
+    )
+
+    def __init__(self, group: GroupSpec, index: int) -> None:
+        """Start without a result."""
+        self.group = group
+        self.index = index
+        self.result: Sample | None = None
+        self.attempts: list[Attempt] = []
+        self.count = 0
+        self.failures = 0
+        self.moves = 0
+        self.queued = False
+        self.tokens: list[str] = []
+        self.versions: list[VersionRange] = []
+        self.excluded: set[str] = set()
+        self.started_at_s = 0.0
+
+    def keep(self, attempt: Attempt) -> None:
+        """Keep the tokens of a broken attempt to resume from them."""
+        if len(attempt.tokens) > len(self.tokens):
+            self.tokens = attempt.tokens
+            self.versions = attempt.versions
+
+    def forget_tokens(self) -> None:
+        """Start again from the prompt."""
+        self.tokens = []
+        self.versions = []
+
+
+class StepRun:
+    """One step that this daemon holds; `row` is the value in the table."""
+
+    __slots__ = (
+        'body',
+        'row',
+        'revision',
+        'samples',
+        'pending',
+        'lock',
+        'complete',
+        'dropped',
+        'waiting_since_s',
+        'opened_at_s',
+        'renewed_at_s',
+        'tasks',
+        'stored_batch',
+        'left_by_group',
+        'content_by_group',
+        'missing',
+    )
+
+    def __init__(
+        self, body: SubmitStep, row: StepRow, revision: int, now: float
+    ) -> None:
+        """Start with no sample generated."""
+        self.body = body
+        self.row = row
+        self.revision = revision
+        self.samples = [
+            SampleRun(group, index)
+            for group in body.groups
+            for index in range(group.samples)
+        ]
+        self.pending: deque[SampleRun] = deque()
+        self.lock = asyncio.Lock()
+        self.complete = asyncio.Event()
+        self.dropped = False
+        self.waiting_since_s: float | None = None
+        self.opened_at_s = now
+        self.renewed_at_s = now
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.stored_batch = ''
+        self.left_by_group = {
+            group.group: group.samples for group in body.groups
+        }
+        self.content_by_group: dict[str, str] = {}
+        self.missing = len(self.samples)
+
+    @property
+    def step_id(self) -> StepId:
+        """Return trainer and step number."""
+        return (self.body.trainer, self.body.step)
+
+    def sample_id(self, sample: SampleRun) -> str:
+        """Return the identifier that the trainer sees."""
+        body = self.body
+        return (
+            f'{body.trainer}/{body.step}/{self.row.epoch}/'
+            f'{sample.group.group}/{sample.index}'
+        )
+
+    def set_result(self, sample: SampleRun, result: Sample) -> None:
+        """Keep the result of a sample."""
+        if sample.result is None:
+            self.left_by_group[sample.group.group] -= 1
+            self.missing -= 1
+        sample.result = result
+        if self.missing == 0:
+            self.complete.set()
+
+    def clear_result(self, sample: SampleRun) -> None:
+        """Take the result of a sample back."""
+        if sample.result is not None:
+            self.left_by_group[sample.group.group] += 1
+            self.missing += 1
+        sample.result = None
+        self.complete.clear()
+
+    def stale_samples(self, newest: int) -> list[SampleRun]:
+        """Return the finished samples that are outside the bound."""
+        return [
+            sample
+            for sample in self.samples
+            if sample.result is not None
+            and is_stale(sample.result.versions, newest, self.row.bound)
+        ]
+
+    def oldest(self) -> int | None:
+        """Return the oldest version of the finished samples."""
+        return oldest_version(
+            [
+                item
+                for sample in self.samples
+                if sample.result is not None
+                for item in sample.result.versions
+            ]
+        )
+
+
+def is_stale(versions: list[VersionRange], newest: int, bound: int) -> bool:
+    """Tell whether tokens are more than `bound` versions behind."""
+    oldest = oldest_version(versions)
+    return oldest is not None and newest - oldest > bound
+
+
+class StepBook:
+    """Steps held by this daemon."""
+
+    __slots__ = ('by_id',)
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.by_id: dict[StepId, StepRun] = {}
+
+    def add(self, run: StepRun) -> None:
+        """Hold a step."""
+        self.by_id[run.step_id] = run
+
+    def get(self, trainer: str, step: int) -> StepRun | None:
+        """Return a held step."""
+        return self.by_id.get((trainer, step))
+
+    def remove(self, run: StepRun) -> None:
+        """Stop holding a step."""
+        if self.by_id.get(run.step_id) is run:
+            del self.by_id[run.step_id]
+
+    def in_pool(self, pools: dict[str, str], pool: str) -> list[StepRun]:
+        """Return the held steps of a pool, given the pool of each class."""
+        return [
+            run
+            for run in self.by_id.values()
+            if pools.get(run.row.class_name) == pool
+        ]
--- /dev/null
+++ b/features/steps/training_steps.py
@@ -0,0 +1,205 @@
+"""Steps of a trainer: submit, fetch, acknowledge, and check deliveries."""
+
+import asyncio
+
+from behave import then, when
+from site_steps import host_url, run
+
+from anvilcove.client.trainer import Trainer, TrainerSettings
+from anvilcove.messages.base import decode
+from anvilcove.messages.trainers import Batch, GroupSpec
+
+TAKE_LIMIT_S = 45.0
+
+
+def groups_of(groups, samples, tokens):
+    """Return the specification of some equal groups."""
+    return [
+        GroupSpec(
+            group=f'g{number}',
+            prompt=f'prompt {number}',
+            samples=samples,
+            max_tokens=tokens,
+        )
+        for number in range(1, groups + 1)
+    ]
+
+
+def records(context):
+    """Return what the trainers submitted and received in this scenario."""
+    if not hasattr(context, 'submitted'):
+        context.submitted = {}
+        context.delivered = {}
+        context.fetches = []
+    return context
+
+
+def settings(context, trainer, hosts):
+    """Return the settings of a trainer that uses some hosts."""
+    by_host = context.site.settings_by_host
+    return TrainerSettings(
+        trainer=trainer,
+        class_name='rollouts',
+        entries=[by_host[host].listen_address for host in hosts],
+    )
+
+
+@when(
+    'trainer {trainer} submits step {step:d} with {groups:d} groups of '
+    '{samples:d} samples of {tokens:d} tokens at host {host}'
+)
+def submit(context, trainer, step, groups, samples, tokens, host):
+    """Submit a step at one host and keep the status."""
+    specs = groups_of(groups, samples, tokens)
+    body = {
+        'trainer': trainer,
+        'class_name': 'rollouts',
+        'step': step,
+        'groups': [
+            {
+                'group': spec.group,
+                'prompt': spec.prompt,
+                'samples': spec.samples,
+                'max_tokens': spec.max_tokens,
+            }
+            for spec in specs
+        ],
+    }
+
+    async def send():
+        url = f'{host_url(context, host)}/v1/steps'
+        async with context.session.post(url, json=body) as response:
+            context.answer = (response.status, await response.read())
+
+    run(context, send())
+    if context.answer[0] == 200:
+        records(context).submitted[trainer, step] = specs
+
+
+@when('trainer {trainer} takes {count:d} steps from hosts {hosts}')
+def take_steps(context, trainer, count, hosts):
+    """Take and acknowledge batches with the trainer's library."""
+    names = [name.strip() for name in hosts.split(',')]
+    taken = records(context).delivered.setdefault(trainer, [])
+
+    async def take():
+        async with (
+            asyncio.timeout(TAKE_LIMIT_S),
+            Trainer(settings(context, trainer, names)) as client,
+        ):
+            async for batch in client.batches(after=len(taken)):
+                taken.append(batch)
+                await batch.ack()
+                if len(taken) == count:
+                    return
+
+    run(context, take())
+
+
+@when('trainer {trainer} fetches step {step:d} at host {host}')
+def fetch(context, trainer, step, host):
+    """Fetch a step at one host until it is there."""
+
+    async def get():
+        url = (
+            f'{host_url(context, host)}/v1/trainers/{trainer}/batch'
+            f'?after={step - 1}&wait_ms=1000'
+        )
+        async with asyncio.timeout(TAKE_LIMIT_S):
+            while True:
+                async with context.session.get(url) as response:
+                    if response.status == 200:
+                        data = await response.read()
+                        return data, response.headers['X-Digest']
+
+    records(context).fetches.append(run(context, get()))
+
+
+@when('trainer {trainer} acknowledges the fetched batch at host {host}')
+@when(
+    'trainer {trainer} acknowledges the fetched batch with epoch {epoch:d} '
+    'at host {host}'
+)
+def acknowledge(context, trainer, host, epoch=None):
+    """Acknowledge the batch that was fetched last."""
+    data, digest = context.fetches[-1]
+    batch = decode(data, Batch)
+    body = {
+        'step': batch.step,
+        'epoch': batch.epoch if epoch is None else epoch,
+        'digest': digest,
+    }
+
+    async def send():
+        url = f'{host_url(context, host)}/v1/trainers/{trainer}/ack'
+        async with context.session.post(url, json=body) as response:
+            context.answer = (response.status, await response.read())
+
+    run(context, send())
+
+
+@then('the answer has status {status:d}')
+def check_status(context, status):
+    """Check the status of the last call."""
+    assert context.answer[0] == status, context.answer
+
+
+@then('both fetches have the same bytes')
+def check_bytes(context):
+    """Compare the last two fetches."""
+    assert context.fetches[-1] == context.fetches[-2]
+
+
+@then('trainer {trainer} has each sample of steps {first:d} to {last:d} once')
+def check_samples(context, trainer, first, last):
+    """Compare the delivered samples with the submitted steps."""
+    batches = context.delivered[trainer]
+    assert [b.step for b in batches] == list(range(first, last + 1)), [
+        b.step for b in batches
+    ]
+    for batch in batches:
+        specs = context.submitted[trainer, batch.step]
+        expected = [
+            f'{trainer}/{batch.step}/{batch.epoch}/{spec.group}/{index}'
+            for spec in specs
+            for index in range(spec.samples)
+        ]
+        assert [s.sample_id for s in batch.samples] == expected
+
+
+async def journals(context):
+    """Return the tokens that the engines ran: sample, index and version."""
+    ran = set()
+    for member in context.site.members.endpoints:
+        if member.kind != 'engine':
+            continue
+        url = f'http://{member.address}/journal'
+        async with context.session.get(url) as response:
+            for entry in await response.json():
+                if 'index' not in entry:
+                    continue
+                sample = entry['request_id'].rpartition('/')[0]
+                ran.add((sample, entry['index'], entry['version']))
+    return ran
+
+
+@then('the versions of each sample are those that the engines ran')
+def check_versions(context):
+    """Check every version range against the engines' journals."""
+    ran = run(context, journals(context))
+    for batches in context.delivered.values():
+        for batch in batches:
+            for sample in batch.samples:
+                check_ranges(sample, ran)
+
+
+def check_ranges(sample, ran):
+    """Check that the ranges cover all tokens and name what ran."""
+    position = 0
+    for part in sample.versions:
+        assert part.start == position, sample
+        position = part.end
+        for index in range(part.start, part.end):
+            key = (sample.sample_id, index, part.version)
+            assert key in ran, f'no engine ran {key}'
+    assert position == len(sample.tokens), sample
