--- a/anvilcove/daemon/app.py
+++ b/anvilcove/daemon/app.py
@@ -32,6 +32,11 @@
     'anvilcove.commands.reports',
     'anvilcove.queries.entries',
     'anvilcove.queries.status',
+    'anvilcove.commands.weights',
+    'anvilcove.commands.steps',
+    'anvilcove.commands.samples',
+    'anvilcove.commands.fixing',
+    'anvilcove.commands.batches',
 )
 ADAPTER_MODULES = (
     'anvilcove.platform.table',
@@ -53,6 +58,9 @@
     'anvilcove.decisions.quarantine',
     'anvilcove.decisions.entries',
     'anvilcove.decisions.placement',
+    'anvilcove.decisions.naive_training',
+    'anvilcove.decisions.groups',
+    'anvilcove.decisions.staleness',
 )
 
 
