--- a/anvilcove/daemon/app.py
+++ b/anvilcove/daemon/app.py
@@ -22,6 +22,8 @@
 PART_MODULES = (
     'anvilcove.commands.dispatch',
     'anvilcove.commands.submit',
+    'anvilcove.commands.claim',
+    'anvilcove.queries.attach',
     'anvilcove.commands.membership',
     'anvilcove.commands.apply',
     'anvilcove.commands.announce',
@@ -30,6 +32,11 @@
     'anvilcove.commands.reports',
     'anvilcove.queries.entries',
     'anvilcove.queries.status',
+    'anvilcove.commands.weights',
+    'anvilcove.commands.steps',
+    'anvilcove.commands.samples',
+    'anvilcove.commands.fixing',
+    'anvilcove.commands.batches',
 )
 ADAPTER_MODULES = (
     'anvilcove.platform.table',
@@ -39,8 +46,22 @@
     'anvilcove.platform.engines',
     'anvilcove.platform.services',
 )
-POLICY_MODULES = ('anvilcove.decisions.naive',)
 CONNECT_LIMIT_S = 1.0
+POLICY_MODULES = (
+    'anvilcove.decisions.naive',
+    'anvilcove.decisions.admission',
+    'anvilcove.decisions.limits',
+    'anvilcove.decisions.routing',
+    'anvilcove.decisions.ejection',
+    'anvilcove.decisions.retry',
+    'anvilcove.decisions.hedging',
+    'anvilcove.decisions.quarantine',
+    'anvilcove.decisions.entries',
+    'anvilcove.decisions.placement',
+    'anvilcove.decisions.naive_training',
+    'anvilcove.decisions.groups',
+    'anvilcove.decisions.staleness',
+)
 
 
 def load_modules() -> None:
