--- a/anvilcove/__init__.py
+++ b/anvilcove/__init__.py
@@ -1,3 +1,24 @@
 """Rollout service for reinforcement learning."""
 
+from anvilcove.client.caller import Answer, Client
+from anvilcove.client.errors import (
+    CallError,
+    FailedError,
+    InvalidRequestError,
+    NotRunError,
+    UnknownOutcomeError,
+)
+from anvilcove.client.settings import ClientSettings
+
+__all__ = [
+    'Answer',
+    'CallError',
+    'Client',
+    'ClientSettings',
+    'FailedError',
+    'InvalidRequestError',
+    'NotRunError',
+    'UnknownOutcomeError',
+]
+
 __version__ = '0.1.0'
--- /dev/null
+++ b/anvilcove/client/caller.py
@@ -0,0 +1,124 @@
+"""Client of callers: calls and streams with failover."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from contextlib import aclosing
+from types import TracebackType
+from typing import Any
+
+from aiohttp import ClientSession, ClientTimeout, TCPConnector
+from msgspec import Struct
+
+from anvilcove.client.call import Call
+from anvilcove.client.entries import EntryBook
+from anvilcove.client.settings import ClientSettings
+from anvilcove.messages.callers import Outcome, VersionRange
+from anvilcove.messages.engines import TokenEvent
+
+
+class Answer(Struct):
+    """Whole answer of a call; `versions` name what produced its tokens."""
+
+    request_id: str
+    value: Any
+    versions: list[VersionRange]
+
+
+class Client:
+    """Caller of the service; use it as an asynchronous context manager."""
+
+    def __init__(
+        self, settings: ClientSettings, rng: random.Random | None = None
+    ) -> None:
+        """Keep the settings; nothing is opened."""
+        self.settings = settings
+        self._rng = rng or random.Random()
+        self._session: ClientSession | None = None
+        self._entries: EntryBook | None = None
+
+    async def __aenter__(self) -> 'Client':
+        """Open the connection pool."""
+        self._session = ClientSession(
+            connector=TCPConnector(limit=0), timeout=ClientTimeout(total=None)
+        )
+        now = asyncio.get_running_loop().time
+        self._entries = EntryBook(self.settings, self._session, now, self._rng)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Close the connection pool."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def call(
+        self,
+        class_name: str,
+        body: dict[str, Any],
+        *,
+        deadline_ms: int = 0,
+        repeatable: bool = True,
+        key: str = '',
+    ) -> Answer:
+        """Return the answer of a call.
+
+        Raise NotRunError, FailedError or UnknownOutcomeError.
+        """
+        call = self._call(class_name, body, deadline_ms, repeatable, key)
+        async with aclosing(call.run()) as events:
+            async for event in events:
+                if isinstance(event, Outcome):
+                    return _answer(event)
+        raise AssertionError('a call ends with an outcome or an error')
+
+    async def stream(
+        self, class_name: str, body: dict[str, Any], *, deadline_ms: int = 0
+    ) -> AsyncIterator[TokenEvent | Answer]:
+        """Yield the tokens of a generation in order, then its answer.
+
+        Tokens are yielded once, also when a connection breaks in between.
+        """
+        call = self._call(class_name, body, deadline_ms, True, '')
+        call.message.stream = True
+        async with aclosing(call.run()) as events:
+            async for event in events:
+                if isinstance(event, Outcome):
+                    yield _answer(event)
+                else:
+                    yield event
+
+    def _call(
+        self,
+        class_name: str,
+        body: dict[str, Any],
+        deadline_ms: int,
+        repeatable: bool,
+        key: str,
+    ) -> Call:
+        if self._session is None or self._entries is None:
+            raise RuntimeError('use the client in an `async with` statement')
+        if not repeatable and not key:
+            raise ValueError('a call that is not repeatable needs a key')
+        return Call(
+            self._session,
+            self._entries,
+            self._rng,
+            class_name=class_name,
+            body=body,
+            deadline_ms=deadline_ms or self.settings.deadline_ms,
+            repeatable=repeatable,
+            key=key,
+        )
+
+
+def _answer(outcome: Outcome) -> Answer:
+    return Answer(
+        request_id=outcome.request_id,
+        value=outcome.answer,
+        versions=outcome.versions,
+    )
--- /dev/null
+++ b/anvilcove/client/exchange.py
@@ -0,0 +1,161 @@
+"""HTTP exchanges of the client library with one entry host."""
+
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import asynccontextmanager
+
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+    ConnectionTimeoutError,
+)
+
+from anvilcove.client.errors import (
+    ConnectionBroken,
+    EntryRefused,
+    EntryUnreachable,
+    InvalidRequestError,
+)
+from anvilcove.messages.base import MessageError, decode, encode
+from anvilcove.messages.callers import (
+    NOT_RUN,
+    Entry,
+    Outcome,
+    Refusal,
+    SubmitRequest,
+)
+from anvilcove.messages.engines import TokenEvent
+
+INVALID_STATUSES = (400, 404, 405, 408, 411, 413, 414, 415, 431)
+# The service answers at the deadline; its answer needs this long to arrive.
+ARRIVAL_S = 0.5
+
+
+@asynccontextmanager
+async def exchange(
+    session: ClientSession,
+    method: str,
+    url: str,
+    timeout_s: float,
+    connect_timeout_s: float,
+    data: bytes | None = None,
+) -> AsyncIterator[ClientResponse]:
+    """Open an exchange; tell whether the request may have been received."""
+    try:
+        async with session.request(
+            method,
+            url,
+            data=data,
+            headers={'Content-Type': 'application/json'},
+            timeout=ClientTimeout(
+                total=timeout_s + ARRIVAL_S, sock_connect=connect_timeout_s
+            ),
+        ) as response:
+            yield response
+    except (ClientConnectorError, ConnectionTimeoutError) as error:
+        raise EntryUnreachable(str(error)) from error
+    except (ClientError, OSError, TimeoutError, MessageError) as error:
+        raise ConnectionBroken(repr(error)) from error
+
+
+async def post(
+    session: ClientSession,
+    entry: Entry,
+    message: SubmitRequest,
+    connect_timeout_s: float,
+) -> AsyncGenerator[TokenEvent | Outcome, None]:
+    """Send a request; yield its tokens, if it is streamed, then its outcome.
+
+    Raise EntryUnreachable, EntryRefused, ConnectionBroken or
+    InvalidRequestError.
+    """
+    async with exchange(
+        session,
+        'POST',
+        f'http://{entry.address}/v1/requests',
+        message.deadline_ms / 1000,
+        connect_timeout_s,
+        encode(message),
+    ) as response:
+        outcome = None
+        if response.content_type != 'text/event-stream':
+            outcome = _outcome(response, await response.read(), message)
+        else:
+            async for event in _events(response):
+                if event.request_id != message.request_id:
+                    raise ConnectionBroken('event of another request')
+                if isinstance(event, Outcome):
+                    outcome = event
+                    break
+                yield event
+        if outcome is None:
+            raise ConnectionBroken('the stream ended without its outcome')
+    yield outcome
+
+
+def _outcome(
+    response: ClientResponse, data: bytes, message: SubmitRequest
+) -> Outcome:
+    if response.status in INVALID_STATUSES:
+        raise InvalidRequestError(_reason(data))
+    try:
+        outcome = decode(data, Outcome)
+    except MessageError:
+        if response.status != 503:
+            raise
+        # A host that shuts down refuses before it handles a request.
+        raise EntryRefused(_reason(data), 0.0) from None
+    if response.status == 503 and outcome.outcome == NOT_RUN:
+        raise EntryRefused(outcome.reason, outcome.retry_after_ms / 1000)
+    if outcome.request_id != message.request_id:
+        raise ConnectionBroken('answer of another request')
+    return outcome
+
+
+def _reason(data: bytes) -> str:
+    try:
+        return decode(data, Refusal).reason
+    except MessageError:
+        return data[:200].decode(errors='replace')
+
+
+async def _events(
+    response: ClientResponse,
+) -> AsyncIterator[TokenEvent | Outcome]:
+    kind = ''
+    async for line in response.content:
+        text = line.strip()
+        if text.startswith(b'event:'):
+            kind = text[6:].strip().decode()
+        elif text.startswith(b'data:') and kind == 'token':
+            yield decode(text[5:].strip(), TokenEvent)
+        elif text.startswith(b'data:') and kind in ('done', 'error'):
+            yield decode(text[5:].strip(), Outcome)
+
+
+async def ask_outcome(
+    session: ClientSession,
+    entry: Entry,
+    request_id: str,
+    wait_s: float,
+    connect_timeout_s: float,
+) -> Outcome | bool:
+    """Ask a host for an outcome; True if in flight, False if not known."""
+    wait_ms = max(int(wait_s * 1000), 0)
+    async with exchange(
+        session,
+        'GET',
+        f'http://{entry.address}/v1/requests/{request_id}?wait_ms={wait_ms}',
+        wait_s + ARRIVAL_S,
+        connect_timeout_s,
+    ) as response:
+        if response.status == 202:
+            return True
+        if response.status == 404:
+            return False
+        outcome = decode(await response.read(), Outcome)
+        if outcome.request_id != request_id:
+            raise ConnectionBroken('answer of another request')
+        return outcome
--- a/anvilcove/commands/claim.py
+++ b/anvilcove/commands/claim.py
@@ -11,6 +11,7 @@
 
 from anvilcove.commands.job import (
     CONFLICT_STATUS,
+    RETRY_AFTER_S,
     GivenUp,
     Job,
     conflict,
@@ -88,6 +89,7 @@
         while revision is not None:
             taken = await self._insert(job, revision)
             if isinstance(taken, Held):
+                job.record.held = True
                 return taken
             settled = await self._settle(job, taken)
             if isinstance(settled, Outcome):
@@ -95,7 +97,9 @@
             revision = settled
             if self.context.clock.now() >= job.route.deadline_at_s:
                 raise GivenUp('no claim before the deadline')
-        return job.unknown('the holder of the claim does not answer')
+        return job.unknown(
+            'the holder of the claim does not tell', RETRY_AFTER_S
+        )
 
     async def _insert(self, job: Job, revision: int) -> Held | Row:
         """Write a claim with a new nonce; return the other's row if lost."""
--- a/anvilcove/commands/job.py
+++ b/anvilcove/commands/job.py
@@ -83,13 +83,16 @@
             retry_after_ms=int(error.retry_after_s * 1000),
         )
 
-    def unknown(self, reason: str) -> Outcome:
-        """Return the outcome of work that may have run."""
+    def unknown(self, reason: str, retry_after_s: float = 0.0) -> Outcome:
+        """Return the outcome of work that may have run.
+
+        A retry-after time of 0 says that asking again does not help.
+        """
         return Outcome(
             request_id=self.message.request_id,
             outcome=UNKNOWN,
             reason=reason,
-            retry_after_ms=int(RETRY_AFTER_S * 1000),
+            retry_after_ms=int(retry_after_s * 1000),
         )
 
 
--- a/anvilcove/state/answers.py
+++ b/anvilcove/state/answers.py
@@ -28,6 +28,7 @@
         'finished',
         'finished_at_s',
         'task',
+        'held',
         'pinned',
         'size',
     )
@@ -53,6 +54,9 @@
         self.finished = asyncio.Event()
         self.finished_at_s = 0.0
         self.task: asyncio.Task[None] | None = None
+        # Whether this daemon held the claim of the key.
+        self.held = False
+        # A pinned record stays until the end of its claim is stored.
         self.pinned = False
         self.size = 0
 
@@ -117,10 +121,7 @@
     def find_claim(self, now: float, claim_key: str) -> RequestRecord | None:
         """Return the record that runs or has run the key of a caller."""
         self._prune(now)
-        record = self._by_claim_key.get(claim_key)
-        if record and record.outcome and record.outcome.outcome == NOT_RUN:
-            return None
-        return record
+        return self._by_claim_key.get(claim_key)
 
     def finish(
         self, now: float, record: RequestRecord, outcome: Outcome, status: int
@@ -128,6 +129,8 @@
         """Publish an outcome and keep it for a while."""
         record.finish(now, outcome, status)
         self.in_flight -= 1
+        if not record.held or outcome.outcome == NOT_RUN:
+            self._forget_key(record)
         self._bytes += record.size
         self._finished.append(record)
         self._prune(now)
@@ -148,5 +151,9 @@
         self._bytes -= record.size
         for request_id in record.aliases:
             self._by_id.pop(request_id, None)
+        self._forget_key(record)
+
+    def _forget_key(self, record: RequestRecord) -> None:
+        """Let the key be looked up in the table when it comes again."""
         if self._by_claim_key.get(record.claim_key) is record:
             del self._by_claim_key[record.claim_key]
