Add stragglers, leases, the weight roll-out and claim pruning

Cause: published weights reached no engine, slow samples were waited for, and claims were never deleted.

--- a/anvilcove/commands/attempts.py
+++ b/anvilcove/commands/attempts.py
@@ -16,6 +16,9 @@
     OVERLOADED,
     PRIORITY_BY_KIND,
     TRAINER,
+    DecisionRecord,
+    RetryAfter,
+    RetryRequest,
     RouteRequest,
 )
 from anvilcove.messages.engines import Generate, TokenEvent
@@ -27,7 +30,7 @@
     EndpointNotRun,
 )
 from anvilcove.state.endpoints import EndpointState
-from anvilcove.state.steps import Attempt, SampleRun
+from anvilcove.state.steps import Attempt, SampleRun, StepRun
 
 # An engine that sends nothing for so long is given up for the attempt. The
 # first token may wait behind requests of higher priority.
@@ -36,6 +39,9 @@
 SCORING_POOL = 'scoring'
 SCORING_LIMIT_S = 5.0
 SCORING_RETRY_S = 0.2
+MAX_BACKOFF_S = 2.0
+# Retries of samples go on while the step is open; this only bounds one.
+ATTEMPT_DEADLINE_S = 60.0
 
 
 class AttemptFailed(Exception):
@@ -131,3 +137,44 @@
 def _number(answer: object) -> float:
     value = answer.get('score') if isinstance(answer, dict) else answer
     return float(value) if isinstance(value, int | float) else 0.0
+
+
+def accept_nothing(context: Context, run: StepRun, sample: SampleRun) -> None:
+    """Give a quarantined prompt an empty sample: it must not run again."""
+    sample_id = run.sample_id(sample)
+    context.decisions.record(
+        DecisionRecord(
+            at_s=context.clock.now(),
+            decision='refuse_sample',
+            subject=sample_id,
+            class_name=run.row.class_name,
+            choice='empty',
+            reason='its content crashes endpoints',
+            revision=context.config.revision,
+        )
+    )
+    run.set_result(
+        sample,
+        Sample(
+            sample_id=sample_id,
+            group=sample.group.group,
+            index=sample.index,
+            tokens=[],
+            versions=[],
+        ),
+    )
+
+
+def backoff_s(context: Context, sample: SampleRun) -> float:
+    """Return the delay before a failed sample is queued again."""
+    now = context.clock.now()
+    decision = context.policy('retry').next_attempt(
+        now,
+        RetryRequest(
+            attempt=sample.failures, deadline_at_s=now + ATTEMPT_DEADLINE_S
+        ),
+        context.rng,
+    )
+    if isinstance(decision, RetryAfter):
+        return decision.delay_s
+    return float(min(MAX_BACKOFF_S, 0.05 * 2 ** min(sample.failures, 8)))
--- /dev/null
+++ b/anvilcove/commands/leases.py
@@ -0,0 +1,181 @@
+"""Hold leases in the table for work that one daemon does at a time."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from loguru import logger
+from msgspec import convert, structs
+
+from anvilcove.commands.steps import new_nonce
+from anvilcove.daemon.context import Context, Part
+from anvilcove.daemon.parts import part
+from anvilcove.messages.base import Message
+from anvilcove.messages.steps import row_value
+from anvilcove.messages.table import Check, Put, Row, Transaction
+from anvilcove.platform.errors import PlatformError, StoreAnswerLost
+from anvilcove.state.leases import LeaseWatch
+
+RENEWALS_PER_LEASE = 3
+# The holder stops acting this early, so that its clock may run slower than
+# that of the daemon that takes the lease over.
+ACTING_SHARE = 0.7
+
+
+class LeaseRow(Message):
+    """Value of row `lease/<name>`; an empty holder means that it is free."""
+
+    holder: str
+    nonce: str
+    fence: int
+    beat: int
+
+
+class _Lease:
+    __slots__ = ('key', 'row', 'revision', 'acting_until_s')
+
+    def __init__(self, key: str) -> None:
+        self.key = key
+        self.row: LeaseRow | None = None
+        self.revision = 0
+        self.acting_until_s = float('-inf')
+
+
+@part
+class LeaseKeeper(Part):
+    """Leases that this daemon wants or holds."""
+
+    def __init__(self, context: Context) -> None:
+        """Want no lease."""
+        super().__init__(context)
+        self.lease_s = context.settings.timing.lease_ms / 1000
+        self.watch = LeaseWatch(self.lease_s)
+        self.released = False
+        self._by_name: dict[str, _Lease] = {}
+
+    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+        """Return the loop that renews and takes leases."""
+        return [self._loop()]
+
+    def want(self, name: str) -> None:
+        """Try to get a lease and keep it."""
+        if name not in self._by_name:
+            self._by_name[name] = _Lease(f'lease/{name}')
+
+    def fence(self, name: str) -> int | None:
+        """Return the fence while this daemon may act, else None."""
+        lease = self._by_name.get(name)
+        if lease is None or lease.row is None or self.released:
+            return None
+        if self.context.clock.now() >= lease.acting_until_s:
+            return None
+        return lease.row.fence
+
+    async def _loop(self) -> None:
+        while True:
+            await asyncio.gather(
+                *(self._tick(lease) for lease in self._by_name.values())
+            )
+            await self.context.clock.sleep(self.lease_s / RENEWALS_PER_LEASE)
+
+    async def _tick(self, lease: _Lease) -> None:
+        if self.released:
+            return
+        try:
+            if lease.row is not None:
+                beat = lease.row.beat + 1
+                await self._write(lease, structs.replace(lease.row, beat=beat))
+            else:
+                await self._try_take(lease)
+        except PlatformError as error:
+            self.watch.restart()
+            logger.warning('lease {} not renewed: {}', lease.key, error)
+
+    async def _try_take(self, lease: _Lease) -> None:
+        row = (await self.context.ports['table'].read([lease.key]))[lease.key]
+        current = None if row.value is None else convert(row.value, LeaseRow)
+        fence = 0
+        if current is not None:
+            fence = current.fence
+            expired = self.watch.expired(
+                lease.key,
+                (current.fence, current.beat),
+                self.context.clock.now(),
+            )
+            if current.holder and not expired:
+                return
+        lease.revision = row.revision
+        own = LeaseRow(
+            holder=self.context.settings.host,
+            nonce=new_nonce(),
+            fence=fence + 1,
+            beat=0,
+        )
+        if await self._write(lease, own):
+            logger.info('took {} with fence {}', lease.key, own.fence)
+
+    async def _write(self, lease: _Lease, row: LeaseRow) -> bool:
+        """Write the row on the known revision; forget the lease if lost."""
+        started_s = self.context.clock.now()
+        table = self.context.ports['table']
+        change = Transaction(
+            checks=[Check(key=lease.key, revision=lease.revision)],
+            puts=[Put(key=lease.key, value=row_value(row))],
+        )
+        try:
+            result = await table.transact(change)
+        except StoreAnswerLost:
+            current = (await table.read([lease.key]))[lease.key]
+        else:
+            if result.committed:
+                revision = result.revisions[lease.key]
+                self._held(lease, row, revision, self._until_s(started_s))
+                return True
+            current = result.conflicts[0]
+        return self._resolve(lease, row, current, started_s)
+
+    def _resolve(
+        self, lease: _Lease, row: LeaseRow, current: Row, started_s: float
+    ) -> bool:
+        found = (
+            None if current.value is None else convert(current.value, LeaseRow)
+        )
+        if found is not None and found.nonce == row.nonce and found.holder:
+            # An earlier write of ours took effect after its answer was lost.
+            # Its start is not known, so only an equal beat extends the time.
+            until_s = lease.acting_until_s
+            if found == row:
+                until_s = self._until_s(started_s)
+            self._held(lease, found, current.revision, until_s)
+            return True
+        lease.row = None
+        lease.acting_until_s = float('-inf')
+        return False
+
+    def _until_s(self, started_s: float) -> float:
+        return started_s + ACTING_SHARE * self.lease_s
+
+    def _held(
+        self, lease: _Lease, row: LeaseRow, revision: int, until_s: float
+    ) -> None:
+        lease.row = row
+        lease.revision = revision
+        lease.acting_until_s = until_s
+
+    async def drain(self) -> None:
+        """Release the leases, so that the next daemon takes them at once."""
+        self.released = True
+        await asyncio.gather(
+            *(
+                self._release(lease)
+                for lease in self._by_name.values()
+                if lease.row is not None
+            )
+        )
+
+    async def _release(self, lease: _Lease) -> None:
+        assert lease.row is not None
+        try:
+            await self._write(lease, structs.replace(lease.row, holder=''))
+        except PlatformError as error:
+            logger.warning('lease {} not released: {}', lease.key, error)
--- /dev/null
+++ b/anvilcove/commands/rollout.py
@@ -0,0 +1,178 @@
+"""Bring every engine of a model to the newest version."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from loguru import logger
+
+from anvilcove.commands.leases import LeaseKeeper
+from anvilcove.commands.samples import SampleRunner
+from anvilcove.commands.weights import WeightsPart, trainer_classes
+from anvilcove.daemon.context import Context, Part
+from anvilcove.daemon.parts import part
+from anvilcove.decisions.rollout import RolloutState, ServerView, SwapOrder
+from anvilcove.decisions.types import DecisionRecord
+from anvilcove.messages.engines import EngineOrder, EngineState
+from anvilcove.platform.errors import EndpointError
+from anvilcove.state.endpoints import EndpointState
+
+IDLE_PERIOD_S = 0.5
+ACTIVE_PERIOD_S = 0.1
+FIRST_BACKOFF_S = 0.2
+MAX_BACKOFF_S = 10.0
+# Tokens that cross a switch may still name the version before it.
+TOKEN_DELAY_S = 1.0
+# An engine that does not start to swap within this time has not obeyed.
+START_LIMIT_S = 1.0
+
+
+class _Server:
+    """What the holder remembers of one engine between two looks."""
+
+    __slots__ = (
+        'ordered_at_s',
+        'swapping',
+        'failures',
+        'retry_at_s',
+        'reported',
+        'since_s',
+    )
+
+    def __init__(self) -> None:
+        self.ordered_at_s: float | None = None
+        self.swapping = False
+        self.failures = 0
+        self.retry_at_s = 0.0
+        self.reported = 0
+        self.since_s = 0.0
+
+    def follow(self, now: float, swapping: bool, done: bool) -> None:
+        """Tell from a report whether an order was carried out or failed."""
+        if done:
+            self.failures = 0
+            self.ordered_at_s = None
+        elif self.ordered_at_s is not None and not swapping:
+            if self.swapping or now - self.ordered_at_s > START_LIMIT_S:
+                self.ordered_at_s = None
+                self.failures += 1
+                backoff_s = FIRST_BACKOFF_S * 2 ** min(self.failures - 1, 10)
+                self.retry_at_s = now + min(backoff_s, MAX_BACKOFF_S)
+        self.swapping = swapping
+
+
+@part
+class RolloutPart(Part):
+    """Compare what engines report with the newest version and order."""
+
+    def __init__(self, context: Context) -> None:
+        """Remember no engine."""
+        super().__init__(context)
+        self.weights: WeightsPart = context.part(WeightsPart)
+        self.leases: LeaseKeeper = context.part(LeaseKeeper)
+        self.runner: SampleRunner = context.part(SampleRunner)
+        self._servers: dict[str, _Server] = {}
+
+    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+        """Return the loop that looks at all models."""
+        return [self._loop()]
+
+    async def _loop(self) -> None:
+        while True:
+            pools = {c.pool: c.model for c in trainer_classes(self.context)}
+            active = await asyncio.gather(
+                *(self._look(pool, model) for pool, model in pools.items())
+            )
+            await self.context.clock.sleep(
+                ACTIVE_PERIOD_S if any(active) else IDLE_PERIOD_S
+            )
+
+    async def _look(self, pool: str, model: str) -> bool:
+        """Order swaps in a pool; return whether some are still to be made."""
+        name = f'rollout/{model}'
+        self.leases.want(name)
+        target = self.weights.newest(model)
+        if not target or self.leases.fence(name) is None:
+            return False
+        states = self.context.endpoints.in_pool(pool)
+        reports = await asyncio.gather(*(self._report(s) for s in states))
+        servers = [
+            self._view(state, report, target)
+            for state, report in zip(states, reports, strict=True)
+            if report is not None and report.model == model
+        ]
+        plan = self.context.policy('rollout').plan(
+            self.context.clock.now(), RolloutState(target, servers)
+        )
+        await asyncio.gather(*(self._order(model, order) for order in plan))
+        return any(server.version != target for server in servers)
+
+    async def _report(self, state: EndpointState) -> EngineState | None:
+        if state.leaving or state.kind != 'engine':
+            return None
+        try:
+            report: EngineState = await self.context.endpoint_port(
+                state
+            ).state()
+            return report
+        except EndpointError as error:
+            logger.debug('{} does not report: {}', state.endpoint, error)
+            return None
+
+    def _view(
+        self, state: EndpointState, report: EngineState, target: int
+    ) -> ServerView:
+        now = self.context.clock.now()
+        known = self._servers.setdefault(state.endpoint, _Server())
+        if report.version != known.reported:
+            known.reported, known.since_s = report.version, now
+        version = report.version
+        seen, at_s = self.runner.viability.last_token(state.endpoint)
+        if at_s > known.since_s + TOKEN_DELAY_S:
+            # Tokens show what runs; the report may be wrong.
+            version = min(version, seen)
+        known.follow(now, report.swapping, version == target)
+        load = state.in_flight / max(state.limit, 1.0)
+        if state.report is not None and state.report.capacity:
+            load = max(load, state.report.running / state.report.capacity)
+        return ServerView(
+            endpoint=state.endpoint,
+            data_centre=state.data_centre,
+            version=version,
+            swapping=known.ordered_at_s is not None or report.swapping,
+            load=min(load, 1.0),
+            retry_at_s=known.retry_at_s,
+        )
+
+    async def _order(self, model: str, order: SwapOrder) -> None:
+        """Give one order under the lease; it names the wanted state."""
+        fence = self.leases.fence(f'rollout/{model}')
+        state = self.context.endpoints.by_id.get(order.endpoint)
+        if fence is None or state is None:
+            return
+        context = self.context
+        context.decisions.record(
+            DecisionRecord(
+                at_s=context.clock.now(),
+                decision='rollout',
+                subject=model,
+                class_name='',
+                choice=f'{order.endpoint} loads version {order.version}',
+                reason=order.reason,
+                revision=context.config.revision,
+                extra={'fence': fence},
+            )
+        )
+        known = self._servers[order.endpoint]
+        try:
+            await context.endpoint_port(state).order(
+                EngineOrder(
+                    fence=fence,
+                    kind='load_version',
+                    model=model,
+                    version=order.version,
+                )
+            )
+        except EndpointError as error:
+            logger.info('order refused by {}: {}', order.endpoint, error)
+        known.ordered_at_s = context.clock.now()
--- a/anvilcove/commands/samples.py
+++ b/anvilcove/commands/samples.py
@@ -8,12 +8,15 @@
 
 from anvilcove.commands.attempts import (
     AttemptFailed,
+    accept_nothing,
     acquire_slot,
+    backoff_s,
     generate,
     outcome_of,
     score,
 )
 from anvilcove.commands.dispatch import NoSlot, Slot
+from anvilcove.commands.viability import Viability, content_of
 from anvilcove.commands.weights import WeightsPart
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
@@ -21,34 +24,25 @@
 from anvilcove.decisions.types import (
     CANCELLED,
     OK,
-    DecisionRecord,
     Isolate,
     Reject,
-    RetryAfter,
-    RetryRequest,
     RouteRequest,
 )
+from anvilcove.messages.callers import VersionRange
 from anvilcove.messages.engines import Generate
 from anvilcove.messages.trainers import Sample
 from anvilcove.platform.errors import EndpointError
-from anvilcove.state.content import content_hash
 from anvilcove.state.steps import (
     Attempt,
     SampleRun,
     StepBook,
     StepRun,
     is_stale,
-    oldest_version,
 )
 
 # A sample waits this long for room before another sample may go first.
 SLOT_WAIT_S = 1.0
 IDLE_PERIOD_S = 0.1
-MAX_BACKOFF_S = 2.0
-# An engine's version, as seen in its tokens, is trusted this long.
-VERSION_MEMORY_S = 1.0
-# Retries of samples go on while the step is open; this only bounds one.
-ATTEMPT_DEADLINE_S = 60.0
 
 
 @part
@@ -61,8 +55,8 @@
         self.book = StepBook()
         self._wake_by_pool: dict[str, asyncio.Event] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._version_by_endpoint: dict[str, tuple[int, float]] = {}
         self.weights: WeightsPart = context.part(WeightsPart)
+        self.viability = Viability(context)
         self.weights.changes.subscribe(self._weights_changed)
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
@@ -77,7 +71,7 @@
         views = [
             SampleView(
                 position=position,
-                content=self.content(run, sample),
+                content=content_of(run, sample),
                 max_tokens=sample.group.max_tokens,
             )
             for position, sample in enumerate(run.samples)
@@ -86,7 +80,7 @@
         now = self.context.clock.now()
         for position in self.context.policy('groups').order(now, views):
             self._queue(run, run.samples[position])
-        self._wake(self._pool(run))
+        self._wake(self.pool(run))
 
     def stop(self, run: StepRun) -> None:
         """Cancel everything that runs for a step."""
@@ -97,24 +91,13 @@
         for task in list(run.tasks):
             task.cancel()
 
-    def content(self, run: StepRun, sample: SampleRun) -> str:
-        """Return the hash of what a sample runs."""
-        group = sample.group
-        known = run.content_by_group.get(group.group)
-        if known is None:
-            known = run.content_by_group[group.group] = content_hash(
-                run.row.class_name,
-                {'prompt': group.prompt, 'max_tokens': group.max_tokens},
-            )
-        return known
-
     def restart(self, run: StepRun, sample: SampleRun) -> None:
         """Generate a sample again from its prompt, before the others."""
         run.clear_result(sample)
         sample.forget_tokens()
         self.stop_attempts(sample)
         self._queue(run, sample, first=True)
-        self._wake(self._pool(run))
+        self._wake(self.pool(run))
 
     def stop_attempts(
         self, sample: SampleRun, winner: Attempt | None = None
@@ -148,7 +131,8 @@
         else:
             run.pending.append(sample)
 
-    def _pool(self, run: StepRun) -> str:
+    def pool(self, run: StepRun) -> str:
+        """Return the pool whose engines run a step."""
         target = self.context.config.target(run.row.class_name)
         return run.row.model if target is None else target.pool
 
@@ -171,7 +155,12 @@
                 except TimeoutError:
                     pass
                 continue
-            await self._start_one(*choice)
+            try:
+                await self._start_one(*choice)
+            except Exception:
+                logger.exception('sample not started')
+                self._queue(*choice)
+                await self.context.clock.sleep(IDLE_PERIOD_S)
 
     def _choose(self, pool: str) -> tuple[StepRun, SampleRun] | None:
         now = self.context.clock.now()
@@ -179,7 +168,7 @@
             run.step_id: run
             for run in self.book.by_id.values()
             if run.pending
-            and self._pool(run) == pool
+            and self.pool(run) == pool
             and self._has_engine(run, run.pending[0], pool)
         }
         if not runs:
@@ -193,77 +182,13 @@
 
     def _has_engine(self, run: StepRun, sample: SampleRun, pool: str) -> bool:
         known = len(self.context.endpoints.ids_by_pool.get(pool, []))
-        return known > len(self.excluded(run, sample, pool))
-
-    def excluded(self, run: StepRun, sample: SampleRun, pool: str) -> set[str]:
-        """Return the engines that must not run a sample now.
-
-        These are engines known to run a version that is out of bound, and
-        the engine that failed last if there is another one.
-        """
-        ids = self.context.endpoints.ids_by_pool.get(pool, [])
-        old = self._old_engines(run)
-        both = old | sample.excluded
-        return old if len(ids) <= len(both) else both
-
-    def _old_engines(self, run: StepRun) -> set[str]:
-        """Return engines whose tokens a moment ago were out of bound."""
-        now = self.context.clock.now()
-        newest = self.weights.newest(run.row.model)
-        for endpoint, (_, at_s) in list(self._version_by_endpoint.items()):
-            if now - at_s > VERSION_MEMORY_S:
-                del self._version_by_endpoint[endpoint]
-        return {
-            endpoint
-            for endpoint, (version, _) in self._version_by_endpoint.items()
-            if endpoint in self.context.endpoints.by_id
-            and not self._viable(run, version, newest)
-        }
-
-    def _viable(
-        self, run: StepRun, oldest: int | None, newest: int, left_s: float = 0
-    ) -> bool:
-        if oldest is None:
-            return True
-        return bool(
-            self.context.policy('staleness').viable(
-                self.context.clock.now(),
-                oldest,
-                newest,
-                run.row.bound,
-                run.row.model,
-                left_s,
-            )
-        )
-
-    def viable(
-        self, run: StepRun, attempt: Attempt, sample: SampleRun
-    ) -> bool:
-        """Tell whether an attempt will be in bound when it ends."""
-        return self._viable(
-            run,
-            oldest_version(attempt.versions),
-            self.weights.newest(run.row.model),
-            self._left_s(run, attempt, sample),
-        )
-
-    def _left_s(
-        self, run: StepRun, attempt: Attempt, sample: SampleRun
-    ) -> float:
-        groups = self.context.policy('groups')
-        rate = groups.rate(attempt.endpoint)
-        if rate <= 0:
-            return 0.0
-        expected = groups.expected_tokens(
-            self.content(run, sample), sample.group.max_tokens
-        )
-        return float(max(0.0, expected - len(attempt.tokens)) / rate)
+        return known > len(self.viability.excluded(run, sample, pool))
 
     async def _start_one(self, run: StepRun, sample: SampleRun) -> None:
         """Wait for room for a sample and start its attempt."""
         request = self.route_request(run, sample)
         if request is None:
-            self._accept_nothing(run, sample)
+            accept_nothing(self.context, run, sample)
             return
         self.context.policy('retry').started(self.context.clock.now())
         try:
@@ -274,18 +199,18 @@
         if run.dropped or sample.result is not None:
             slot.release(CANCELLED)
             return
-        self.begin(run, sample, slot, resume=True)
+        self.begin(run, sample, slot, sample.tokens, sample.versions)
 
     def route_request(
         self, run: StepRun, sample: SampleRun
     ) -> RouteRequest | None:
         """Return what the dispatcher needs, None if it must never run."""
         now = self.context.clock.now()
-        content = self.content(run, sample)
+        content = content_of(run, sample)
         verdict = self.context.policy('quarantine').verdict(now, content)
         if isinstance(verdict, Reject):
             return None
-        pool = self._pool(run)
+        pool = self.pool(run)
         return RouteRequest(
             request_id=run.sample_id(sample),
             class_name=run.row.class_name,
@@ -293,53 +218,35 @@
             pool=pool,
             content=content,
             prefixes=[sample.group.prompt],
-            excluded=self.excluded(run, sample, pool),
+            excluded=self.viability.excluded(run, sample, pool),
             deadline_at_s=now + SLOT_WAIT_S,
             isolated=isinstance(verdict, Isolate),
         )
 
-    def _accept_nothing(self, run: StepRun, sample: SampleRun) -> None:
-        """Give a quarantined prompt an empty sample: it must not run again."""
-        sample_id = run.sample_id(sample)
-        self.context.decisions.record(
-            DecisionRecord(
-                at_s=self.context.clock.now(),
-                decision='refuse_sample',
-                subject=sample_id,
-                class_name=run.row.class_name,
-                choice='empty',
-                reason='its content crashes endpoints',
-                revision=self.context.config.revision,
-            )
-        )
-        run.set_result(
-            sample,
-            Sample(
-                sample_id=sample_id,
-                group=sample.group.group,
-                index=sample.index,
-                tokens=[],
-                versions=[],
-            ),
-        )
+    def new_request_id(self, run: StepRun, sample: SampleRun) -> str:
+        """Return the identifier of the next attempt at an engine."""
+        sample.count += 1
+        return f'{run.sample_id(sample)}/{run.row.fence}.{sample.count}'
 
     def begin(
-        self, run: StepRun, sample: SampleRun, slot: Slot, resume: bool
-    ) -> Attempt:
-        """Start an attempt of a sample in a slot."""
-        sample.count += 1
-        request_id = f'{run.sample_id(sample)}/{run.row.fence}.{sample.count}'
+        self,
+        run: StepRun,
+        sample: SampleRun,
+        slot: Slot,
+        tokens: list[str],
+        versions: list[VersionRange],
+        request_id: str = '',
+    ) -> None:
+        """Start an attempt in a slot, after tokens that exist already."""
         now = self.context.clock.now()
+        request_id = request_id or self.new_request_id(run, sample)
         attempt = Attempt(request_id, slot.state.endpoint, now)
-        if resume and sample.tokens:
-            attempt.resume(sample.tokens, sample.versions)
-        sample.started_at_s = sample.started_at_s or now
+        attempt.resume(tokens, versions)
         sample.attempts.append(attempt)
         task = self.spawn(self._attempt(run, sample, attempt, slot))
         attempt.task = task
         run.tasks.add(task)
         task.add_done_callback(run.tasks.discard)
-        return attempt
 
     async def _attempt(
         self, run: StepRun, sample: SampleRun, attempt: Attempt, slot: Slot
@@ -349,7 +256,8 @@
             await self._generate(run, sample, attempt, slot)
             outcome = OK
             attempt.ended = True
-        except (EndpointError, AttemptFailed, TimeoutError) as error:
+        except Exception as error:
+            # Whatever went wrong, the sample must be run again.
             outcome = outcome_of(error)
             reason = repr(error)
         finally:
@@ -374,11 +282,10 @@
             resume_tokens=list(attempt.tokens),
         )
         async for _ in generate(self.context, slot.state, request, attempt):
-            now = self.context.clock.now()
             last = attempt.versions[-1]
-            self._version_by_endpoint[attempt.endpoint] = (last.version, now)
+            self.viability.saw(attempt.endpoint, last.version)
             first = last.end - last.start == 1
-            if first and not self.viable(run, attempt, sample):
+            if first and not self.viability.viable(run, attempt, sample):
                 raise AttemptFailed('version is out of bound')
 
     async def _finish(
@@ -389,7 +296,7 @@
         groups = self.context.policy('groups')
         tokens = len(attempt.tokens)
         groups.finished(
-            self.content(run, sample), tokens, sample.group.max_tokens
+            content_of(run, sample), tokens, sample.group.max_tokens
         )
         groups.observe_rate(
             attempt.endpoint,
@@ -424,27 +331,14 @@
         sample.attempts.remove(attempt)
         sample.failures += 1
         sample.excluded = {attempt.endpoint}
-        if attempt.versions and self.viable(run, attempt, sample):
+        if attempt.versions and self.viability.viable(run, attempt, sample):
             sample.keep(attempt)
         if sample.attempts:
             return
-        await self.context.clock.sleep(self._backoff_s(sample))
+        await self.context.clock.sleep(backoff_s(self.context, sample))
         if not sample.attempts:
             self._queue(run, sample, first=True)
-            self._wake(self._pool(run))
-
-    def _backoff_s(self, sample: SampleRun) -> float:
-        now = self.context.clock.now()
-        decision = self.context.policy('retry').next_attempt(
-            now,
-            RetryRequest(
-                attempt=sample.failures, deadline_at_s=now + ATTEMPT_DEADLINE_S
-            ),
-            self.context.rng,
-        )
-        if isinstance(decision, RetryAfter):
-            return decision.delay_s
-        return float(min(MAX_BACKOFF_S, 0.05 * 2 ** min(sample.failures, 8)))
+            self._wake(self.pool(run))
 
     def _weights_changed(self, model: str) -> None:
         """Restart what newer weights put outside the bound."""
@@ -458,12 +352,11 @@
                 self._check_attempts(run, sample)
 
     def _check_attempts(self, run: StepRun, sample: SampleRun) -> None:
-        oldest = oldest_version(sample.versions)
-        newest = self.weights.newest(run.row.model)
-        if not self._viable(run, oldest, newest):
+        if not self.viability.tokens_viable(run, sample.versions):
             sample.forget_tokens()
         if sample.attempts and not any(
-            self.viable(run, attempt, sample) for attempt in sample.attempts
+            self.viability.viable(run, attempt, sample)
+            for attempt in sample.attempts
         ):
             self.restart(run, sample)
 
--- a/anvilcove/daemon/app.py
+++ b/anvilcove/daemon/app.py
@@ -21,8 +21,12 @@
     'anvilcove.commands.weights',
     'anvilcove.commands.steps',
     'anvilcove.commands.samples',
+    'anvilcove.commands.stragglers',
     'anvilcove.commands.fixing',
     'anvilcove.commands.batches',
+    'anvilcove.commands.leases',
+    'anvilcove.commands.rollout',
+    'anvilcove.commands.prune',
 )
 ADAPTER_MODULES = (
     'anvilcove.platform.table',
@@ -37,6 +41,7 @@
     'anvilcove.decisions.naive_training',
     'anvilcove.decisions.groups',
     'anvilcove.decisions.staleness',
+    'anvilcove.decisions.rollout',
 )
 
 
--- a/anvilcove/decisions/naive_training.py
+++ b/anvilcove/decisions/naive_training.py
@@ -10,6 +10,7 @@
     Wait,
 )
 from anvilcove.decisions.registry import policy
+from anvilcove.decisions.rollout import RolloutState, SwapOrder
 from anvilcove.settings.daemon import DaemonSettings
 
 
@@ -82,3 +83,22 @@
     ) -> bool:
         """Regard every sample as viable."""
         return True
+
+
+@policy('rollout', 'naive')
+@policy('rollout', 'all_at_once')
+class AllAtOnce:
+    """Order every engine to load the newest version at once."""
+
+    __slots__ = ()
+
+    def __init__(self, settings: DaemonSettings) -> None:
+        """Take no settings."""
+
+    def plan(self, now: float, state: RolloutState) -> list[SwapOrder]:
+        """Return an order for each engine that has another version."""
+        return [
+            SwapOrder(server.endpoint, state.target, 'all at once')
+            for server in state.servers
+            if server.version != state.target and not server.swapping
+        ]
--- a/anvilcove/settings/daemon.py
+++ b/anvilcove/settings/daemon.py
@@ -84,7 +84,7 @@
     quarantine: str = 'naive'
     groups: str = 'longest_first'
     staleness: str = 'bounded'
-    rollout: str = 'naive'
+    rollout: str = 'waves'
     placement: str = 'naive'
     entries: str = 'naive'
 
--- a/anvilcove/state/steps.py
+++ b/anvilcove/state/steps.py
@@ -79,7 +79,6 @@
         'tokens',
         'versions',
         'excluded',
-        'started_at_s',
     )
 
     def __init__(self, group: GroupSpec, index: int) -> None:
@@ -95,7 +94,6 @@
         self.tokens: list[str] = []
         self.versions: list[VersionRange] = []
         self.excluded: set[str] = set()
-        self.started_at_s = 0.0
 
     def keep(self, attempt: Attempt) -> None:
         """Keep the tokens of a broken attempt to resume from them."""
@@ -236,11 +234,3 @@
         """Stop holding a step."""
         if self.by_id.get(run.step_id) is run:
             del self.by_id[run.step_id]
-
-    def in_pool(self, pools: dict[str, str], pool: str) -> list[StepRun]:
-        """Return the held steps of a pool, given the pool of each class."""
-        return [
-            run
-            for run in self.by_id.values()
-            if pools.get(run.row.class_name) == pool
-        ]
--- a/features/steps/training_steps.py
+++ b/features/steps/training_steps.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from behave import then, when
-from site_steps import host_url, run
+from site_steps import host_url, run, wait_for
 
 from anvilcove.client.trainer import Trainer, TrainerSettings
 from anvilcove.messages.base import decode
@@ -203,3 +203,47 @@
             key = (sample.sample_id, index, part.version)
             assert key in ran, f'no engine ran {key}'
     assert position == len(sample.tokens), sample
+
+
+@when('the trainer publishes version {version:d} at host {host}')
+def publish(context, version, host):
+    """Put weights into the store and publish them."""
+
+    async def send():
+        base = f'http://{context.site.platform_address}'
+        url = f'{base}/weights/advisor-llm/{version}'
+        async with context.session.put(url) as response:
+            assert response.status == 200
+        async with Trainer(settings(context, 't0', [host])) as client:
+            await client.publish('advisor-llm', version)
+
+    run(context, send())
+
+
+@then('every engine reports version {version:d}')
+def check_engines(context, version):
+    """Wait until the roll-out has ended."""
+
+    async def reported():
+        versions = set()
+        for member in context.site.members.endpoints:
+            if member.kind == 'engine':
+                url = f'http://{member.address}/state'
+                async with context.session.get(url) as response:
+                    versions.add((await response.json())['version'])
+        return versions == {version}
+
+    run(context, wait_for(reported))
+
+
+@then('every delivered token is of version {version:d}')
+def check_delivered_version(context, version):
+    """Check the ranges of all delivered samples."""
+    found = {
+        part.version
+        for batches in context.delivered.values()
+        for batch in batches
+        for sample in batch.samples
+        for part in sample.versions
+    }
+    assert found == {version}, found
