--- a/anvilcove/commands/leases.py
+++ b/anvilcove/commands/leases.py
@@ -45,6 +45,8 @@
 class LeaseKeeper(Part):
     """Leases that this daemon wants or holds."""
 
+    control = True
+
     def __init__(self, context: Context) -> None:
         """Want no lease."""
         super().__init__(context)
@@ -92,7 +94,9 @@
             logger.warning('lease {} not renewed: {}', lease.key, error)
 
     async def _try_take(self, lease: _Lease) -> None:
-        row = (await self.context.ports['table'].read([lease.key]))[lease.key]
+        row = (await self.context.ports['control_table'].read([lease.key]))[
+            lease.key
+        ]
         current = None if row.value is None else convert(row.value, LeaseRow)
         fence = 0
         if current is not None:
@@ -117,7 +121,7 @@
     async def _write(self, lease: _Lease, row: LeaseRow) -> bool:
         """Write the row on the known revision; forget the lease if lost."""
         started_s = self.context.clock.now()
-        table = self.context.ports['table']
+        table = self.context.ports['control_table']
         change = Transaction(
             checks=[Check(key=lease.key, revision=lease.revision)],
             puts=[Put(key=lease.key, value=row_value(row))],
--- a/anvilcove/commands/prune.py
+++ b/anvilcove/commands/prune.py
@@ -27,6 +27,8 @@
 class ClaimPruning(Part):
     """Prune claims at the daemon that holds the lease."""
 
+    control = True
+
     def __init__(
         self, context: Context, wall_time: Callable[[], float] = time.time
     ) -> None:
@@ -51,7 +53,7 @@
 
     async def prune(self) -> int:
         """Delete old claims while the lease is held; return their number."""
-        table = self.context.ports['table']
+        table = self.context.ports['control_table']
         after = ''
         deleted = 0
         while self.leases.fence(LEASE) is not None:
--- a/anvilcove/commands/rollout.py
+++ b/anvilcove/commands/rollout.py
@@ -65,6 +65,8 @@
 class RolloutPart(Part):
     """Compare what engines report with the newest version and order."""
 
+    control = True
+
     def __init__(self, context: Context) -> None:
         """Remember no engine."""
         super().__init__(context)
@@ -111,9 +113,8 @@
         if state.leaving or state.kind != 'engine':
             return None
         try:
-            report: EngineState = await self.context.endpoint_port(
-                state
-            ).state()
+            port = self.context.endpoint_port(state, control=True)
+            report: EngineState = await port.state()
             return report
         except EndpointError as error:
             logger.debug('{} does not report: {}', state.endpoint, error)
--- a/anvilcove/commands/samples.py
+++ b/anvilcove/commands/samples.py
@@ -6,7 +6,8 @@
 
 from loguru import logger
 
-from anvilcove.commands.attempts import (
+from anvilcove.commands.dispatch import NoSlot, Slot
+from anvilcove.commands.sample_attempts import (
     AttemptFailed,
     accept_nothing,
     acquire_slot,
@@ -15,7 +16,6 @@
     outcome_of,
     score,
 )
-from anvilcove.commands.dispatch import NoSlot, Slot
 from anvilcove.commands.viability import Viability, content_of
 from anvilcove.commands.weights import WeightsPart
 from anvilcove.daemon.context import Context, Part
@@ -190,7 +190,8 @@
         if request is None:
             accept_nothing(self.context, run, sample)
             return
-        self.context.policy('retry').started(self.context.clock.now())
+        if sample.count == 0:
+            self.context.policy('retry').started(self.context.clock.now())
         try:
             slot = await acquire_slot(self.context, request)
         except NoSlot:
@@ -226,7 +227,7 @@
     def new_request_id(self, run: StepRun, sample: SampleRun) -> str:
         """Return the identifier of the next attempt at an engine."""
         sample.count += 1
-        return f'{run.sample_id(sample)}/{run.row.fence}.{sample.count}'
+        return f'{run.sample_id(sample)}~{run.row.fence}.{sample.count}'
 
     def begin(
         self,
--- a/anvilcove/commands/stragglers.py
+++ b/anvilcove/commands/stragglers.py
@@ -6,8 +6,8 @@
 
 from loguru import logger
 
-from anvilcove.commands.attempts import acquire_slot
 from anvilcove.commands.dispatch import NoSlot, Slot
+from anvilcove.commands.sample_attempts import acquire_slot
 from anvilcove.commands.samples import SampleRunner
 from anvilcove.commands.viability import content_of
 from anvilcove.daemon.context import Context, Part
--- a/features/steps/training_steps.py
+++ b/features/steps/training_steps.py
@@ -10,6 +10,7 @@
 from anvilcove.messages.trainers import Batch, GroupSpec
 
 TAKE_LIMIT_S = 45.0
+MAX_TOKENS = 2_000
 
 
 def groups_of(groups, samples, tokens):
@@ -171,18 +172,47 @@
     """Return the tokens that the engines ran: sample, index and version."""
     ran = set()
     for member in context.site.members.endpoints:
-        if member.kind != 'engine':
-            continue
-        url = f'http://{member.address}/journal'
-        async with context.session.get(url) as response:
-            for entry in await response.json():
-                if 'index' not in entry:
-                    continue
-                sample = entry['request_id'].rpartition('/')[0]
-                ran.add((sample, entry['index'], entry['version']))
+        if member.kind == 'engine':
+            lines = await journal_of(context, member)
+            ran |= tokens_of(lines)
     return ran
 
 
+async def journal_of(context, member):
+    """Return the journal lines of an engine."""
+    url = f'http://{member.address}/journal'
+    async with context.session.get(url) as response:
+        return await response.json()
+
+
+def tokens_of(lines):
+    """Return what the runs of a journal may have produced.
+
+    A run begins with `started`; each `version` line holds until the next one
+    of the same request. Its end is not needed: the trainer has the length.
+    """
+    starts = {}
+    ran = set()
+    for line in lines:
+        request_id = line.get('request_id', '')
+        if line['event'] == 'started':
+            starts[request_id] = None
+        elif line['event'] == 'version' and request_id in starts:
+            close_range(ran, request_id, starts[request_id], line['index'])
+            starts[request_id] = (line['version'], line['index'])
+    for request_id, last in starts.items():
+        close_range(ran, request_id, last, MAX_TOKENS)
+    return ran
+
+
+def close_range(ran, request_id, last, end):
+    """Add the tokens of one version up to an end."""
+    if last is not None:
+        version, start = last
+        sample = request_id.partition('~')[0]
+        ran.update((sample, index, version) for index in range(start, end))
+
+
 @then('the versions of each sample are those that the engines ran')
 def check_versions(context):
     """Check every version range against the engines' journals."""
