--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -61,6 +61,7 @@
         entry['body'].get('posting') == key
         for entries in journals
         for entry in entries
+        if entry['event'] == 'started'
     )
 
 
@@ -70,7 +71,7 @@
     return [
         entry['value']['state']
         for entry in entries
-        if entry['key'] == f'claim/ledger-1/{key}'
+        if entry['event'] == 'put' and entry['key'] == f'claim/ledger-1/{key}'
     ]
 
 
