Run a site under faults and count each crash of an endpoint once

Cause: the promises were not yet checked together. The first run of the demo then showed a fault: every request that one crash broke counted as a crash of its own, so four samples of one prompt were rejected after a single engine crash and reached the trainer empty. Partitions and cut answers counted as crashes, too. Change: the demo (load, faults, journals, report, program), crash accounting by incident with a check whether the endpoint still answers, and three scenarios for it. The service's record of accepted revisions holds the time of sending, because a slow reply to an operator is no late configuration. Ruled out: the 26 double postings of the first run came from two caller names in the load, not from the service. Conclusion: the demo judges all promises; incidents are the right unit.

--- a/anvilcove/commands/dispatch.py
+++ b/anvilcove/commands/dispatch.py
@@ -8,13 +8,13 @@
 from reactivex.abc import DisposableBase
 
 from anvilcove.commands.capacity import Capacity
+from anvilcove.commands.crashes import CrashAccounting
 from anvilcove.commands.isolation import Isolation
 from anvilcove.commands.pool_queue import PoolQueue, Waiter
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
 from anvilcove.decisions.types import (
     CANCELLED,
-    CRASH,
     OK,
     TRAINER,
     AttemptResult,
@@ -74,7 +74,7 @@
                 lambda _: self._endpoints_changed()
             )
         )
-        self.contents_by_endpoint: dict[str, dict[str, int]] = {}
+        self.crashes = CrashAccounting(context)
         self.service_time_s_by_pool: dict[str, float] = {}
         self._in_flight_by_pool: dict[str, int] = {}
         self._capacity = Capacity(context.endpoints)
@@ -228,7 +228,9 @@
         state.ejected_until_s = context.policy('ejection').finished(
             now, result, pool
         )
-        self._account_content(now, slot, outcome)
+        self.crashes.ended(
+            now, state, slot.request.content, slot.started_at_s, outcome
+        )
         self.wake(state.pool)
 
     def _learn_service_time(self, pool: str, latency_s: float) -> None:
@@ -237,21 +239,6 @@
             latency_s - mean_s
         )
 
-    def _account_content(self, now: float, slot: Slot, outcome: str) -> None:
-        contents = self.contents_by_endpoint.get(slot.state.endpoint, {})
-        content = slot.request.content
-        if outcome == CRASH:
-            self.context.policy('quarantine').crashed(
-                now, slot.state.endpoint, list(contents)
-            )
-        elif outcome == OK:
-            self.context.policy('quarantine').finished(now, content)
-        left = contents.get(content, 0) - 1
-        if left > 0:
-            contents[content] = left
-        else:
-            contents.pop(content, None)
-
     def _try(self, request: RouteRequest) -> Slot | None:
         now = self.context.clock.now()
         route = self._route(now, request)
@@ -261,8 +248,7 @@
         state = self.context.endpoints.by_id[route.endpoint]
         if request.isolated:
             self._isolation.begin(state)
-        contents = self.contents_by_endpoint.setdefault(state.endpoint, {})
-        contents[request.content] = contents.get(request.content, 0) + 1
+        self.crashes.started(state.endpoint, request.content)
         in_flight = self._in_flight_by_pool.get(state.pool, 0)
         self._in_flight_by_pool[state.pool] = in_flight + 1
         return Slot(self, state, request, now)
--- a/anvilcove/decisions/naive.py
+++ b/anvilcove/decisions/naive.py
@@ -197,6 +197,9 @@
     def finished(self, now: float, content: str) -> None:
         """Count nothing."""
 
+    def forgive(self, now: float, endpoint: str, contents: list[str]) -> None:
+        """Forgive nothing."""
+
     def verdict(self, now: float, content: str) -> Allow:
         """Allow the content."""
         return Allow()
--- a/anvilcove/decisions/quarantine.py
+++ b/anvilcove/decisions/quarantine.py
@@ -60,6 +60,13 @@
                 known = record.cleared.get(endpoint, 0)
                 record.cleared[endpoint] = max(count, known)
 
+    def forgive(self, now: float, endpoint: str, contents: list[str]) -> None:
+        """Take back the crashes of an endpoint that did not crash."""
+        for content in contents:
+            record = self._by_content.get(content)
+            if record is not None:
+                record.cleared[endpoint] = record.crashes.get(endpoint, 0)
+
     def verdict(self, now: float, content: str) -> Allow | Isolate | Reject:
         """Tell how a content may run."""
         record = self._by_content.get(content)
--- a/anvilcove/demo/checks.py
+++ b/anvilcove/demo/checks.py
@@ -58,25 +58,48 @@
 def check_versions(record: RunRecord) -> Verdict:
     """Compare the versions that samples name with the engines' journals."""
     verdict = Verdict()
-    ran: dict[str, set[tuple[int, int]]] = defaultdict(set)
-    for line in record.tokens:
-        sample_id = str(line['request_id']).split('~')[0]
-        ran[sample_id].add((line['index'], line['version']))
+    runs_by_sample = _version_changes(record)
     for batch in record.batches:
         for sample in batch.batch.samples:
-            named = {
+            runs = runs_by_sample[sample.sample_id]
+            named = [
                 (index, part.version)
                 for part in sample.versions
                 for index in range(part.start, part.end)
-            }
-            whole = len(named) == len(sample.tokens) > 0
+            ]
+            whole = [i for i, _ in named] == list(range(len(sample.tokens)))
+            ran = all(
+                any(_version_at(run, index) == version for run in runs)
+                for index, version in named
+            )
             verdict.count(
-                whole and named <= ran[sample.sample_id],
+                whole and ran and bool(named),
                 f'{sample.sample_id} names {sample.versions}',
             )
     return verdict
 
 
+def _version_changes(
+    record: RunRecord,
+) -> dict[str, list[list[tuple[int, int]]]]:
+    """Return the changes (first token, version) of each run of a sample."""
+    by_run: dict[tuple[str, str], list[tuple[int, int]]] = defaultdict(list)
+    for line in record.versions:
+        by_run[line['endpoint'], line['request_id']].append(
+            (line['index'], line['version'])
+        )
+    by_sample: dict[str, list[list[tuple[int, int]]]] = defaultdict(list)
+    for (_, request_id), changes in by_run.items():
+        by_sample[request_id.partition('~')[0]].append(changes)
+    return by_sample
+
+
+def _version_at(changes: list[tuple[int, int]], index: int) -> int | None:
+    """Return the version that a run had at a token."""
+    before = [version for first, version in changes if first <= index]
+    return before[-1] if before else None
+
+
 @check('staleness')
 def check_staleness(record: RunRecord) -> Verdict:
     """Compare each batch with the newest version when it was delivered."""
@@ -94,7 +117,9 @@
             default=0,
         )
         for sample in batch.batch.samples:
-            oldest = min(part.version for part in sample.versions)
+            oldest = min(
+                (part.version for part in sample.versions), default=-1
+            )
             verdict.count(
                 newest - oldest <= batch.bound_versions,
                 f'{sample.sample_id}: version {oldest}, newest {newest}',
@@ -194,9 +219,7 @@
     verdict = Verdict()
     started = [(line['endpoint'], line['at_s']) for line in record.runs]
     started += [
-        (line['endpoint'], line['started_at_s'])
-        for line in record.tokens
-        if 'started_at_s' in line
+        (line['endpoint'], line['at_s']) for line in record.generations
     ]
     for leaving in record.leavings:
         limit_s = leaving.listed_at_s + LEAVING_LIMIT_S
@@ -248,6 +271,9 @@
             and line['at_s'] > limit_s
         ]
         verdict.count(not late, f'{older.probe} ran {len(late)} times late')
+    for probe in record.rejected_probes:
+        runs = [r for r in record.runs if r['body'].get('probe') == probe]
+        verdict.count(not runs, f'{probe} was rejected and ran')
     for revision, newer_at_s in _periods(revisions):
         for call in record.calls:
             if call.class_name != revision.probe or not (
@@ -266,5 +292,5 @@
 def _periods(
     revisions: list[RevisionRecord],
 ) -> list[tuple[RevisionRecord, float]]:
-    ends = [r.accepted_at_s for r in revisions[1:]] + [float('inf')]
+    ends = [r.sent_at_s for r in revisions[1:]] + [float('inf')]
     return list(zip(revisions, ends, strict=True))
--- a/anvilcove/demo/records.py
+++ b/anvilcove/demo/records.py
@@ -66,6 +66,7 @@
 
     revision: int
     probe: str
+    sent_at_s: float
     accepted_at_s: float
 
 
@@ -81,8 +82,9 @@
 class RunRecord(Struct):
     """Everything that the checks of one run look at.
 
-    `runs` are the journal lines of services and `tokens` those of engines,
-    each with the endpoint that wrote them.
+    `runs` are the starts of calls at services, `generations` those at
+    engines, `versions` the changes of version within generations, and
+    `crashes` the crashes; each line names the endpoint that wrote it.
     """
 
     calls: list[CallRecord] = field(default_factory=list)
@@ -90,7 +92,10 @@
     publishes: list[PublishRecord] = field(default_factory=list)
     leavings: list[LeavingRecord] = field(default_factory=list)
     revisions: list[RevisionRecord] = field(default_factory=list)
+    rejected_probes: list[str] = field(default_factory=list)
     stops: list[StopRecord] = field(default_factory=list)
     faults: list[dict[str, Any]] = field(default_factory=list)
     runs: list[dict[str, Any]] = field(default_factory=list)
-    tokens: list[dict[str, Any]] = field(default_factory=list)
+    generations: list[dict[str, Any]] = field(default_factory=list)
+    versions: list[dict[str, Any]] = field(default_factory=list)
+    crashes: list[dict[str, Any]] = field(default_factory=list)
--- /dev/null
+++ b/anvilcove/demo/run.py
@@ -0,0 +1,192 @@
+"""Run one site under load and faults and judge the promises."""
+
+import asyncio
+import random
+import time
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+from aiohttp import ClientError, ClientSession, TCPConnector
+from loguru import logger
+
+from anvilcove.client.caller import Client
+from anvilcove.demo.classes import ADVICE, LOOKUP, probe_name
+from anvilcove.demo.faults import POISON, FaultRun
+from anvilcove.demo.journals import read_journals
+from anvilcove.demo.load import POISON_KEY, Load, open_clients
+from anvilcove.demo.records import CallRecord, RunRecord, StopRecord
+from anvilcove.demo.site import SHAPES_BY_NAME, Site
+
+LOAD_S = 24.0
+SETTLE_S = 8.0
+COUNTERS = 8
+LEDGER_JOBS = 4
+TRAINERS = 2
+STREAMS = 6
+STREAM_TOKENS = 200
+ENTRY_TTL_MS = 3_000
+REVISIONS_AT_S = (5.0, 11.0, 15.5)
+POISON_AT_S = 5.0
+POISON_TIMES = 6
+STOP_AT_S = 14.0
+CLIENT_IP = '127.0.0.1'
+
+
+class Demo:
+    """One run of the demonstration."""
+
+    def __init__(self, site: str, seed: int, folder: Path) -> None:
+        """Plan the site."""
+        self.folder = folder
+        self.rng = random.Random(seed)
+        self.record = RunRecord()
+        self.site = Site(
+            SHAPES_BY_NAME[site], folder, relay=True, mixed_speeds=True
+        )
+        self.site.timing.entry_ttl_ms = ENTRY_TTL_MS
+        self.site.plan()
+
+    async def run(self) -> None:
+        """Run load and faults and fill the record."""
+        connector = TCPConnector(limit=0, local_addr=(CLIENT_IP, 0))
+        async with ClientSession(connector=connector) as session:
+            try:
+                await self.site.start(session)
+                logger.info('site started')
+                await self._run_load(session)
+            finally:
+                await self.site.stop()
+        read_journals(self.site, self.record)
+
+    async def _run_load(self, session: ClientSession) -> None:
+        load = Load(self.site, session, self.record, self.rng)
+        faults = FaultRun(self.site, session, self.record, self.rng)
+        first = self.site.members.hosts[0].address
+        await apply_first(load, first)
+        names = [f'counter-{i}' for i in range(COUNTERS)]
+        # Two connections of each job, so that a posting can reach two hosts.
+        names += [f'ledger-{i // 2}' for i in range(2 * LEDGER_JOBS)]
+        clients = await open_clients(names, load.addresses)
+        supervisor = asyncio.create_task(faults.keep_endpoints_running())
+        tasks = [
+            asyncio.create_task(work)
+            for work in self._work(load, clients, faults)
+        ]
+        await asyncio.sleep(LOAD_S)
+        load.stopping = True
+        done, pending = await asyncio.wait(tasks, timeout=SETTLE_S)
+        for task in pending:
+            task.cancel()
+        for task in done:
+            if task.exception() is not None:
+                logger.error('load ended early: {!r}', task.exception())
+                raise task.exception()  # type: ignore[misc]
+        faults.stopping = True
+        await supervisor
+        for client in clients:
+            await client.__aexit__(None, None, None)
+
+    def _work(
+        self, load: Load, clients: list[Client], faults: FaultRun
+    ) -> list[Coroutine[Any, Any, None]]:
+        counters, ledgers = clients[:COUNTERS], clients[COUNTERS:]
+        work: list[Coroutine[Any, Any, None]] = [faults.run()]
+        work += [
+            load.lookups(client.settings.caller, client) for client in counters
+        ]
+        work += [
+            load.postings(client.settings.caller, client, second)
+            for client, second in zip(ledgers[::2], ledgers[1::2], strict=True)
+        ]
+        work += [load.train(f'trainer-{i}') for i in range(TRAINERS)]
+        work += [load.probe(host) for host in self.site.settings_by_host]
+        work += [
+            load.publish('learner'),
+            self._poison(load, counters[0], faults),
+            self._revise(load, faults),
+            self._planned_stop(load, faults),
+        ]
+        return work
+
+    async def _poison(
+        self, load: Load, client: Client, faults: FaultRun
+    ) -> None:
+        """Send a request that crashes endpoints again and again."""
+        for member in self.site.members.endpoints:
+            await faults.restore_faults(member)
+        await asyncio.sleep(POISON_AT_S)
+        for _ in range(POISON_TIMES):
+            if load.stopping:
+                return
+            await load.call(
+                client, LOOKUP, {POISON_KEY: POISON}, deadline_ms=1_000
+            )
+            await asyncio.sleep(0.2)
+
+    async def _revise(self, load: Load, faults: FaultRun) -> None:
+        """Let two operators change the declarations at the same time."""
+        started = time.time()
+        for at_s in REVISIONS_AT_S:
+            await asyncio.sleep(max(0.0, started + at_s - time.time()))
+            accepted = 0
+            while not accepted and not load.stopping:
+                free = sorted(
+                    set(self.site.settings_by_host) - faults.busy_hosts
+                )
+                hosts = self.rng.sample(free, 2)
+                revision = self.record.revisions[-1].revision
+                accepted = await load.race(hosts, revision)
+                await asyncio.sleep(0.3)
+
+    async def _planned_stop(self, load: Load, faults: FaultRun) -> None:
+        """Stop a daemon by plan while it streams answers."""
+        await asyncio.sleep(STOP_AT_S)
+        host = faults.pick_host()
+        address = load.address_by_host[host]
+        stop = StopRecord(host=host, signalled_at_s=0.0)
+        self.record.stops.append(stop)
+        streams = [
+            asyncio.create_task(self._stream(load, address, host, stop))
+            for _ in range(STREAMS)
+        ]
+        await asyncio.sleep(0.2)
+        stop.signalled_at_s = time.time()
+        stopping = asyncio.create_task(self.site.processes.terminate(host))
+        await asyncio.gather(*streams)
+        stop.exit_status = await stopping
+
+    async def _stream(
+        self, load: Load, address: str, host: str, stop: StopRecord
+    ) -> None:
+        marker = load.marker('stream')
+        call = CallRecord(
+            marker=marker,
+            class_name=ADVICE,
+            repeatable=True,
+            body={'prompt': marker, 'max_tokens': STREAM_TOKENS},
+            sent_at_s=time.time(),
+            deadline_s=8.0,
+            host=host,
+        )
+        stop.calls.append(call)
+        message = {
+            'request_id': f'{host}.{marker}',
+            'class_name': ADVICE,
+            'caller': 'stream',
+            'body': call.body,
+            'deadline_ms': 8_000,
+        }
+        try:
+            await load.post(address, message, call)
+        except (ClientError, OSError, TimeoutError) as error:
+            call.connection_lost = True
+            call.reason = repr(error)
+
+
+async def apply_first(load: Load, address: str) -> None:
+    """Apply the first declarations and wait until they are in force."""
+    async with asyncio.timeout(15.0):
+        while not await load.apply(address, 0, probe_name(1)):
+            await asyncio.sleep(0.2)
+    await asyncio.sleep(1.5)
--- /dev/null
+++ b/features/steps/crash_steps.py
@@ -0,0 +1,111 @@
+"""Steps that account crashes with fakes of the clock and the ports."""
+
+import asyncio
+from types import SimpleNamespace
+
+from behave import given, then, when
+
+from anvilcove.commands.crashes import CrashAccounting
+from anvilcove.decisions.quarantine import ContentQuarantine
+from anvilcove.decisions.types import CRASH, Allow, Isolate, Reject
+from anvilcove.messages.membership import ENGINE, EndpointMember
+from anvilcove.platform.errors import EndpointNotRun
+from anvilcove.state.endpoints import EndpointState
+
+CONTENT = 'content-1'
+MEMBER = EndpointMember(
+    endpoint='e1',
+    address='127.0.0.1:1',
+    data_centre='a',
+    pool='p',
+    kind=ENGINE,
+)
+
+
+class FakePort:
+    """Endpoint that answers load reports or refuses connections."""
+
+    def __init__(self):
+        """Start alive."""
+        self.alive = True
+
+    async def load(self):
+        """Answer, or refuse the connection."""
+        if not self.alive:
+            raise EndpointNotRun('connection refused')
+
+
+@given('{count:d} requests of one content in flight at an endpoint')
+def start_requests(context, count):
+    """Start requests at time 1."""
+    context.now = 1.0
+    context.port = FakePort()
+    context.quarantine = ContentQuarantine(None)
+    shared = SimpleNamespace(
+        clock=SimpleNamespace(now=lambda: context.now),
+        policy=lambda topic: context.quarantine,
+        part=lambda kind: SimpleNamespace(suspects=lambda: None),
+        endpoint_port=lambda state: context.port,
+    )
+    context.state = EndpointState(MEMBER)
+    context.crashes = CrashAccounting(shared)
+    context.count = count
+    for _ in range(count):
+        context.crashes.started('e1', CONTENT)
+
+
+def break_connections(context, alive):
+    """End every request with a broken connection at time 2."""
+
+    async def end():
+        context.port.alive = alive
+        started_at_s, context.now = context.now, context.now + 1.0
+        for _ in range(context.count):
+            context.crashes.ended(
+                context.now, context.state, CONTENT, started_at_s, CRASH
+            )
+        await asyncio.gather(*context.crashes._checks)
+
+    context.loop.run_until_complete(end())
+
+
+@when('the endpoint crashes')
+def crash(context):
+    """Break the connections and refuse new ones."""
+    break_connections(context, alive=False)
+
+
+@when('the endpoint breaks its connections and runs on')
+def break_only(context):
+    """Break the connections of a live endpoint."""
+    break_connections(context, alive=True)
+
+
+@when('the same content crashes it again')
+def crash_again(context):
+    """Run the content once more, into a second crash."""
+    context.now += 1.0
+    context.crashes.started('e1', CONTENT)
+    context.count = 1
+    break_connections(context, alive=False)
+
+
+@then('the content may run isolated')
+def check_isolated(context):
+    """Check the verdict after one crash."""
+    verdict = context.quarantine.verdict(context.now, CONTENT)
+    assert verdict == Isolate(1), verdict
+
+
+@then('the content may run normally')
+def check_allowed(context):
+    """Check the verdict after a forgiven crash."""
+    verdict = context.quarantine.verdict(context.now, CONTENT)
+    assert verdict == Allow(), verdict
+
+
+@then('the content is rejected')
+def check_rejected(context):
+    """Check the verdict after two crashes."""
+    verdict = context.quarantine.verdict(context.now, CONTENT)
+    assert verdict == Reject(2), verdict
