End a connection attempt as not run before the total time ends

Change: connecting takes at most half of the total time of a call, for endpoints and stores, and at most 1 s.

Conclusion: calls across a partition that did not connect may go elsewhere.

--- a/anvilcove/platform/http.py
+++ b/anvilcove/platform/http.py
@@ -28,6 +28,8 @@
 
 REFUSED_STATUSES = (429, 503)
 HEADERS = {'Content-Type': 'application/json'}
+CONNECT_LIMIT_S = 1.0
+CONNECT_SHARE = 0.5
 _fresh = count()
 
 
@@ -49,7 +51,7 @@
             url,
             data=body,
             headers=HEADERS if body is not None else headers,
-            timeout=ClientTimeout(total=timeout_s, sock_connect=timeout_s),
+            timeout=_timeout(timeout_s),
             allow_redirects=False,
         ) as response:
             if response.status in REFUSED_STATUSES:
@@ -86,7 +88,7 @@
             method,
             url,
             data=None if message is None else encode(message),
-            timeout=ClientTimeout(total=timeout_s, sock_connect=1.0),
+            timeout=_timeout(timeout_s),
             allow_redirects=False,
             **{'headers': HEADERS, **options},
         ) as response:
@@ -105,6 +107,18 @@
         raise EndpointCrashed(f'{url}: {error!r}') from error
 
 
+def _timeout(total_s: float | None) -> ClientTimeout:
+    """Limit connecting to a part of the total time.
+
+    Only the end of a connection attempt is known as not run; at the end of
+    the total time the call may have been sent.
+    """
+    connect_s = CONNECT_LIMIT_S
+    if total_s is not None:
+        connect_s = min(connect_s, total_s * CONNECT_SHARE)
+    return ClientTimeout(total=total_s, sock_connect=connect_s)
+
+
 async def _refused(
     response: ClientResponse, url: str
 ) -> EndpointNotRun | EndpointFailed:
