Run sites through the relay, with journals, restarts and a scoring pool

Cause: the demo needs partitions and latencies between processes, engines of different age, and records that survive a kill.

Change: Site(shape, folder, relay=True, mixed_speeds=True). Both sites have a scoring pool of one service. Engines fetch weights from the platform. The membership list has an entity tag.

Conclusion: a site runs behind the relay; its CPU cost is not yet measured.

--- a/anvilcove/demo/processes.py
+++ b/anvilcove/demo/processes.py
@@ -47,7 +47,8 @@
         await self._spawn(name)
 
     async def restart(self, name: str) -> None:
-        """Start a process again with the same arguments."""
+        """Start a process again with the same arguments; kill it if needed."""
+        await self.kill(name)
         await self._spawn(name)
 
     async def _spawn(self, name: str) -> None:
--- a/anvilcove/demo/site.py
+++ b/anvilcove/demo/site.py
@@ -1,6 +1,7 @@
 """Sites of the size of today and the settings of their processes."""
 
 import asyncio
+import json
 from pathlib import Path
 from typing import Any
 
@@ -28,7 +29,12 @@
     PlatformSettings,
     TimingSettings,
 )
+from anvilcove.standins.network import NetworkOptions, Relayed
+from anvilcove.standins.service import SCORING
 
+PLATFORM = 'platform'
+RELAY = 'relay'
+TOKEN_TIME_MS = 5.0
 PEER_KEY = 'demo-peer-key'
 OPERATOR_KEY = 'demo-operator-key'
 
@@ -44,6 +50,7 @@
         'engines',
         'app',
         'services',
+        'scoring',
     )
 
     def __init__(
@@ -53,6 +60,7 @@
         hosts: int,
         model: tuple[str, int],
         app: tuple[str, int],
+        scoring: int = 0,
     ) -> None:
         """Keep the sizes; model and app are pool names with their sizes."""
         self.name = name
@@ -60,6 +68,7 @@
         self.hosts = hosts
         self.model, self.engines = model
         self.app, self.services = app
+        self.scoring = scoring
 
 
 SHAPES_BY_NAME = {
@@ -69,6 +78,7 @@
         12,
         ('advisor-llm', 6),
         ('account-app', 4),
+        scoring=1,
     ),
     'andrade': SiteShape(
         'andrade',
@@ -76,20 +86,38 @@
         12,
         ('taller-lm', 5),
         ('tienda-app', 7),
+        scoring=1,
     ),
 }
 
 
 class Site:
-    """Processes of one site, one loopback prefix per data centre."""
+    """Processes of one site, one loopback prefix per data centre.
 
-    def __init__(self, shape: SiteShape, folder: Path) -> None:
+    With `relay`, membership and settings name addresses of the relay, and
+    `real_by_name` holds those where the processes listen. With
+    `mixed_speeds`, every second engine takes twice the time for a token.
+    """
+
+    def __init__(
+        self,
+        shape: SiteShape,
+        folder: Path,
+        relay: bool = False,
+        mixed_speeds: bool = False,
+    ) -> None:
         """Plan the addresses; nothing runs yet."""
         self.shape = shape
         self.folder = folder
+        self.relay = relay
+        self.mixed_speeds = mixed_speeds
+        self.real_by_name: dict[str, str] = {}
+        self.relayed: list[Relayed] = []
         self.processes = ProcessGroup(folder / 'logs')
         self.members = Members()
-        self.platform_address = f'127.0.0.1:{free_port()}'
+        self._shared_address = self._plan_address(PLATFORM, '127.0.0.1', '')
+        self.platform_address = self.real_by_name[PLATFORM]
+        self.real_by_name[RELAY] = f'127.0.0.1:{free_port()}'
         self.timing = TimingSettings()
         self.settings_by_host: dict[str, DaemonSettings] = {}
 
@@ -102,6 +130,22 @@
             self._plan_endpoint(ENGINE, shape.model, index)
         for index in range(shape.services):
             self._plan_endpoint(SERVICE, shape.app, index)
+        for index in range(shape.scoring):
+            self._plan_endpoint(SERVICE, SCORING, index)
+
+    def _plan_address(self, name: str, ip: str, data_centre: str) -> str:
+        """Choose where a process listens; return what others connect to."""
+        real = f'{ip}:{free_port(ip)}'
+        self.real_by_name[name] = real
+        if not self.relay:
+            return real
+        advertised = real
+        while advertised == real:
+            advertised = f'{ip}:{free_port(ip)}'
+        self.relayed.append(
+            Relayed(advertised=advertised, real=real, data_centre=data_centre)
+        )
+        return advertised
 
     def _data_centre(self, index: int) -> tuple[str, str]:
         position = index % len(self.shape.data_centres)
@@ -113,12 +157,13 @@
         prefix, _, last = base.rpartition('.')
         ip = f'{prefix}.{int(last) + 1}'
         host = f'h{index + 1}'
-        address = f'{ip}:{free_port(ip)}'
-        platform = AdapterSettings(address=self.platform_address)
+        address = self._plan_address(host, ip, data_centre)
+        platform = AdapterSettings(address=self._shared_address)
         self.settings_by_host[host] = DaemonSettings(
             host=host,
             data_centre=data_centre,
-            listen_address=address,
+            listen_address=self.real_by_name[host],
+            advertise_address=address,
             outgoing_ip=ip,
             platform=PlatformSettings(
                 table=platform,
@@ -136,11 +181,15 @@
     def _plan_endpoint(self, kind: str, pool: str, index: int) -> None:
         data_centre, base = self._data_centre(index)
         prefix, _, last = base.rpartition('.')
-        ip = f'{prefix}.{int(last) + (101 if kind == ENGINE else 151)}'
+        first = {ENGINE: 101, SERVICE: 151}[kind]
+        if pool == SCORING:
+            first = 201
+        ip = f'{prefix}.{int(last) + first}'
+        endpoint = f'{pool}-{index + 1}'
         self.members.endpoints.append(
             EndpointMember(
-                endpoint=f'{pool}-{index + 1}',
-                address=f'{ip}:{free_port(ip)}',
+                endpoint=endpoint,
+                address=self._plan_address(endpoint, ip, data_centre),
                 data_centre=data_centre,
                 pool=pool,
                 kind=kind,
@@ -149,10 +198,10 @@
 
     async def start(self, session: ClientSession) -> None:
         """Start the stand-ins, then the daemons, and wait for all."""
-        await self.processes.start(
-            'platform',
-            ['standin', 'platform', f'--address={self.platform_address}'],
-        )
+        (self.folder / 'journals').mkdir(parents=True, exist_ok=True)
+        if self.relay:
+            await self._start_relay(session)
+        await self._start_standin(PLATFORM, 'platform')
         base = f'http://{self.platform_address}'
         await wait_until_ready(session, f'{base}/members')
         await session.put(f'{base}/members', data=encode(self.members))
@@ -160,28 +209,90 @@
             await self.start_endpoint(member)
         for host in self.settings_by_host:
             await self.start_host(host)
-        urls = [
-            f'http://{member.address}/load'
-            for member in self.members.endpoints
-        ]
-        urls += [
-            f'http://{member.address}/healthz' for member in self.members.hosts
-        ]
-        await asyncio.gather(*(wait_until_ready(session, u) for u in urls))
+        names = [member.endpoint for member in self.members.endpoints]
+        await asyncio.gather(
+            *(
+                self.wait_for(session, name)
+                for name in (*names, *self.settings_by_host)
+            )
+        )
 
-    async def start_endpoint(self, member: EndpointMember) -> None:
-        """Start the stand-in of an endpoint."""
+    async def wait_for(self, session: ClientSession, name: str) -> None:
+        """Wait until an endpoint or host answers at its listed address."""
+        for member in self.members.endpoints:
+            if member.endpoint == name:
+                url = f'http://{member.address}/load'
+        for host in self.members.hosts:
+            if host.host == name:
+                url = f'http://{host.address}/healthz'
+        await wait_until_ready(session, url)
+
+    async def restart(self, session: ClientSession, name: str) -> None:
+        """Replace the process of an endpoint or host; wait until it serves."""
+        await self.processes.restart(name)
+        await self.wait_for(session, name)
+
+    async def _start_relay(self, session: ClientSession) -> None:
+        path = self.folder / 'network.json'
+        options = NetworkOptions(
+            data_centres=self.shape.data_centres, listeners=self.relayed
+        )
+        path.write_bytes(encode(options))
+        await self._start_standin(RELAY, 'network', f'--network_file={path}')
+        url = f'http://{self.real_by_name[RELAY]}/journal'
+        await wait_until_ready(session, url)
+
+    async def _start_standin(self, name: str, *arguments: str) -> None:
         await self.processes.start(
-            member.endpoint,
+            name,
             [
                 'standin',
-                member.kind,
-                f'--address={member.address}',
-                f'--endpoint={member.endpoint}',
-                f'--model={member.pool}',
+                *arguments,
+                f'--address={self.real_by_name[name]}',
+                f'--journal_file={self._journal_path(name)}',
             ],
         )
 
+    def _journal_path(self, name: str) -> Path:
+        return self.folder / 'journals' / f'{name}.jsonl'
+
+    def journal(self, name: str) -> list[dict[str, Any]]:
+        """Read what a stand-in recorded, also before it was killed."""
+        text = self._journal_path(name).read_text()
+        # A kill may leave a part of a line at the end.
+        whole = text[: text.rfind('\n') + 1]
+        return [json.loads(line) for line in whole.splitlines()]
+
+    async def set_faults(
+        self, session: ClientSession, name: str, switches: dict[str, Any]
+    ) -> None:
+        """Set switches of a stand-in: an endpoint, `platform` or `relay`."""
+        url = f'http://{self.real_by_name[name]}/faults'
+        async with session.put(url, json=switches) as response:
+            response.raise_for_status()
+
+    async def cut(self, session: ClientSession, data_centre: str) -> None:
+        """Cut one data centre off from everything outside it."""
+        await self.set_faults(session, RELAY, {'cut': [data_centre]})
+
+    async def heal(self, session: ClientSession) -> None:
+        """Connect all data centres again."""
+        await self.set_faults(session, RELAY, {'cut': None})
+
+    async def start_endpoint(self, member: EndpointMember) -> None:
+        """Start the stand-in of an endpoint."""
+        arguments = [member.kind, f'--endpoint={member.endpoint}']
+        if member.kind == ENGINE:
+            slow = self.mixed_speeds and member.endpoint[-1] in '02468'
+            arguments += [
+                f'--model={member.pool}',
+                f'--weights_address={self._shared_address}',
+                f'--token_time_ms={TOKEN_TIME_MS * (1 + slow)}',
+            ]
+        else:
+            arguments.append(f'--pool={member.pool}')
+        await self._start_standin(member.endpoint, *arguments)
+
     async def start_host(self, host: str) -> None:
         """Write the settings file of a host and start its daemon."""
         path = self.folder / f'{host}.yaml'
--- a/anvilcove/standins/platform.py
+++ b/anvilcove/standins/platform.py
@@ -210,8 +210,13 @@
             default=0.0,
         )
         as_of = self.now() - lag_s
-        old = [members for at_s, members in self.members if at_s <= as_of]
-        return json_response(old[-1])
+        at_s, members = [p for p in self.members if p[0] <= as_of][-1]
+        tag = f'"{at_s}"'
+        if request.headers.get('If-None-Match') == tag:
+            return web.Response(status=304)
+        response = json_response(members)
+        response.headers['ETag'] = tag
+        return response
 
     async def _put_members(self, request: web.Request) -> web.Response:
         members = decode(await request.read(), Members)
--- a/features/standins.feature
+++ b/features/standins.feature
@@ -158,3 +158,19 @@
     Then a relayed call from 127.2.0.1 ends with success
     When the relayed server stops
     Then a relayed call from 127.2.0.1 ends with EndpointNotRun
+
+  Scenario: A relayed site keeps the journals of stand-ins that crash
+    Given a relayed site
+    And the class declarations
+      """
+      classes:
+        - {kind: interactive, name: lookup, pool: account-app, deadline_ms: 5000}
+      """
+    When a caller sends {"account": 7} to class lookup at host h1
+    Then the outcome is answered
+    And account-app-1 was called from 127.1.0.1
+    When account-app-1 crashes on the call {"account": "poison"} at host h1
+    Then its journal file tells the crash
+    And it serves again after a restart
+    When the site cuts casa-ain off
+    Then host h1 cannot be reached from casa-sidi until the site heals
--- a/features/steps/standin_steps.py
+++ b/features/steps/standin_steps.py
@@ -13,6 +13,7 @@
 from site_steps import run, wait_for
 
 from anvilcove.demo.processes import free_port
+from anvilcove.demo.site import Site, SiteShape
 from anvilcove.messages.base import encode
 from anvilcove.messages.engines import EngineOrder, Generate, TokenEvent
 from anvilcove.messages.membership import HostMember, Members
@@ -683,3 +684,80 @@
     run(context, context.runner.cleanup())
     context.network.listeners[0].check()
     run(context, wait_for(closed))
+
+
+@given('a relayed site')
+def start_relayed_site(context):
+    """Start a small site with all options of the harness."""
+    shape = SiteShape(
+        'test',
+        ['casa-ain', 'casa-sidi'],
+        1,
+        ('advisor-llm', 2),
+        ('account-app', 1),
+        scoring=1,
+    )
+    context.site = Site(shape, context.folder, relay=True, mixed_speeds=True)
+    context.site.plan()
+    run(context, context.site.start(context.session))
+
+
+def site_lines(context, name, event):
+    """Return the lines of an event in a journal file."""
+    return [x for x in context.site.journal(name) if x['event'] == event]
+
+
+@then('{name} was called from {ip}')
+def check_source(context, name, ip):
+    """Check that the relay keeps the address of the source."""
+    received = site_lines(context, name, 'received')
+    sources = {line['source'].partition(':')[0] for line in received}
+    assert sources == {ip}, sources
+
+
+@when('{name} crashes on the call {body} at host {host}')
+def crash_endpoint(context, name, body, host):
+    """Set the switch and send the content that triggers it."""
+    context.name = name
+    switches = {'crash_on': 'poison'}
+    run(context, context.site.set_faults(context.session, name, switches))
+    context.execute_steps(
+        f'When a caller sends {body} to class lookup at host {host}'
+    )
+    run(context, context.site.processes.by_name[name].wait())
+
+
+@then('its journal file tells the crash')
+def check_crash_line(context):
+    """Read the journal after the process is gone."""
+    assert len(site_lines(context, context.name, 'crashed')) == 1
+
+
+@then('it serves again after a restart')
+def restart_endpoint(context):
+    """Restart the endpoint."""
+    run(context, context.site.restart(context.session, context.name))
+
+
+@when('the site cuts {data_centre} off')
+def cut_site(context, data_centre):
+    """Cut a data centre off by the relay's switch."""
+    run(context, context.site.cut(context.session, data_centre))
+
+
+@then('host {host} cannot be reached from {source} until the site heals')
+def check_host_cut(context, host, source):
+    """Connect from an address of the other data centre."""
+    address = context.site.members.hosts[0].address
+
+    async def reach():
+        async with session_from('127.2.0.99') as session:
+            service = HttpService(address, session)
+            return await attempt(context, service.load())
+
+    context.crashed = asyncio.Event()
+    ended = run(context, reach())
+    assert ended == 'EndpointNotRun', ended
+    run(context, context.site.heal(context.session))
+    ended = run(context, reach())
+    assert ended == 'EndpointFailed', ended
