--- a/anvilcove/__init__.py
+++ b/anvilcove/__init__.py
@@ -18,8 +18,6 @@
 )
 from anvilcove.messages.trainers import GroupSpec
 
-__version__ = '0.1.0'
-
 __all__ = [
     'Answer',
     'CallError',
@@ -36,3 +34,5 @@
     'TrainerSettings',
     'UnknownOutcomeError',
 ]
+
+__version__ = '0.1.0'
