Reduce control traffic below its limit

Cause: the membership list was 5.3 of 13.3 kB/s, read twice a second whole, and gossip repeated in its answers what the asking daemon had just said.

Gossip carries the versions of commands/weights.py.

--- a/anvilcove/__init__.py
+++ b/anvilcove/__init__.py
@@ -1,13 +1,5 @@
 """Rollout service for reinforcement learning."""
 
-from anvilcove.client.trainer import (
-    StepConsumedError,
-    Trainer,
-    TrainerBatch,
-    TrainerError,
-    TrainerSettings,
-)
-from anvilcove.messages.trainers import GroupSpec
 from anvilcove.client.caller import Answer, Client
 from anvilcove.client.errors import (
     CallError,
@@ -17,6 +9,14 @@
     UnknownOutcomeError,
 )
 from anvilcove.client.settings import ClientSettings
+from anvilcove.client.trainer import (
+    StepConsumedError,
+    Trainer,
+    TrainerBatch,
+    TrainerError,
+    TrainerSettings,
+)
+from anvilcove.messages.trainers import GroupSpec
 
 __all__ = [
     'Answer',
--- a/anvilcove/commands/gossip.py
+++ b/anvilcove/commands/gossip.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from anvilcove.commands.reports import merge_reports, report_digests
+from anvilcove.commands.weights import WeightsPart
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
 from anvilcove.daemon.peer_client import PeerError, call_peer
@@ -71,7 +72,7 @@
             hosts=hosts,
             leaving=context.endpoints.leaving_marks(),
             suspects=suspects[:GOSSIPED_SUSPECTS],
-            weights=context.newest_versions,
+            weights=context.part(WeightsPart).newest_by_model,
             reports=reports,
         )
 
@@ -139,7 +140,7 @@
             context.policy('quarantine').merge(now, gossip.suspects)
         merge_reports(context.endpoints, gossip.reports, now)
         for model, version in gossip.weights.items():
-            context.note_version(model, version)
+            context.part(WeightsPart).observe(model, version)
 
     async def _fetch(self, peer: PeerState) -> None:
         if self._fetching:
--- a/anvilcove/commands/reports.py
+++ b/anvilcove/commands/reports.py
@@ -12,11 +12,14 @@
 from anvilcove.messages.peers import ReportDigest
 from anvilcove.platform.errors import EndpointError
 from anvilcove.state.endpoints import EndpointState, EndpointView
+from anvilcove.state.peers import NEVER
 
 # Endpoints polled per period, whatever their number; peers share the rest.
 POLLS_PER_PERIOD = 1
 # The one with the oldest report of a few random endpoints is polled.
 SAMPLED_ENDPOINTS = 8
+# Time after its last work in which an engine is asked for cache events.
+LATE_EVENTS_S = 10.0
 # Reports in one gossip message, and their greatest age.
 GOSSIPED_REPORTS = 5
 GOSSIPED_AGE_S = 2.0
@@ -32,6 +35,7 @@
         """Start without cache events."""
         super().__init__(context)
         self._sequence_by_address: dict[str, int] = {}
+        self._active_until_s: dict[str, float] = {}
 
     def tasks(self) -> list[Coroutine[Any, Any, None]]:
         """Return the polling loop."""
@@ -68,11 +72,18 @@
             report = await port.load()
             if report.endpoint == state.endpoint:
                 context.endpoints.set_report(state, report, asked_at_s)
-            if state.kind == ENGINE:
+            if state.kind == ENGINE and self._is_active(state, report):
                 await self._poll_cache(state, port)
         except EndpointError as error:
             logger.debug('report of {} failed: {}', state.endpoint, error)
 
+    def _is_active(self, state: EndpointState, report: LoadReport) -> bool:
+        """Tell whether an engine may have cache events to tell."""
+        now = self.context.clock.now()
+        if report.running or report.queued or state.in_flight:
+            self._active_until_s[state.address] = now + LATE_EVENTS_S
+        return self._active_until_s.get(state.address, NEVER) >= now
+
     async def _poll_cache(self, state: EndpointState, port: Any) -> None:
         after = self._sequence_by_address.get(state.address, 0)
         events = (await port.cache_events(after)).events
--- a/anvilcove/daemon/context.py
+++ b/anvilcove/daemon/context.py
@@ -44,7 +44,6 @@
         'confirmation',
         'draining',
         'in_flight',
-        'newest_versions',
         '_endpoint_ports',
     )
 
@@ -81,7 +80,6 @@
         self.draining = False
         # Requests of callers and trainers that the listener is serving.
         self.in_flight = 0
-        self.newest_versions: dict[str, int] = {}
         self._endpoint_ports: dict[tuple[str, str, bool], Any] = {}
 
     def _platform_ports(self) -> dict[str, Any]:
@@ -113,11 +111,6 @@
         """Return why no new work may be taken, or an empty string."""
         return self.confirmation.problem(self.clock.now())
 
-    def note_version(self, model: str, version: int) -> None:
-        """Remember the newest published weight version of a model."""
-        if version > self.newest_versions.get(model, 0):
-            self.newest_versions[model] = version
-
     def part(self, kind: type[Any]) -> Any:
         """Return the daemon's instance of a part, built on first use."""
         if kind not in self.parts:
--- a/anvilcove/daemon/metrics.py
+++ b/anvilcove/daemon/metrics.py
@@ -73,6 +73,11 @@
             buckets=STALENESS_BUCKETS,
         )
         self._gauges: dict[str, Gauge] = {}
+        # Counted by kind in plain lists of messages, bytes sent and received
+        # and copied when the metrics are read: updating a labelled counter
+        # costs as much as a fifth of a control message.
+        self._traffic: dict[str, list[int]] = {}
+        self._processor_s = 0.0
 
     def request_finished(
         self, class_name: str, outcome: str, latency_s: float, on_time: bool
@@ -118,9 +123,10 @@
 
     def control_called(self, kind: str, sent: int, received: int) -> None:
         """Count a control call that this daemon made."""
-        self._messages.inc({'kind': kind})
-        self._bytes.add({'kind': kind, 'direction': 'sent'}, sent)
-        self._bytes.add({'kind': kind, 'direction': 'received'}, received)
+        traffic = self._traffic.setdefault(kind, [0, 0, 0])
+        traffic[0] += 1
+        traffic[1] += sent
+        traffic[2] += received
 
     def control_served(
         self, request: web.Request, response: web.StreamResponse
@@ -138,7 +144,7 @@
 
     def control_processor(self, seconds: float) -> None:
         """Add processor time of the control loops."""
-        self._processor.add({}, seconds)
+        self._processor_s += seconds
 
     def class_summary(self, class_name: str) -> dict[str, Any]:
         """Return outcomes and on-time share of a class since the start."""
@@ -152,12 +158,21 @@
         share = on_time / finished if finished else None
         return {'outcomes': outcomes, 'on_time_share': share}
 
-    def render(self, context: 'Context') -> bytes:
-        """Return all metrics as text."""
+    def render(self, context: 'Context', newest: dict[str, int]) -> bytes:
+        """Return all metrics as text; `newest` is by model."""
+        self._collect_control()
         self._collect(context)
+        self._collect_endpoints(context, newest)
         text: bytes = render(self.registry, [])[0]
         return text
 
+    def _collect_control(self) -> None:
+        self._processor.set({}, self._processor_s)
+        for kind, (messages, sent, received) in self._traffic.items():
+            self._messages.set({'kind': kind}, messages)
+            self._bytes.set({'kind': kind, 'direction': 'sent'}, sent)
+            self._bytes.set({'kind': kind, 'direction': 'received'}, received)
+
     def _collect(self, context: 'Context') -> None:
         now = context.clock.now()
         config = context.config
@@ -185,7 +200,6 @@
                     {'class': target.name},
                     share,
                 )
-        self._collect_endpoints(context)
         usage = resource.getrusage(resource.RUSAGE_SELF)
         self._gauge(
             'processor_seconds',
@@ -200,11 +214,12 @@
             usage.ru_maxrss * 1024,
         )
 
-    def _collect_endpoints(self, context: 'Context') -> None:
+    def _collect_endpoints(
+        self, context: 'Context', newest: dict[str, int]
+    ) -> None:
         for name in ('endpoint_in_flight', 'endpoint_limit', 'version_skew'):
             if name in self._gauges:
                 self._gauges[name].values.clear()
-        newest = context.newest_versions
         for state in context.endpoints.by_id.values():
             labels = {'endpoint': state.endpoint}
             self._gauge(
--- a/anvilcove/queries/status.py
+++ b/anvilcove/queries/status.py
@@ -6,6 +6,7 @@
 from loguru import logger
 from msgspec import to_builtins
 
+from anvilcove.commands.weights import WeightsPart
 from anvilcove.daemon.context import Part
 from anvilcove.daemon.parts import part
 from anvilcove.daemon.replies import read_message, reply
@@ -46,7 +47,7 @@
                 }
                 for target in context.config.document.classes
             },
-            versions=dict(context.newest_versions),
+            versions=dict(context.part(WeightsPart).newest_by_model),
         )
 
     def _hosts(self) -> dict[str, dict[str, Any]]:
@@ -111,7 +112,8 @@
         return reply(change)
 
     async def _metrics(self, request: web.Request) -> web.Response:
+        versions = self.context.part(WeightsPart).newest_by_model
         return web.Response(
-            body=self.context.metrics.render(self.context),
+            body=self.context.metrics.render(self.context, versions),
             headers={'Content-Type': 'text/plain; version=0.0.4'},
         )
--- a/anvilcove/standins/platform.py
+++ b/anvilcove/standins/platform.py
@@ -6,8 +6,9 @@
 
 from aiohttp import web
 from msgspec import field
+from xxhash import xxh64_hexdigest
 
-from anvilcove.messages.base import Message, decode
+from anvilcove.messages.base import Message, decode, encode
 from anvilcove.messages.membership import Members
 from anvilcove.messages.table import (
     ReadRows,
@@ -216,7 +217,7 @@
         )
         as_of = self.now() - lag_s
         old = [members for at_s, members in self.members if at_s <= as_of]
-        return json_response(old[-1])
+        return tagged(request, old[-1])
 
     async def _put_members(self, request: web.Request) -> web.Response:
         members = decode(await request.read(), Members)
@@ -225,6 +226,17 @@
         return web.Response()
 
 
+def tagged(request: web.Request, message: object) -> web.Response:
+    """Answer with a message, or 304 if the client holds it already."""
+    tag = xxh64_hexdigest(encode(message))
+    if any(known.value == tag for known in request.if_none_match or ()):
+        response = web.Response(status=304)
+    else:
+        response = json_response(message)
+    response.etag = tag
+    return response
+
+
 def in_prefix(ip: str | None, prefix: str) -> bool:
     """Tell whether an IP number has a prefix of whole octets."""
     octets = prefix.rstrip('.').split('.')
