--- a/anvilcove/__init__.py
+++ b/anvilcove/__init__.py
@@ -24,18 +24,15 @@
     'Client',
     'ClientSettings',
     'FailedError',
+    'GroupSpec',
     'InvalidRequestError',
     'NotRunError',
-    'UnknownOutcomeError',
-]
-
-__version__ = '0.1.0'
-
-__all__ = [
-    'GroupSpec',
     'StepConsumedError',
     'Trainer',
     'TrainerBatch',
     'TrainerError',
     'TrainerSettings',
+    'UnknownOutcomeError',
 ]
+
+__version__ = '0.1.0'
--- a/anvilcove/commands/weights.py
+++ b/anvilcove/commands/weights.py
@@ -39,6 +39,8 @@
 class WeightsPart(Part):
     """Newest version per model; a version never goes back."""
 
+    control = True
+
     def __init__(self, context: Context) -> None:
         """Start without versions; `changes` names models with news."""
         super().__init__(context)
@@ -62,6 +64,7 @@
         if version <= self.newest(model):
             return
         self.newest_by_model[model] = version
+        self.context.note_version(model, version)
         now = self.context.clock.now()
         self.context.policy('staleness').published(now, model, version)
         self.changes.on_next(model)
@@ -69,13 +72,16 @@
     async def _poll(self) -> None:
         while True:
             models = {c.model for c in trainer_classes(self.context)}
+            # Gossip may have brought news while the table was down.
+            for model, version in list(self.context.newest_versions.items()):
+                self.observe(model, version)
             if models:
                 await self._refresh(sorted(models))
             await self.context.clock.sleep(POLL_PERIOD_S)
 
     async def _refresh(self, models: list[str]) -> None:
         try:
-            rows = await self.context.ports['table'].read(
+            rows = await self.context.ports['control_table'].read(
                 [weights_key(model) for model in models]
             )
         except PlatformError as error:
--- a/anvilcove/daemon/app.py
+++ b/anvilcove/daemon/app.py
@@ -26,17 +26,21 @@
     'anvilcove.queries.attach',
     'anvilcove.commands.membership',
     'anvilcove.commands.apply',
+    'anvilcove.commands.weights',
+    'anvilcove.commands.steps',
+    'anvilcove.commands.samples',
+    'anvilcove.commands.stragglers',
+    'anvilcove.commands.fixing',
+    'anvilcove.commands.batches',
+    'anvilcove.commands.leases',
+    'anvilcove.commands.rollout',
+    'anvilcove.commands.prune',
     'anvilcove.commands.announce',
     'anvilcove.commands.gossip',
     'anvilcove.commands.drain',
     'anvilcove.commands.reports',
     'anvilcove.queries.entries',
     'anvilcove.queries.status',
-    'anvilcove.commands.weights',
-    'anvilcove.commands.steps',
-    'anvilcove.commands.samples',
-    'anvilcove.commands.fixing',
-    'anvilcove.commands.batches',
 )
 ADAPTER_MODULES = (
     'anvilcove.platform.table',
@@ -61,6 +65,7 @@
     'anvilcove.decisions.naive_training',
     'anvilcove.decisions.groups',
     'anvilcove.decisions.staleness',
+    'anvilcove.decisions.rollout',
 )
 
 
--- a/anvilcove/settings/daemon.py
+++ b/anvilcove/settings/daemon.py
@@ -130,7 +130,7 @@
     quarantine: Variant = 'content'
     groups: Variant = 'longest_first'
     staleness: Variant = 'bounded'
-    rollout: Variant = 'naive'
+    rollout: Variant = 'waves'
     placement: Variant = 'demand'
     entries: Variant = 'rendezvous'
 
--- a/features/steps/training_steps.py
+++ b/features/steps/training_steps.py
@@ -3,13 +3,14 @@
 import asyncio
 
 from behave import then, when
-from site_steps import host_url, run
+from site_steps import host_url, run, wait_for
 
 from anvilcove.client.trainer import Trainer, TrainerSettings
 from anvilcove.messages.base import decode
 from anvilcove.messages.trainers import Batch, GroupSpec
 
 TAKE_LIMIT_S = 45.0
+MAX_TOKENS = 2_000
 
 
 def groups_of(groups, samples, tokens):
@@ -168,32 +169,48 @@
 
 
 async def journals(context):
-    """Return the versions that engines ran: (from token, version) by run."""
-    spans = {}
+    """Return the tokens that the engines ran: sample, index and version."""
+    ran = set()
     for member in context.site.members.endpoints:
-        if member.kind != 'engine':
-            continue
-        url = f'http://{member.address}/journal'
-        async with context.session.get(url) as response:
-            for entry in await response.json():
-                if entry['event'] != 'version':
-                    continue
-                run_key = (member.endpoint, entry['request_id'])
-                spans.setdefault(run_key, []).append(
-                    (entry['index'], entry['version'])
-                )
-    return spans
-
-
-def versions_at(spans, sample_id, index):
-    """Return the versions that the runs of a sample had at a token."""
-    found = set()
-    for (_, request_id), parts in spans.items():
-        if request_id.rpartition('/')[0] != sample_id:
-            continue
-        before = [version for start, version in parts if start <= index]
-        found.update(before[-1:])
-    return found
+        if member.kind == 'engine':
+            lines = await journal_of(context, member)
+            ran |= tokens_of(lines)
+    return ran
+
+
+async def journal_of(context, member):
+    """Return the journal lines of an engine."""
+    url = f'http://{member.address}/journal'
+    async with context.session.get(url) as response:
+        return await response.json()
+
+
+def tokens_of(lines):
+    """Return what the runs of a journal may have produced.
+
+    A run begins with `started`; each `version` line holds until the next one
+    of the same request. Its end is not needed: the trainer has the length.
+    """
+    starts = {}
+    ran = set()
+    for line in lines:
+        request_id = line.get('request_id', '')
+        if line['event'] == 'started':
+            starts[request_id] = None
+        elif line['event'] == 'version' and request_id in starts:
+            close_range(ran, request_id, starts[request_id], line['index'])
+            starts[request_id] = (line['version'], line['index'])
+    for request_id, last in starts.items():
+        close_range(ran, request_id, last, MAX_TOKENS)
+    return ran
+
+
+def close_range(ran, request_id, last, end):
+    """Add the tokens of one version up to an end."""
+    if last is not None:
+        version, start = last
+        sample = request_id.partition('~')[0]
+        ran.update((sample, index, version) for index in range(start, end))
 
 
 @then('the versions of each sample are those that the engines ran')
@@ -213,6 +230,50 @@
         assert part.start == position, sample
         position = part.end
         for index in range(part.start, part.end):
-            found = versions_at(ran, sample.sample_id, index)
-            assert part.version in found, (sample.sample_id, index, found)
+            key = (sample.sample_id, index, part.version)
+            assert key in ran, f'no engine ran {key}'
     assert position == len(sample.tokens), sample
+
+
+@when('the trainer publishes version {version:d} at host {host}')
+def publish(context, version, host):
+    """Put weights into the store and publish them."""
+
+    async def send():
+        base = f'http://{context.site.platform_address}'
+        url = f'{base}/weights/advisor-llm/{version}'
+        async with context.session.put(url) as response:
+            assert response.status == 200
+        async with Trainer(settings(context, 't0', [host])) as client:
+            await client.publish('advisor-llm', version)
+
+    run(context, send())
+
+
+@then('every engine reports version {version:d}')
+def check_engines(context, version):
+    """Wait until the roll-out has ended."""
+
+    async def reported():
+        versions = set()
+        for member in context.site.members.endpoints:
+            if member.kind == 'engine':
+                url = f'http://{member.address}/state'
+                async with context.session.get(url) as response:
+                    versions.add((await response.json())['version'])
+        return versions == {version}
+
+    run(context, wait_for(reported))
+
+
+@then('every delivered token is of version {version:d}')
+def check_delivered_version(context, version):
+    """Check the ranges of all delivered samples."""
+    found = {
+        part.version
+        for batches in context.delivered.values()
+        for batch in batches
+        for sample in batch.samples
+        for part in sample.versions
+    }
+    assert found == {version}, found
