--- a/anvilcove/commands/attempts.py
+++ b/anvilcove/commands/attempts.py
@@ -201,6 +201,9 @@
                 {first, timer}, return_when=asyncio.FIRST_COMPLETED
             )
             second_slot = None if first.done() else self._spare(job, slot)
+            if second_slot and not self.context.policy('hedging').spend():
+                second_slot.release(CANCELLED)
+                second_slot = None
             if second_slot is not None:
                 tasks.add(asyncio.create_task(self.attempt(job, second_slot)))
             return await _first_answer(tasks)
--- a/anvilcove/commands/dispatch.py
+++ b/anvilcove/commands/dispatch.py
@@ -7,6 +7,7 @@
 from msgspec.structs import replace
 from reactivex.abc import DisposableBase
 
+from anvilcove.commands.announce import AnnouncePart
 from anvilcove.commands.capacity import Capacity
 from anvilcove.commands.isolation import Isolation
 from anvilcove.commands.pool_queue import PoolQueue, Waiter
@@ -244,6 +245,7 @@
             self.context.policy('quarantine').crashed(
                 now, slot.state.endpoint, list(contents)
             )
+            self.context.part(AnnouncePart).suspects()
         elif outcome == OK:
             self.context.policy('quarantine').finished(now, content)
         left = contents.get(content, 0) - 1
--- a/anvilcove/commands/streaming.py
+++ b/anvilcove/commands/streaming.py
@@ -5,13 +5,21 @@
 from aiohttp import web
 from msgspec.structs import replace
 
-from anvilcove.daemon.replies import reply
+from anvilcove.daemon.replies import refusal, reply
 from anvilcove.messages.base import encode
 from anvilcove.messages.callers import ANSWERED, Outcome
 from anvilcove.messages.engines import TokenEvent
 from anvilcove.queries.attach import DISCONNECT_CHECK_S, connected
 from anvilcove.state.answers import RequestRecord
 
+# Status that proxies use for a caller that closed its connection.
+GONE_STATUS = 499
+
+
+def caller_gone() -> web.Response:
+    """Return a response that ends a handler; it cannot be delivered."""
+    return refusal(GONE_STATUS, 'caller_gone', 'the caller disconnected')
+
 
 async def stream_record(
     request: web.Request, record: RequestRecord, request_id: str
@@ -24,7 +32,8 @@
     news = asyncio.Event()
     record.listeners.add(news)
     try:
-        await _wait(request, record, news, 0)
+        if not await _wait(request, record, news, 0):
+            return caller_gone()
         outcome = record.outcome
         if outcome and outcome.outcome != ANSWERED and not record.tokens:
             own = replace(outcome, request_id=request_id)
@@ -58,7 +67,8 @@
         if record.outcome is not None:
             await response.write_eof()
             return
-        await _wait(request, record, news, sent)
+        if not await _wait(request, record, news, sent):
+            return
 
 
 async def _wait(
@@ -66,15 +76,16 @@
     record: RequestRecord,
     news: asyncio.Event,
     sent: int,
-) -> None:
-    """Wait for a token or the outcome; raise if the caller is gone."""
+) -> bool:
+    """Wait for a token or the outcome; return False if nobody listens."""
     while record.outcome is None and len(record.tokens) == sent:
         try:
             async with asyncio.timeout(DISCONNECT_CHECK_S):
                 await news.wait()
         except TimeoutError:
             if not connected(request):
-                raise ConnectionResetError('the caller is gone') from None
+                return False
+    return True
 
 
 def _token(event: TokenEvent, request_id: str) -> bytes:
--- a/anvilcove/commands/submit.py
+++ b/anvilcove/commands/submit.py
@@ -18,7 +18,7 @@
     conflict,
 )
 from anvilcove.commands.non_repeatable import run_claimed
-from anvilcove.commands.streaming import stream_record
+from anvilcove.commands.streaming import caller_gone, stream_record
 from anvilcove.commands.validation import faults, generation_faults
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
@@ -97,7 +97,7 @@
                 return await stream_record(request, record, message.request_id)
         outcome = await self.attach.wait_record(record, float('inf'), request)
         if not isinstance(outcome, Outcome):
-            raise ConnectionResetError('the caller is gone')
+            return caller_gone()
         own = replace(outcome, request_id=message.request_id)
         return reply(own, record.status)
 
--- a/features/steps/client_steps.py
+++ b/features/steps/client_steps.py
@@ -1,16 +1,19 @@
 """Steps that use the client library and the examples."""
 
 import asyncio
+import json
 import os
 import random
 import sys
 from pathlib import Path
 
-from behave import then, when
+from behave import given, then, when
+from request_steps import put_faults
 from site_steps import host_url, run
 
 from anvilcove import Answer, Client, ClientSettings
 from anvilcove.demo.site import PEER_KEY
+from anvilcove.messages.membership import ENGINE
 
 PEER_HEADERS = {'Authorization': f'Bearer {PEER_KEY}'}
 EXAMPLES = Path(__file__).resolve().parents[2] / 'examples'
@@ -59,6 +62,26 @@
     raise AssertionError('no host runs the request')
 
 
+@given('the engine switches {switches}')
+def set_engine_faults(context, switches):
+    """Set fault switches of every engine."""
+    for member in context.site.members.endpoints:
+        if member.kind == ENGINE:
+            put_faults(context, member.address, json.loads(switches))
+
+
+@when('a client streams {count:d} tokens')
+def stream_tokens(context, count):
+    """Stream a generation."""
+
+    async def stream():
+        body = {'prompt': 'p', 'max_tokens': count}
+        async with client_of(context) as client:
+            return [e async for e in client.stream('rollouts', body)]
+
+    context.events = run(context, stream())
+
+
 @when('a client streams {count:d} tokens and its host is killed after {n:d}')
 def stream_with_kill(context, count, n):
     """Kill the host that serves a stream after some tokens."""
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 from site_steps import host_url, run, wait_for
 
+from anvilcove.demo.processes import wait_until_ready
 from anvilcove.messages.membership import SERVICE
 
 DEADLINE_MS = 15_000
@@ -28,7 +29,7 @@
     context.outcome = outcome
 
 
-async def post(context, host, key, **changes):
+async def post(context, host, key, /, **changes):
     """Send a posting; the outcome is None if the connection broke."""
     message = {
         'request_id': f'{host}.{uuid.uuid4().hex}',
@@ -40,6 +41,7 @@
         'deadline_ms': DEADLINE_MS,
         **changes,
     }
+    context.message = message
     url = f'{host_url(context, host)}/v1/requests'
     try:
         async with context.session.post(url, json=message) as response:
@@ -82,6 +84,13 @@
     put_faults(context, context.site.platform_address, json.loads(switches))
 
 
+@given('the service switches {switches}')
+def set_service_faults(context, switches):
+    """Set fault switches of every service."""
+    for member in services(context):
+        put_faults(context, member.address, json.loads(switches))
+
+
 def put_faults(context, address, switches):
     """Set fault switches of a stand-in."""
 
@@ -105,6 +114,7 @@
         remember(context, outcome)
 
 
+@given('posting {key} was sent to host {host:w}')
 @when('posting {key} is sent to host {host:w}')
 def post_once(context, key, host):
     """Send one key to one host and wait for its outcome."""
@@ -118,6 +128,14 @@
     remember(context, run(context, post(context, host, key, body=body)))
 
 
+@when('the same request is sent again to host {host:w}')
+def post_again(context, host):
+    """Send the last message again, with the same identifier."""
+    message = context.message
+    outcome = run(context, post(context, host, '', **message))
+    remember(context, outcome)
+
+
 @when('posting {key} is on its way through host {host:w}')
 def post_in_background(context, key, host):
     """Send one key without waiting for its outcome."""
@@ -160,6 +178,42 @@
     run(context, context.site.processes.kill(host))
 
 
+@when('host {host:w} is paused')
+def pause_host(context, host):
+    """Pause the daemon of a host."""
+    context.site.processes.signal(host, signal.SIGSTOP)
+
+
+@when('host {host:w} goes on')
+def continue_host(context, host):
+    """Continue the daemon of a host."""
+    context.site.processes.signal(host, signal.SIGCONT)
+
+
+@when('posting {key} has started')
+def wait_for_start(context, key):
+    """Wait until a service runs a posting."""
+
+    async def started():
+        return await runs(context, key) > 0
+
+    run(context, wait_for(started))
+
+
+@when('the services are killed and started again')
+def replace_services(context):
+    """Kill the services; their new journals start empty."""
+
+    async def replace():
+        for member in services(context):
+            await context.site.processes.kill(member.endpoint)
+            await context.site.processes.restart(member.endpoint)
+            url = f'http://{member.address}/load'
+            await wait_until_ready(context.session, url)
+
+    run(context, replace())
+
+
 @given('the services are paused')
 def pause_services(context):
     """Pause the processes of the services; connections still open."""
@@ -174,7 +228,7 @@
         context.site.processes.signal(member.endpoint, signal.SIGCONT)
 
 
-@then('every outcome is {name}')
+@then('every outcome is {name:w}')
 def check_every_outcome(context, name):
     """Check all outcomes."""
     assert all(o['outcome'] == name for o in context.outcomes), (
@@ -182,7 +236,29 @@
     )
 
 
-@then('the last outcome is {name}')
+@then('every outcome is one of: {names}')
+def check_outcome_names(context, names):
+    """Check that no outcome is of another kind."""
+    expected = set(names.split(', '))
+    assert {o['outcome'] for o in context.outcomes} <= expected
+
+
+@then('the outcomes are {names}')
+def check_outcomes(context, names):
+    """Check all outcomes in their order."""
+    found = [outcome['outcome'] for outcome in context.outcomes]
+    assert found == names.split(', '), context.outcomes
+
+
+@then('the repeated outcomes are the same')
+def check_repeated_outcomes(context):
+    """Check that the second half of the outcomes repeats the first."""
+    found = [(o['outcome'], o['answer']) for o in context.outcomes]
+    half = len(found) // 2
+    assert found[:half] == found[half:], context.outcomes
+
+
+@then('the last outcome is {name:w}')
 def check_last_outcome(context, name):
     """Check the outcome that arrived last."""
     assert context.outcome['outcome'] == name, context.outcome
@@ -195,6 +271,8 @@
     assert len(answers) == 1, answers
 
 
+@then('posting {key} ran {count:d} times since then')
+@then('posting {key} ran {count:d} times')
 @then('posting {key} ran {count:d} time')
 def check_runs(context, key, count):
     """Check how often the services ran a posting."""
--- a/features/whole_answers.feature
+++ b/features/whole_answers.feature
@@ -30,3 +30,11 @@
 
     When the examples counter_lookup and ledger_job are run
     Then the examples succeed
+
+  Scenario: An engine truncates, crosses and delays a stream
+    Guards against tokens of another request and against a stream that ends
+    early without anyone noticing.
+
+    Given the engine switches {"truncate": 1, "cross_answers": 1, "late_s": 0.05}
+    When a client streams 30 tokens
+    Then the client got 30 tokens in order and the same in its answer
