Count incidents behind a partition as one crash of a content

Change: an adapter tells a timed-out connection attempt from a refused one; unreachable endpoints leave at most one open crash per content.

--- a/anvilcove/commands/crashes.py
+++ b/anvilcove/commands/crashes.py
@@ -7,7 +7,7 @@
 from anvilcove.commands.announce import AnnouncePart
 from anvilcove.daemon.context import Context
 from anvilcove.decisions.types import CRASH, OK
-from anvilcove.platform.errors import EndpointError
+from anvilcove.platform.errors import EndpointError, EndpointNotRun
 from anvilcove.state.endpoints import EndpointState
 
 
@@ -16,7 +16,9 @@
 
     All attempts that a crash breaks belong to one incident. A broken
     connection alone is no crash: an endpoint that still answers afterwards
-    was cut off or ended one answer early, and its contents are forgiven.
+    ended one answer early, and its contents are forgiven. One that cannot be
+    reached may be behind a partition, and all such incidents of a content
+    count as one crash.
     """
 
     __slots__ = ('context', '_in_flight', '_crashed_at_s', '_checks')
@@ -69,11 +71,18 @@
     async def _check(self, state: EndpointState, contents: list[str]) -> None:
         try:
             await self.context.endpoint_port(state).load()
+            reachable = True
         except EndpointError as error:
-            logger.info('{} crashed: {}', state.endpoint, error)
-            return
-        logger.info('{} broke a connection and runs on', state.endpoint)
-        now = self.context.clock.now()
+            reachable = False
+            if not (isinstance(error, EndpointNotRun) and error.unreachable):
+                logger.info('{} crashed: {}', state.endpoint, error)
+                return
+        logger.info(
+            '{} broke a connection; reachable: {}', state.endpoint, reachable
+        )
         self.context.policy('quarantine').forgive(
-            now, state.endpoint, contents
+            self.context.clock.now(),
+            state.endpoint,
+            contents,
+            reachable=reachable,
         )
--- a/anvilcove/decisions/interfaces.py
+++ b/anvilcove/decisions/interfaces.py
@@ -124,8 +124,10 @@
     def finished(self, now: float, content: str) -> None:
         """Clear a content that ran to its end."""
 
-    def forgive(self, now: float, endpoint: str, contents: list[str]) -> None:
-        """Take back the crashes of an endpoint that did not crash."""
+    def forgive(
+        self, now: float, endpoint: str, contents: list[str], reachable: bool
+    ) -> None:
+        """Take back a crash; an unreachable endpoint leaves one suspicion."""
 
     def verdict(self, now: float, content: str) -> Allow | Isolate | Reject:
         """Tell how a content may run."""
--- a/anvilcove/decisions/naive.py
+++ b/anvilcove/decisions/naive.py
@@ -197,7 +197,9 @@
     def finished(self, now: float, content: str) -> None:
         """Count nothing."""
 
-    def forgive(self, now: float, endpoint: str, contents: list[str]) -> None:
+    def forgive(
+        self, now: float, endpoint: str, contents: list[str], reachable: bool
+    ) -> None:
         """Forgive nothing."""
 
     def verdict(self, now: float, content: str) -> Allow:
--- a/anvilcove/decisions/quarantine.py
+++ b/anvilcove/decisions/quarantine.py
@@ -10,6 +10,9 @@
 # Mark of a digest that carries the crashes forgiven by a completed run.
 # Both kinds of count only grow, so that maxima merge in any order.
 CLEARED = 'cleared:'
+# Counts at most one open crash for all endpoints that could not be reached:
+# a partition breaks the connections to many endpoints at once.
+UNREACHABLE = 'unreachable'
 REMEMBERED_CONTENTS = 4_096
 GOSSIPED_DIGESTS = 64
 # Crashes of a content that has not come back for this long are dropped.
@@ -60,12 +63,18 @@
                 known = record.cleared.get(endpoint, 0)
                 record.cleared[endpoint] = max(count, known)
 
-    def forgive(self, now: float, endpoint: str, contents: list[str]) -> None:
-        """Take back the crashes of an endpoint that did not crash."""
+    def forgive(
+        self, now: float, endpoint: str, contents: list[str], reachable: bool
+    ) -> None:
+        """Take back a crash; an unreachable endpoint leaves one suspicion."""
         for content in contents:
             record = self._by_content.get(content)
-            if record is not None:
-                record.cleared[endpoint] = record.crashes.get(endpoint, 0)
+            if record is None:
+                continue
+            record.cleared[endpoint] = record.crashes.get(endpoint, 0)
+            if not reachable:
+                cleared = record.cleared.get(UNREACHABLE, 0)
+                record.crashes[UNREACHABLE] = cleared + 1
 
     def verdict(self, now: float, content: str) -> Allow | Isolate | Reject:
         """Tell how a content may run."""
--- a/anvilcove/platform/errors.py
+++ b/anvilcove/platform/errors.py
@@ -28,10 +28,17 @@
     that nothing was run.
     """
 
-    def __init__(self, reason: str, *, overloaded: bool = False) -> None:
-        """Keep whether the endpoint refused because of its load."""
+    def __init__(
+        self,
+        reason: str,
+        *,
+        overloaded: bool = False,
+        unreachable: bool = False,
+    ) -> None:
+        """Keep whether it was its load or a connection attempt timed out."""
         super().__init__(reason)
         self.overloaded = overloaded
+        self.unreachable = unreachable
 
 
 class EndpointFailed(EndpointError):
--- a/anvilcove/platform/http.py
+++ b/anvilcove/platform/http.py
@@ -97,7 +97,9 @@
             if response.status != 200:
                 raise EndpointFailed(f'{url}: status {response.status}')
             yield response
-    except (ClientConnectorError, ConnectionTimeoutError) as error:
+    except ConnectionTimeoutError as error:
+        raise EndpointNotRun(f'{url}: {error}', unreachable=True) from error
+    except ClientConnectorError as error:
         raise EndpointNotRun(f'{url}: {error}') from error
     except ServerDisconnectedError as error:
         raise EndpointCrashed(f'{url}: {error!r}') from error
--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -17,3 +17,9 @@
     When the endpoint crashes
     And the same content crashes it again
     Then the content is rejected
+
+  Scenario: A partition that breaks connections to two endpoints is one doubt
+    Given 4 requests of one content in flight at an endpoint
+    When the endpoint breaks its connections and cannot be reached
+    And the same happens to the content at a second endpoint
+    Then the content may run isolated
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 from behave import given, then, when
+from msgspec.structs import replace
 
 from anvilcove.commands.crashes import CrashAccounting
 from anvilcove.decisions.quarantine import ContentQuarantine
@@ -28,9 +29,12 @@
     def __init__(self):
         """Start alive."""
         self.alive = True
+        self.cut_off = False
 
     async def load(self):
-        """Answer, or refuse the connection."""
+        """Answer, refuse the connection, or let it time out."""
+        if self.cut_off:
+            raise EndpointNotRun('connection timeout', unreachable=True)
         if not self.alive:
             raise EndpointNotRun('connection refused')
 
@@ -81,6 +85,23 @@
     break_connections(context, alive=True)
 
 
+@when('the endpoint breaks its connections and cannot be reached')
+def partition(context):
+    """Break the connections and let new ones time out."""
+    context.port.cut_off = True
+    break_connections(context, alive=True)
+
+
+@when('the same happens to the content at a second endpoint')
+def partition_again(context):
+    """Run the content at another endpoint, into the same partition."""
+    context.now += 1.0
+    context.state = EndpointState(replace(MEMBER, endpoint='e2'))
+    context.crashes.started('e2', CONTENT)
+    context.count = 1
+    break_connections(context, alive=True)
+
+
 @when('the same content crashes it again')
 def crash_again(context):
     """Run the content once more, into a second crash."""
