--- a/anvilcove/standins/batch.py
+++ b/anvilcove/standins/batch.py
@@ -7,6 +7,8 @@
 from itertools import count
 from typing import Any
 
+from msgspec import Struct, field
+
 from anvilcove.messages.base import Message
 from anvilcove.messages.engines import CacheEvent, Generate
 from anvilcove.standins.faults import Standin
@@ -27,34 +29,23 @@
     switch_s: float = 0.05
 
 
-class Generation:
+class Generation(Struct, eq=False):
     """One generation; `events` ends with None."""
 
-    __slots__ = (
-        'call',
-        'connected',
-        'index',
-        'prefill_s',
-        'versions',
-        'events',
-        'started',
-        'started_s',
-        'refusal',
-    )
-
-    def __init__(
-        self, call: Generate, connected: Callable[[], bool] = lambda: True
-    ) -> None:
-        """Start in the queue."""
-        self.call = call
-        self.connected = connected
-        self.index = len(call.resume_tokens)
-        self.prefill_s = 0.0
-        self.versions: list[list[int]] = []
-        self.events: asyncio.Queue[dict[str, Any] | None] = asyncio.Queue()
-        self.started = asyncio.Event()
-        self.started_s = 0.0
-        self.refusal = ''
+    call: Generate
+    connected: Callable[[], bool]
+    index: int
+    prefill_s: float = 0.0
+    started_s: float = 0.0
+    refusal: str = ''
+    versions: list[list[int]] = field(default_factory=list)
+    events: asyncio.Queue[Any] = field(default_factory=asyncio.Queue)
+    started: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def prefix(self) -> str:
+        """Return the prefix that the prompt marks, empty for none."""
+        prefix, marked, _ = self.call.prompt.partition('|')
+        return prefix if marked else ''
 
 
 class PrefixCache:
@@ -71,6 +62,8 @@
 
     def hit(self, prefix: str) -> bool:
         """Tell whether a prefix is cached and mark it as just used."""
+        if not prefix:
+            return True
         if prefix not in self._prefixes:
             return False
         self._prefixes[prefix] = self._prefixes.pop(prefix)
@@ -159,21 +152,20 @@
 
     def cancel(self, request_id: str) -> bool:
         """Stop the generations of a request, running or waiting."""
-        running = [g for g in self.running if g.call.request_id == request_id]
-        for generation in running:
-            self.end(generation)
-        waiting = [
-            place
-            for place in self._queue
-            if place[2].call.request_id == request_id
+        waiting = [place[2] for place in self._queue]
+        found = [
+            generation
+            for generation in (*self.running, *waiting)
+            if generation.call.request_id == request_id
         ]
-        for place in waiting:
-            self._queue.remove(place)
-            place[2].refusal = 'cancelled'
-            place[2].started.set()
+        for generation in found:
+            self.end(generation)
+            generation.refusal = 'cancelled'
+            generation.started.set()
+        self._queue = [p for p in self._queue if not p[2].refusal]
         heapify(self._queue)
         self._record()
-        return bool(running or waiting)
+        return bool(found)
 
     async def run(self) -> None:
         """Make one step each token time while there is work."""
@@ -205,14 +197,13 @@
 
     def _start(self, generation: Generation) -> None:
         call = generation.call
-        prefix, marked, _ = call.prompt.partition('|')
-        cached = not marked or self.cache.hit(prefix)
+        cached = self.cache.hit(generation.prefix())
         kv_prompt, kv_tokens = self.imported.pop(call.request_id, ('', -1))
         imported = kv_prompt == call.prompt and kv_tokens >= generation.index
         if not imported and (not cached or call.resume_tokens):
             generation.prefill_s = self.options.prefill_s
-        elif marked:
-            self.cache.store(prefix)
+        else:
+            self.cache.store(generation.prefix())
         generation.started_s = self.standin.now()
         self.running.append(generation)
         self.standin.write(
@@ -246,9 +237,8 @@
 
     def _prefill(self, generation: Generation) -> None:
         generation.prefill_s -= self.options.token_time_s
-        prefix, marked, _ = generation.call.prompt.partition('|')
-        if marked and generation.prefill_s <= 0:
-            self.cache.store(prefix)
+        if generation.prefill_s <= 0:
+            self.cache.store(generation.prefix())
 
     def _emit(self, generation: Generation) -> None:
         index, versions = generation.index, generation.versions
--- a/anvilcove/standins/engine.py
+++ b/anvilcove/standins/engine.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from aiohttp import web
+from msgspec.structs import asdict
 
 from anvilcove.messages.base import decode, encode
 from anvilcove.messages.engines import (
@@ -53,19 +54,14 @@
 
     async def _generate(self, request: web.Request) -> web.StreamResponse:
         call = decode(await request.read(), Generate)
-        self.write(
-            'received',
-            request_id=call.request_id,
-            prompt=call.prompt,
-            priority=call.priority,
-            resumed=len(call.resume_tokens),
-            source=source(request),
-        )
+        self.write('received', source=source(request), **asdict(call))
         if self.batch.closed:
             return self.refuse(call.request_id, 'switching weights')
         if self.batch.is_full():
             return self.refuse(call.request_id, 'queue is full')
-        generation = Generation(call, lambda: is_connected(request))
+        generation = Generation(
+            call, lambda: is_connected(request), len(call.resume_tokens)
+        )
         self.batch.add(generation)
         await generation.started.wait()
         if generation.started_s == 0.0:
--- a/anvilcove/standins/service.py
+++ b/anvilcove/standins/service.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from aiohttp import web
+from msgspec.structs import asdict
 from xxhash import xxh32_intdigest
 
 from anvilcove.messages.base import Message, decode, encode
@@ -43,12 +44,7 @@
 
     async def _call(self, request: web.Request) -> web.Response:
         call = decode(await request.read(), ServiceCall)
-        self.write(
-            'received',
-            request_id=call.request_id,
-            body=call.body,
-            source=source(request),
-        )
+        self.write('received', source=source(request), **asdict(call))
         options = self.options
         if self.queued + self.running >= options.queue + options.workers:
             return self.refuse(call.request_id, 'queue is full')
@@ -68,7 +64,7 @@
         self.record_load(self.running, self.queued)
 
     async def _run(self, call: ServiceCall) -> None:
-        self.write('started', request_id=call.request_id, body=call.body)
+        self.write('started', **asdict(call))
         poison = self.faults.get('crash_on')
         if poison and poison in encode(call.body).decode():
             self.crash(f'body contains {poison!r}', call.request_id)
--- a/features/standins.feature
+++ b/features/standins.feature
@@ -69,6 +69,7 @@
       | {}                      | success         | 1    |
       | {"cross_answers": 1}    | AnswerMismatch  | 1    |
       | {"truncate": 1}         | EndpointCrashed | 1    |
+      | {"late_s": 9}           | success         | 1    |
       | {"crash_on": "poison"}  | crash           | 1    |
       | {"crash_on": "other"}   | success         | 1    |
       | {"die_after_tokens": 2} | crash           | 1    |
@@ -147,6 +148,14 @@
     When the stand-in faults become {"ignore_fence": true}
     Then order 4 of fence 4 leaves version 4 after 1 failed swap
 
+  Scenario: Orders change model, adapters and role
+    Given a stand-in engine with faults {}
+    Then order {"kind": "load_model", "model": "n"} leads to the state {"model": "n", "swapping": false}
+    And order {"kind": "load_adapter", "adapter": "a"} leads to the state {"adapters": ["a"]}
+    And order {"kind": "set_role", "role": "decode"} leads to the state {"role": "decode"}
+    And a generation with model n ends with success
+    And a generation with model m ends with EndpointNotRun
+
   Scenario: The relay delays and cuts connections
     Given a relay between casa-ain and casa-sidi
     Then a relayed call from 127.0.0.1 takes at least 0.02 s
@@ -168,9 +177,7 @@
       """
     When a caller sends {"account": 7} to class lookup at host h1
     Then the outcome is answered
-    And account-app-1 was called from 127.1.0.1
-    When account-app-1 crashes on the call {"account": "poison"} at host h1
-    Then its journal file tells the crash
-    And it serves again after a restart
-    When the site cuts casa-ain off
-    Then host h1 cannot be reached from casa-sidi until the site heals
+    And endpoint account-app-1 was called from 127.1.0.1
+    When endpoint account-app-1 crashes on the call {"account": "poison"} at host h1
+    Then its journal file tells the crash and it serves after a restart
+    And cutting casa-ain off makes its host unreachable until it heals
--- /dev/null
+++ b/features/steps/classification_steps.py
@@ -0,0 +1,110 @@
+"""Steps that classify calls that fail at any point."""
+
+import asyncio
+import socket
+import struct
+
+from behave import then, when
+from site_steps import run
+from standin_steps import (
+    attempt,
+    generate,
+    lines,
+    stop_later,
+)
+
+from anvilcove.demo.processes import free_port
+from anvilcove.messages.services import ServiceCall
+from anvilcove.platform import errors
+from anvilcove.platform.engines import HttpEngine
+from anvilcove.platform.services import HttpService
+
+RAW_REFUSAL = b'HTTP/1.1 %d R\r\nContent-Length: %d\r\n\r\n%s'
+RAW_REDIRECT = (
+    b'HTTP/1.1 307 R\r\nConnection: close\r\nContent-Length: 0\r\n%s\r\n\r\n'
+)
+RAW_PART = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nevent: token\n'
+
+
+def raw_answer(behaviour, address):
+    """Return what a server sends before it ends the connection."""
+    words = behaviour.split()
+    if words[0] == 'answers' and words[1] != 'with':
+        body = b'{"run": %s}' % words[-1].encode()
+        return RAW_REFUSAL % (int(words[1]), len(body), body)
+    if words[0] == 'redirects':
+        location = f'Location: http://{address}/call'.encode()
+        return RAW_REDIRECT % location
+    if words[0] == 'answers':
+        return RAW_PART % len(b'event: token\n')
+    return RAW_PART % 1000 if words[1] == 'within' else b''
+
+
+async def close(server):
+    """Close a listener."""
+    server.close()
+
+
+@when('a raw endpoint {behaviour}')
+def start_raw_server(context, behaviour):
+    """Serve raw bytes over TCP and count the calls."""
+    context.calls = 0
+    context.crashed = asyncio.Event()
+    context.address = f'127.0.0.1:{free_port()}'
+
+    async def handle(reader, writer):
+        head = await reader.readuntil(b'\r\n\r\n')
+        size = int(head.lower().split(b'content-length:')[1].split()[0])
+        await reader.readexactly(size)
+        context.calls += 1
+        writer.write(raw_answer(behaviour, context.address))
+        await writer.drain()
+        if behaviour.startswith('resets'):
+            writer.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+        writer.close()
+
+    async def listen():
+        server = await asyncio.start_server(handle, '127.0.0.1', 0)
+        context.address = '127.0.0.1:{}'.format(
+            server.sockets[0].getsockname()[1]
+        )
+        stop_later(context, lambda: close(server))
+
+    if behaviour != 'does not listen':
+        run(context, listen())
+
+
+@then('a service call and a generation end with {result}')
+def check_raw_calls(context, result):
+    """Check the classification by both adapters."""
+    context.engine = HttpEngine(context.address, context.session)
+    service = HttpService(context.address, context.session)
+    call = service.call(ServiceCall(request_id='r', body={}), 30.0)
+    for coroutine in (call, generate(context, 'p')):
+        ended = run(context, attempt(context, coroutine))
+        assert issubclass(getattr(errors, ended), getattr(errors, result)), (
+            ended
+        )
+
+
+@then('a call that must not be repeated opens a connection of its own')
+def check_fresh_connection(context):
+    """Call over pooled connections, then over one of its own."""
+
+    async def call(fresh):
+        message = ServiceCall(request_id='r', body={})
+        await context.service.call(message, 30.0, fresh_connection=fresh)
+
+    for fresh in (False, False, True, True, False):
+        run(context, call(fresh))
+    peers = [line['source'] for line in lines(context, 'received')]
+    assert peers[0] == peers[1] == peers[4], peers
+    assert len(set(peers)) == 3, peers
+
+
+@then('the endpoint received each at most once')
+def check_raw_count(context):
+    """Check that no adapter repeats a call by itself."""
+    assert context.calls <= 2, context.calls
--- /dev/null
+++ b/features/steps/relay_steps.py
@@ -0,0 +1,171 @@
+"""Steps of the relay and of sites behind it."""
+
+import asyncio
+import time
+
+from behave import given, then, when
+from site_steps import run, wait_for
+from standin_steps import (
+    attempt,
+    call_service,
+    lines,
+    session_from,
+    start_standin,
+    stop_later,
+)
+
+from anvilcove.demo.processes import free_port
+from anvilcove.demo.site import Site, SiteShape
+from anvilcove.platform.services import HttpService
+from anvilcove.standins.network import Network, NetworkOptions, Relayed
+
+
+@given('a relay between casa-ain and casa-sidi')
+def start_relay(context):
+    """Put a relay in front of a service in the first data centre."""
+    start_standin(context, 'service', '{}')
+    relayed = Relayed(
+        advertised=f'127.1.0.1:{free_port("127.1.0.1")}',
+        real=context.address,
+        data_centre='casa-ain',
+    )
+    options = NetworkOptions(
+        data_centres=['casa-ain', 'casa-sidi'],
+        listeners=[relayed],
+        client_latency_s=0.01,
+    )
+    context.network = Network(options)
+    context.address = relayed.advertised
+    stop_later(context, context.network.stop)
+
+    async def listening():
+        return context.network.listeners[0].is_open()
+
+    run(context, context.network.start())
+    run(context, wait_for(listening))
+
+
+async def relayed_call(context, ip):
+    """Call the service through the relay and name how the call ends."""
+    async with session_from(ip) as session:
+        context.service = HttpService(context.address, session)
+        return await attempt(context, call_service(context, {}))
+
+
+@then('a relayed call from {ip} takes at least {seconds:f} s')
+def check_latency(context, ip, seconds):
+    """Measure one call; only the lower limit is certain."""
+    start = time.monotonic()
+    assert run(context, relayed_call(context, ip)) == 'success'
+    assert time.monotonic() - start >= seconds
+
+
+@then('a relayed call from {ip} ends with {result}')
+def check_relayed_call(context, ip, result):
+    """Check the classification of a relayed call."""
+    ended = run(context, relayed_call(context, ip))
+    assert ended == result, ended
+
+
+@when('casa-ain is cut off during a call from {ip}, which breaks')
+def cut_during_call(context, ip):
+    """Cut the data centre of the server while a call runs."""
+
+    async def second_started():
+        return len(lines(context, 'started')) == 2
+
+    async def cut():
+        context.standin.sleep = lambda _: context.released.wait()
+        call = asyncio.ensure_future(relayed_call(context, ip))
+        await wait_for(second_started)
+        context.network.cut('casa-ain')
+        context.ended = await call
+        context.released.set()
+
+    run(context, cut())
+    assert context.ended == 'EndpointCrashed', context.ended
+
+
+@when('the relay heals')
+def heal(context):
+    """Connect the data centres again."""
+    context.network.heal()
+
+
+@when('the relayed server stops')
+def stop_relayed(context):
+    """Stop the server and wait until the relay has noticed."""
+
+    async def closed():
+        return not context.network.listeners[0].is_open()
+
+    run(context, context.runner.cleanup())
+    context.network.listeners[0].check()
+    run(context, wait_for(closed))
+
+
+@given('a relayed site')
+def start_relayed_site(context):
+    """Start a small site with all options of the harness."""
+    shape = SiteShape(
+        'test',
+        ['casa-ain', 'casa-sidi'],
+        1,
+        ('advisor-llm', 2),
+        ('account-app', 1),
+        scoring=1,
+    )
+    context.site = Site(shape, context.folder, relay=True, mixed_speeds=True)
+    context.site.plan()
+    run(context, context.site.start(context.session))
+
+
+def site_lines(context, name, event):
+    """Return the lines of an event in a journal file."""
+    return [x for x in context.site.journal(name) if x['event'] == event]
+
+
+@then('endpoint {name} was called from {ip}')
+def check_source(context, name, ip):
+    """Check that the relay keeps the address of the source."""
+    received = site_lines(context, name, 'received')
+    sources = {line['source'].partition(':')[0] for line in received}
+    assert sources == {ip}, sources
+
+
+@when('endpoint {name} crashes on the call {body} at host {host}')
+def crash_endpoint(context, name, body, host):
+    """Set the switch and send the content that triggers it."""
+    context.name = name
+    switches = {'crash_on': 'poison'}
+    run(context, context.site.set_faults(context.session, name, switches))
+    context.execute_steps(
+        f'When a caller sends {body} to class lookup at host {host}'
+    )
+    run(context, context.site.processes.by_name[name].wait())
+
+
+@then('its journal file tells the crash and it serves after a restart')
+def check_crash_line(context):
+    """Read the journal after the process is gone; restart the endpoint."""
+    assert len(site_lines(context, context.name, 'crashed')) == 1
+    run(context, context.site.restart(context.session, context.name))
+
+
+@then('cutting {data_centre} off makes its host unreachable until it heals')
+def check_host_cut(context, data_centre):
+    """Connect from an address of the other data centre."""
+    address = context.site.members.hosts[0].address
+
+    async def reach():
+        async with session_from('127.2.0.99') as session:
+            service = HttpService(address, session)
+            return await attempt(context, service.load())
+
+    context.crashed = asyncio.Event()
+    run(context, context.site.cut(context.session, data_centre))
+    ended = run(context, reach())
+    assert ended == 'EndpointNotRun', ended
+    run(context, context.site.heal(context.session))
+    ended = run(context, reach())
+    assert ended == 'EndpointFailed', ended
