--- a/anvilcove/queries/status.py
+++ b/anvilcove/queries/status.py
@@ -111,7 +111,8 @@
         return reply(change)
 
     async def _metrics(self, request: web.Request) -> web.Response:
+        versions = self.context.newest_versions
         return web.Response(
-            body=self.context.metrics.render(self.context),
+            body=self.context.metrics.render(self.context, versions),
             headers={'Content-Type': 'text/plain; version=0.0.4'},
         )
