Check the trainer's promises under faults, two at a time

Cause: the path of a step was tested without faults only. The first run of the new scenarios found that one engine crash condemned a good prompt: all runs on the engine reported the crash, each counted, and the samples were delivered empty. Change: scenarios with killed, paused and stopped holders, lost store answers, a store that is down or slow, crashed engines, failed swaps, tokens without versions and newer weights at each point of the delivery. A crash counts once per engine, and the first sample of an unknown prompt runs before the others, so that a prompt that has produced a token is not condemned by two crashes that it did not cause. New weights wake the roll-out.

--- a/anvilcove/commands/rollout.py
+++ b/anvilcove/commands/rollout.py
@@ -74,6 +74,8 @@
         self.leases: LeaseKeeper = context.part(LeaseKeeper)
         self.runner: SampleRunner = context.part(SampleRunner)
         self._servers: dict[str, _Server] = {}
+        self._wake = asyncio.Event()
+        self.weights.changes.subscribe(lambda _: self._wake.set())
 
     def tasks(self) -> list[Coroutine[Any, Any, None]]:
         """Return the loop that looks at all models."""
@@ -85,9 +87,13 @@
             active = await asyncio.gather(
                 *(self._look(pool, model) for pool, model in pools.items())
             )
-            await self.context.clock.sleep(
-                ACTIVE_PERIOD_S if any(active) else IDLE_PERIOD_S
-            )
+            self._wake.clear()
+            period_s = ACTIVE_PERIOD_S if any(active) else IDLE_PERIOD_S
+            try:
+                async with asyncio.timeout(period_s):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
 
     async def _look(self, pool: str, model: str) -> bool:
         """Order swaps in a pool; return whether some are still to be made."""
--- a/anvilcove/commands/sample_attempts.py
+++ b/anvilcove/commands/sample_attempts.py
@@ -8,6 +8,7 @@
 
 from anvilcove.commands.dispatch import Dispatcher, NoSlot, Slot
 from anvilcove.daemon.context import Context
+from anvilcove.decisions.groups import StepNeed
 from anvilcove.decisions.types import (
     CANCELLED,
     CRASH,
@@ -169,3 +170,25 @@
     if isinstance(decision, RetryAfter):
         return decision.delay_s
     return float(min(MAX_BACKOFF_S, 0.05 * 2 ** min(sample.failures, 8)))
+
+
+def need_of(run: StepRun) -> StepNeed:
+    """Return what the groups policy needs to know of a step."""
+    return StepNeed(
+        trainer=run.body.trainer,
+        step=run.body.step,
+        opened_at_s=run.opened_at_s,
+        waiting_since_s=run.waiting_since_s,
+        missing=run.missing,
+    )
+
+
+async def cancel_attempt(context: Context, attempt: Attempt) -> None:
+    """Stop an attempt at its engine; it may have ended already."""
+    state = context.endpoints.by_id.get(attempt.endpoint)
+    if state is None:
+        return
+    try:
+        await context.endpoint_port(state).cancel(attempt.request_id)
+    except EndpointError as error:
+        logger.debug('cancel of {}: {}', attempt.request_id, error)
--- a/anvilcove/commands/samples.py
+++ b/anvilcove/commands/samples.py
@@ -6,13 +6,16 @@
 
 from loguru import logger
 
+from anvilcove.commands.content_gate import ContentGate
 from anvilcove.commands.dispatch import NoSlot, Slot
 from anvilcove.commands.sample_attempts import (
     AttemptFailed,
     accept_nothing,
     acquire_slot,
     backoff_s,
+    cancel_attempt,
     generate,
+    need_of,
     outcome_of,
     score,
 )
@@ -20,22 +23,21 @@
 from anvilcove.commands.weights import WeightsPart
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
-from anvilcove.decisions.groups import SampleView, StepNeed
+from anvilcove.decisions.groups import SampleView
 from anvilcove.decisions.types import (
     CANCELLED,
+    CRASH,
     OK,
-    Isolate,
-    Reject,
     RouteRequest,
 )
 from anvilcove.messages.callers import VersionRange
 from anvilcove.messages.engines import Generate
 from anvilcove.messages.trainers import Sample
-from anvilcove.platform.errors import EndpointError
 from anvilcove.state.steps import (
     Attempt,
     SampleRun,
     StepBook,
+    StepId,
     StepRun,
     is_stale,
 )
@@ -57,6 +59,7 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self.weights: WeightsPart = context.part(WeightsPart)
         self.viability = Viability(context)
+        self.gate = ContentGate(context)
         self.weights.changes.subscribe(self._weights_changed)
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
@@ -108,18 +111,9 @@
                 continue
             if attempt.task is not None:
                 attempt.task.cancel()
-            self.spawn(self._cancel(attempt))
+            self.spawn(cancel_attempt(self.context, attempt))
         sample.attempts = [a for a in sample.attempts if a is winner]
 
-    async def _cancel(self, attempt: Attempt) -> None:
-        state = self.context.endpoints.by_id.get(attempt.endpoint)
-        if state is None:
-            return
-        try:
-            await self.context.endpoint_port(state).cancel(attempt.request_id)
-        except EndpointError as error:
-            logger.debug('cancel of {}: {}', attempt.request_id, error)
-
     def _queue(
         self, run: StepRun, sample: SampleRun, first: bool = False
     ) -> None:
@@ -164,22 +158,33 @@
 
     def _choose(self, pool: str) -> tuple[StepRun, SampleRun] | None:
         now = self.context.clock.now()
-        runs = {
-            run.step_id: run
-            for run in self.book.by_id.values()
-            if run.pending
-            and self.pool(run) == pool
-            and self._has_engine(run, run.pending[0], pool)
-        }
-        if not runs:
+        ready: dict[StepId, tuple[StepRun, SampleRun]] = {}
+        for run in self.book.by_id.values():
+            if run.pending and self.pool(run) == pool:
+                sample = self._next_sample(run, pool)
+                if sample is not None:
+                    ready[run.step_id] = (run, sample)
+        if not ready:
             return None
-        needs = [need_of(run) for run in runs.values()]
-        chosen = self.context.policy('groups').next(now, needs)
-        run = runs[chosen.trainer, chosen.step]
-        sample = run.pending.popleft()
+        needs = [need_of(run) for run, _ in ready.values()]
+        need = self.context.policy('groups').next(now, needs)
+        run, sample = ready[need.trainer, need.step]
+        run.pending.remove(sample)
         sample.queued = False
         return run, sample
 
+    def _next_sample(self, run: StepRun, pool: str) -> SampleRun | None:
+        """Return the first waiting sample that may start now."""
+        refused: set[str] = set()
+        for sample in run.pending:
+            content = content_of(run, sample)
+            if content in refused:
+                continue
+            if self.gate.may_start(content):
+                return sample if self._has_engine(run, sample, pool) else None
+            refused.add(content)
+        return None
+
     def _has_engine(self, run: StepRun, sample: SampleRun, pool: str) -> bool:
         known = len(self.context.endpoints.ids_by_pool.get(pool, []))
         return known > len(self.viability.excluded(run, sample, pool))
@@ -192,15 +197,31 @@
             return
         if sample.count == 0:
             self.context.policy('retry').started(self.context.clock.now())
+        self.gate.started(request.content)
+        sample.queued = True
+        waiting = self.spawn(self._wait_for_room(run, sample, request))
+        # A suspected sample waits for an idle engine, the others need not.
+        if not request.isolated:
+            await waiting
+
+    async def _wait_for_room(
+        self, run: StepRun, sample: SampleRun, request: RouteRequest
+    ) -> None:
+        slot = None
         try:
             slot = await acquire_slot(self.context, request)
         except NoSlot:
+            pass
+        finally:
+            sample.queued = False
+            self.gate.ended(request.content)
+        if slot is None:
             self._queue(run, sample, first=True)
-            return
-        if run.dropped or sample.result is not None:
+            self._wake(request.pool)
+        elif run.dropped or sample.result is not None:
             slot.release(CANCELLED)
-            return
-        self.begin(run, sample, slot, sample.tokens, sample.versions)
+        else:
+            self.begin(run, sample, slot, sample.tokens, sample.versions)
 
     def route_request(
         self, run: StepRun, sample: SampleRun
@@ -208,8 +229,7 @@
         """Return what the dispatcher needs, None if it must never run."""
         now = self.context.clock.now()
         content = content_of(run, sample)
-        verdict = self.context.policy('quarantine').verdict(now, content)
-        if isinstance(verdict, Reject):
+        if self.gate.is_condemned(content):
             return None
         pool = self.pool(run)
         return RouteRequest(
@@ -221,7 +241,7 @@
             prefixes=[sample.group.prompt],
             excluded=self.viability.excluded(run, sample, pool),
             deadline_at_s=now + SLOT_WAIT_S,
-            isolated=isinstance(verdict, Isolate),
+            isolated=self.gate.is_isolated(content),
         )
 
     def new_request_id(self, run: StepRun, sample: SampleRun) -> str:
@@ -244,6 +264,7 @@
         attempt = Attempt(request_id, slot.state.endpoint, now)
         attempt.resume(tokens, versions)
         sample.attempts.append(attempt)
+        self.gate.started(slot.request.content)
         task = self.spawn(self._attempt(run, sample, attempt, slot))
         attempt.task = task
         run.tasks.add(task)
@@ -262,7 +283,14 @@
             outcome = outcome_of(error)
             reason = repr(error)
         finally:
+            content = slot.request.content
+            if outcome == CRASH:
+                outcome = self.gate.crash(
+                    slot.state, content, slot.started_at_s, slot.isolated
+                )
+            self.gate.ended(content)
             slot.release(outcome)
+            self._wake(self.pool(run))
         if outcome == OK:
             await self._finish(run, sample, attempt)
         else:
@@ -283,6 +311,8 @@
             resume_tokens=list(attempt.tokens),
         )
         async for _ in generate(self.context, slot.state, request, attempt):
+            if self.gate.produced(slot.request.content):
+                self._wake(slot.request.pool)
             last = attempt.versions[-1]
             self.viability.saw(attempt.endpoint, last.version)
             first = last.end - last.start == 1
@@ -366,14 +396,3 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-
-
-def need_of(run: StepRun) -> StepNeed:
-    """Return what the groups policy needs to know of a step."""
-    return StepNeed(
-        trainer=run.body.trainer,
-        step=run.body.step,
-        opened_at_s=run.opened_at_s,
-        waiting_since_s=run.waiting_since_s,
-        missing=run.missing,
-    )
--- /dev/null
+++ b/features/steps/fault_steps.py
@@ -0,0 +1,263 @@
+"""Steps that run a site for training and inject faults into it."""
+
+import asyncio
+import json
+import signal
+
+from behave import given, then, when
+from site_steps import run, wait_for
+
+from anvilcove.demo.site import Site, SiteShape
+from anvilcove.messages.membership import ENGINE
+
+
+class TrainingSite(Site):
+    """Site whose engines keep their journals in files, beyond a crash."""
+
+    def journal_path(self, endpoint):
+        """Return the file of an engine's journal."""
+        return self.folder / f'{endpoint}.journal'
+
+    async def start_endpoint(self, member):
+        """Start the stand-in of an endpoint."""
+        arguments = [
+            'standin',
+            member.kind,
+            f'--address={member.address}',
+            f'--endpoint={member.endpoint}',
+            f'--model={member.pool}',
+        ]
+        if member.kind == ENGINE:
+            path = self.journal_path(member.endpoint)
+            arguments.append(f'--journal_file={path}')
+        await self.processes.start(member.endpoint, arguments)
+
+
+@given('a training site with {hosts:d} hosts and {engines:d} engines')
+def start_training_site(context, hosts, engines):
+    """Start stand-ins and daemons without services."""
+    shape = SiteShape(
+        'test',
+        ['casa-ain', 'casa-sidi'],
+        hosts,
+        ('advisor-llm', engines),
+        ('account-app', 0),
+    )
+    context.site = TrainingSite(shape, context.folder)
+    # A graceful stop serves for this time before it hands over.
+    context.site.timing.entry_ttl_ms = 300
+    context.site.timing.lease_ms = 1_500
+    context.site.plan()
+    run(context, context.site.start(context.session))
+
+
+def engine_member(context, number):
+    """Return the membership entry of an engine."""
+    name = f'advisor-llm-{number}'
+    members = context.site.members.endpoints
+    return next(m for m in members if m.endpoint == name)
+
+
+def put_faults(context, address, switches):
+    """Set fault switches of a stand-in."""
+
+    async def put():
+        url = f'http://{address}/faults'
+        async with context.session.put(url, json=switches) as response:
+            assert response.status == 200
+
+    run(context, put())
+
+
+@when('model engine {number:d} has the faults {switches}')
+def engine_faults(context, number, switches):
+    """Set fault switches of an engine."""
+    member = engine_member(context, number)
+    put_faults(context, member.address, json.loads(switches))
+
+
+@when('daemon {host} is stopped gracefully')
+def stop_host(context, host):
+    """Stop a daemon and require a clean exit."""
+    assert run(context, context.site.processes.terminate(host)) == 0
+
+
+@when('daemon {host} is paused')
+def pause_host(context, host):
+    """Pause a daemon."""
+    context.site.processes.signal(host, signal.SIGSTOP)
+
+
+@when('daemon {host} is resumed')
+def resume_host(context, host):
+    """Resume a paused daemon."""
+    context.site.processes.signal(host, signal.SIGCONT)
+
+
+@when('model engine {number:d} starts again')
+def restart_engine(context, number):
+    """Wait for the crash of an engine and start it again."""
+    member = engine_member(context, number)
+
+    async def restart():
+        async with asyncio.timeout(30):
+            await context.site.processes.by_name[member.endpoint].wait()
+        await context.site.processes.restart(member.endpoint)
+
+    run(context, restart())
+
+
+def engine_lines(context):
+    """Return the journal lines of each engine from its file."""
+    found = {}
+    for member in context.site.members.endpoints:
+        if member.kind == ENGINE:
+            path = context.site.journal_path(member.endpoint)
+            text = path.read_text() if path.exists() else ''
+            found[member.endpoint] = [
+                json.loads(line)
+                for line in text.splitlines(keepends=True)
+                if line.endswith('\n')
+            ]
+    return found
+
+
+def platform_lines(context):
+    """Return the journal of the platform."""
+
+    async def get():
+        url = f'http://{context.site.platform_address}/journal'
+        async with context.session.get(url) as response:
+            return await response.json()
+
+    return run(context, get())
+
+
+@when('samples of step {step:d} of trainer {trainer} are running')
+def wait_running(context, step, trainer):
+    """Wait until an engine has sent a token of the step."""
+    prefix = f'{trainer}/{step}/'
+
+    async def running():
+        return any(
+            line['event'] == 'version'
+            and line['request_id'].startswith(prefix)
+            for lines in engine_lines(context).values()
+            for line in lines
+        )
+
+    run(context, wait_for(running))
+
+
+@when('step {step:d} of trainer {trainer} has {fence:d} as its fence')
+def wait_fence(context, step, trainer, fence):
+    """Wait until the table shows that the step was taken over."""
+    wait_for_row(
+        context, f'step/{trainer}/{step}', lambda row: row['fence'] >= fence
+    )
+
+
+def wait_for_row(context, key, condition):
+    """Wait until the row of a key fulfils a condition."""
+
+    async def holds():
+        url = f'http://{context.site.platform_address}/table/read'
+        async with context.session.post(url, json={'keys': [key]}) as response:
+            value = (await response.json())['rows'][0].get('value')
+        return value is not None and condition(value)
+
+    run(context, wait_for(holds))
+
+
+def step_puts(context):
+    """Yield platform journal lines with the newest version at that time."""
+    newest = 0
+    for line in platform_lines(context):
+        if line['event'] != 'put':
+            continue
+        if line['key'].startswith('weights/'):
+            newest = max(newest, line['value']['version'])
+        yield line['key'], line['value'], newest
+
+
+@then('no step was fixed outside its bound')
+def check_fixed_in_bound(context):
+    """Compare each fix with the newest weights in the table then."""
+    for key, value, newest in step_puts(context):
+        if key.startswith('step/') and value['state'] == 'fixed':
+            assert newest - value['oldest'] <= value['bound'], (key, newest)
+
+
+@then('each epoch of a step was fixed at most once')
+def check_fixed_once(context):
+    """Check that no fixed row was replaced within its epoch."""
+    last = {}
+    for key, value, _ in step_puts(context):
+        if not key.startswith('step/'):
+            continue
+        before = last.get(key)
+        if before is not None and before['state'] == 'fixed':
+            assert value['epoch'] > before['epoch'], (key, before, value)
+        if before is not None:
+            assert value['fence'] >= before['fence'], (key, before, value)
+        last[key] = value
+
+
+@then('the cursor of trainer {trainer} moved by one step each time')
+def check_cursor(context, trainer):
+    """Check the writes of the cursor."""
+    steps = [
+        value['step']
+        for key, value, _ in step_puts(context)
+        if key == f'cursor/{trainer}'
+    ]
+    assert steps == list(range(1, len(steps) + 1)), steps
+
+
+@then('the table has a lost answer')
+def check_lost(context):
+    """Check that the fault struck, so that the scenario means something."""
+    assert any(
+        line['event'] == 'answer_lost' for line in platform_lines(context)
+    )
+
+
+@then('the versions in the table only rose')
+def check_versions_rise(context):
+    """Check the writes of the weights row."""
+    versions = [
+        value['version']
+        for key, value, _ in step_puts(context)
+        if key.startswith('weights/')
+    ]
+    assert versions == sorted(set(versions)), versions
+
+
+@when('the holder of the roll-out lease is paused')
+def pause_rollout_holder(context):
+    """Pause the daemon that the lease names."""
+    holders = [
+        value['holder']
+        for key, value, _ in step_puts(context)
+        if key == 'lease/rollout/advisor-llm'
+    ]
+    context.paused = holders[-1]
+    context.site.processes.signal(context.paused, signal.SIGSTOP)
+
+
+@when('the paused daemon is resumed')
+def resume_rollout_holder(context):
+    """Resume the daemon that was paused last."""
+    context.site.processes.signal(context.paused, signal.SIGCONT)
+
+
+@when('model engine {number:d} is killed and starts again')
+def kill_engine(context, number):
+    """Kill an engine; it starts with version 0."""
+    name = engine_member(context, number).endpoint
+
+    async def restart():
+        await context.site.processes.kill(name)
+        await context.site.processes.restart(name)
+
+    run(context, restart())
--- a/features/steps/training_steps.py
+++ b/features/steps/training_steps.py
@@ -1,8 +1,12 @@
 """Steps of a trainer: submit, fetch, acknowledge, and check deliveries."""
 
 import asyncio
+import json
 
-from behave import then, when
+import yaml
+from aiohttp import ClientError
+from behave import given, then, when
+from fault_steps import engine_lines
 from site_steps import host_url, run, wait_for
 
 from anvilcove.client.trainer import Trainer, TrainerSettings
@@ -32,6 +36,7 @@
         context.submitted = {}
         context.delivered = {}
         context.fetches = []
+        context.newest = 0
     return context
 
 
@@ -45,6 +50,28 @@
     )
 
 
+@given('a trainer class with a bound of {bound:d} versions')
+def declare_class(context, bound):
+    """Declare the class of the trainers at every host."""
+    context.declared = yaml.safe_dump(
+        {
+            'classes': [
+                {
+                    'kind': 'trainer',
+                    'name': 'rollouts',
+                    'pool': 'advisor-llm',
+                    'model': 'advisor-llm',
+                    'step_within_ms': 1000,
+                    'max_staleness_versions': bound,
+                }
+            ]
+        }
+    )
+    context.execute_steps(
+        f'Given the class declarations\n"""\n{context.declared}\n"""'
+    )
+
+
 @when(
     'trainer {trainer} submits step {step:d} with {groups:d} groups of '
     '{samples:d} samples of {tokens:d} tokens at host {host}'
@@ -77,6 +104,16 @@
         records(context).submitted[trainer, step] = specs
 
 
+def check_bound(context, batch):
+    """Check that no sample is older than the bound when it arrives."""
+    target = yaml.safe_load(context.declared)['classes'][0]
+    oldest = min(
+        part.version for sample in batch.samples for part in sample.versions
+    )
+    bound = target['max_staleness_versions']
+    assert context.newest - oldest <= bound, (context.newest, oldest)
+
+
 @when('trainer {trainer} takes {count:d} steps from hosts {hosts}')
 def take_steps(context, trainer, count, hosts):
     """Take and acknowledge batches with the trainer's library."""
@@ -90,6 +127,7 @@
         ):
             async for batch in client.batches(after=len(taken)):
                 taken.append(batch)
+                check_bound(context, batch)
                 await batch.ack()
                 if len(taken) == count:
                     return
@@ -111,7 +149,9 @@
                 async with context.session.get(url) as response:
                     if response.status == 200:
                         data = await response.read()
+                        check_bound(context, decode(data, Batch))
                         return data, response.headers['X-Digest']
+                    assert response.status == 204, await response.text()
 
     records(context).fetches.append(run(context, get()))
 
@@ -123,7 +163,12 @@
 )
 def acknowledge(context, trainer, host, epoch=None):
     """Acknowledge the batch that was fetched last."""
-    data, digest = context.fetches[-1]
+    send_ack(context, trainer, host, context.fetches[-1], epoch)
+
+
+def send_ack(context, trainer, host, fetched, epoch=None):
+    """Acknowledge a fetched batch and keep the answer."""
+    data, digest = fetched
     batch = decode(data, Batch)
     body = {
         'step': batch.step,
@@ -168,23 +213,14 @@
         assert [s.sample_id for s in batch.samples] == expected
 
 
-async def journals(context):
+def journals(context):
     """Return the tokens that the engines ran: sample, index and version."""
     ran = set()
-    for member in context.site.members.endpoints:
-        if member.kind == 'engine':
-            lines = await journal_of(context, member)
-            ran |= tokens_of(lines)
+    for lines in engine_lines(context).values():
+        ran |= tokens_of(lines)
     return ran
 
 
-async def journal_of(context, member):
-    """Return the journal lines of an engine."""
-    url = f'http://{member.address}/journal'
-    async with context.session.get(url) as response:
-        return await response.json()
-
-
 def tokens_of(lines):
     """Return what the runs of a journal may have produced.
 
@@ -216,7 +252,7 @@
 @then('the versions of each sample are those that the engines ran')
 def check_versions(context):
     """Check every version range against the engines' journals."""
-    ran = run(context, journals(context))
+    ran = journals(context)
     for batches in context.delivered.values():
         for batch in batches:
             for sample in batch.samples:
@@ -248,6 +284,15 @@
             await client.publish('advisor-llm', version)
 
     run(context, send())
+    records(context).newest = version
+
+
+@when('the trainer publishes version {version:d} at a host that runs')
+def publish_elsewhere(context, version):
+    """Publish at a host that is not paused."""
+    hosts = sorted(context.site.settings_by_host)
+    host = next(host for host in hosts if host != context.paused)
+    publish(context, version, host)
 
 
 @then('every engine reports version {version:d}')
@@ -259,21 +304,136 @@
         for member in context.site.members.endpoints:
             if member.kind == 'engine':
                 url = f'http://{member.address}/state'
-                async with context.session.get(url) as response:
-                    versions.add((await response.json())['version'])
+                try:
+                    async with context.session.get(url) as response:
+                        versions.add((await response.json())['version'])
+                except ClientError:
+                    return False
         return versions == {version}
 
     run(context, wait_for(reported))
 
 
-@then('every delivered token is of version {version:d}')
-def check_delivered_version(context, version):
-    """Check the ranges of all delivered samples."""
-    found = {
+def delivered_versions(context):
+    """Return the versions that the delivered samples name."""
+    return {
         part.version
         for batches in context.delivered.values()
         for batch in batches
         for sample in batch.samples
         for part in sample.versions
     }
+
+
+@then('every delivered token is of version {version:d}')
+def check_delivered_version(context, version):
+    """Check the ranges of all delivered samples."""
+    found = delivered_versions(context)
     assert found == {version}, found
+
+
+@then(
+    'a fetch of step {step:d} by trainer {trainer} at host {host} '
+    'has status {status:d}'
+)
+def check_fetch_status(context, step, trainer, host, status):
+    """Fetch once and check the status."""
+
+    async def get():
+        url = (
+            f'{host_url(context, host)}/v1/trainers/{trainer}/batch'
+            f'?after={step - 1}&wait_ms=500'
+        )
+        async with context.session.get(url) as response:
+            return response.status
+
+    found = run(context, get())
+    assert found == status, found
+
+
+@when('step {step:d} of trainer {trainer} has {count:d} finished samples')
+def wait_finished(context, step, trainer, count):
+    """Wait until the engines have completed enough samples of a step."""
+    prefix = f'{trainer}/{step}/'
+
+    async def finished():
+        done = {
+            line['request_id'].partition('~')[0]
+            for lines in engine_lines(context).values()
+            for line in lines
+            if line['event'] == 'finished'
+            and line['completed']
+            and line['request_id'].startswith(prefix)
+        }
+        return len(done) >= count
+
+    run(context, wait_for(finished))
+
+
+@when(
+    'version {version:d} is published between the reads and the fix of '
+    'step {step:d} of trainer {trainer}'
+)
+def publish_in_fix(context, version, step, trainer):
+    """Publish at once with a fetch; with a slow store the two overlap."""
+    path = f'/v1/trainers/{trainer}/batch?after={step - 1}&wait_ms=1000'
+    message = {'model': 'advisor-llm', 'version': version}
+
+    async def fetch_once():
+        async with context.session.get(
+            f'{host_url(context, "h1")}{path}'
+        ) as response:
+            if response.status == 200:
+                check_bound(context, decode(await response.read(), Batch))
+
+    async def send():
+        async with context.session.post(
+            f'{host_url(context, "h2")}/v1/weights', json=message
+        ) as response:
+            assert response.status == 200, await response.text()
+
+    async def both():
+        await asyncio.gather(fetch_once(), send())
+
+    run(context, both())
+    records(context).newest = version
+
+
+@when('trainer {trainer} acknowledges the first fetched batch at host {host}')
+def acknowledge_first(context, trainer, host):
+    """Acknowledge the batch that was fetched first."""
+    send_ack(context, trainer, host, context.fetches[0])
+
+
+@then('the fetched batches have the epochs {epochs}')
+def check_epochs(context, epochs):
+    """Compare the epochs of all fetches."""
+    found = [decode(data, Batch).epoch for data, _ in context.fetches]
+    assert found == json.loads(f'[{epochs}]'), found
+
+
+@then('publishing version {version:d} at host {host} has status {status:d}')
+def check_publish(context, version, host, status):
+    """Publish once and check the status."""
+    message = {'model': 'advisor-llm', 'version': version}
+
+    async def send():
+        async with context.session.post(
+            f'{host_url(context, host)}/v1/weights', json=message
+        ) as response:
+            return response.status
+
+    found = run(context, send())
+    assert found == status, found
+
+
+@then('the delivered samples name more than one version')
+def check_several(context):
+    """Check that the scenario crossed a change of weights."""
+    assert len(delivered_versions(context)) > 1
+
+
+@then('no delivered token lacks its version')
+def check_known(context):
+    """Check that every version is one that exists."""
+    assert min(delivered_versions(context)) >= 0
