--- a/features/exactly_once.feature
+++ b/features/exactly_once.feature
@@ -111,3 +111,4 @@
     And trainer t1 takes 1 steps from hosts h2, h3
     Then trainer t1 has each sample of steps 1 to 1 once
     And each epoch of a step was fixed at most once
+    And step 1 of trainer t1 was handed over
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -214,6 +214,14 @@
     assert steps == list(range(1, len(steps) + 1)), steps
 
 
+@then('step {step:d} of trainer {trainer} was handed over')
+def check_handover(context, step, trainer):
+    """Check that the holder gave its lease up in the table."""
+    key = f'step/{trainer}/{step}'
+    holders = [v['holder'] for k, v, _ in step_puts(context) if k == key]
+    assert '' in holders, holders
+
+
 @then('the table has a lost answer')
 def check_lost(context):
     """Check that the fault struck, so that the scenario means something."""
