Hand over finished samples, find entry hosts, catch up acknowledgements

Cause: a planned stop threw finished samples away; a holder that renews in the table but is cut off from the other hosts kept its step; a trainer that ended before an acknowledgement could never acknowledge again; the library used only the configured addresses. Change: finished samples go to the object store at a graceful stop; a holder that nobody reaches for three lease times loses its step; the library asks for entry hosts, stays with one while it answers, and acknowledges the step before the first one it takes. Failures that are not the engine's fault spend no retry budget.

--- a/anvilcove/client/trainer.py
+++ b/anvilcove/client/trainer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import random
 import time
 from collections.abc import AsyncIterator, Callable
 from types import TracebackType
@@ -10,7 +11,10 @@
 from msgspec import Struct, field
 from xxhash import xxh3_128_hexdigest
 
+from anvilcove.client.entries import EntryBook
+from anvilcove.client.settings import ClientSettings
 from anvilcove.messages.base import MessageError, decode, encode
+from anvilcove.messages.callers import Entry
 from anvilcove.messages.trainers import (
     AckBatch,
     Batch,
@@ -40,7 +44,8 @@
 class TrainerSettings(Struct, kw_only=True):
     """Settings of one trainer.
 
-    `entries` are addresses `ip:port` of entry hosts. A response that takes
+    `entries` are addresses `ip:port` of entry hosts to ask first; with
+    `discover`, the hosts that they name are used. A response that takes
     longer than `response_limit_s` is dropped: newer weights may have put it
     outside the staleness bound on its way. A call that no entry host answers
     within `give_up_s` fails.
@@ -49,6 +54,8 @@
     trainer: str
     class_name: str
     entries: list[str]
+    data_centre: str = ''
+    discover: bool = True
     wait_ms: int = 1_000
     response_limit_s: float = 2.0
     call_timeout_s: float = 4.0
@@ -107,11 +114,25 @@
         self.taken: set[int] = set()
         self._clock = clock
         self._session: ClientSession | None = None
-        self._entry = 0
+        self._failures = 0
+        self._entry: Entry | None = None
+        self._book: EntryBook | None = None
 
     async def __aenter__(self) -> 'Trainer':
         """Open the connections."""
-        self._session = ClientSession(headers=self.settings.headers)
+        settings = self.settings
+        self._session = ClientSession(headers=settings.headers)
+        if settings.discover:
+            self._book = EntryBook(
+                ClientSettings(
+                    caller=settings.trainer,
+                    addresses=settings.entries,
+                    data_centre=settings.data_centre,
+                ),
+                self._session,
+                self._clock,
+                random.Random(),
+            )
         return self
 
     async def __aexit__(
@@ -162,9 +183,29 @@
                 _require_ok(reply)
                 return
             try:
-                batch = await self._fetch(batch.step)
+                current = await self._fetch(batch.step)
             except StepConsumedError:
                 return
+            if current.digest == batch.digest:
+                await self._acknowledge_earlier(batch, reply)
+            batch = current
+
+    async def _acknowledge_earlier(
+        self, batch: TrainerBatch, refusal: _Reply
+    ) -> None:
+        """Acknowledge the step before, which `after` declared as consumed.
+
+        A trainer that ended between consuming and acknowledging a step starts
+        again after it, and the cursor does not skip a step.
+        """
+        if batch.step <= 1:
+            raise TrainerError(_reason(refusal), refusal.status)
+        try:
+            async with asyncio.timeout(self.settings.give_up_s):
+                earlier = await self._fetch(batch.step - 1)
+        except StepConsumedError:
+            raise TrainerError(_reason(refusal), refusal.status) from None
+        await self.acknowledge(earlier)
 
     async def _send_ack(self, batch: TrainerBatch) -> _Reply:
         message = AckBatch(
@@ -210,8 +251,7 @@
         end_s = self._clock() + self.settings.give_up_s
         reason = 'no entry host is configured'
         while self._clock() < end_s and self.settings.entries:
-            entries = self.settings.entries
-            entry = entries[self._entry % len(entries)]
+            entry = await self._choose_entry()
             try:
                 reply = await self._call_once(method, entry, path, message)
             except (ClientError, OSError, TimeoutError) as error:
@@ -220,10 +260,30 @@
                 if reply.status not in RETRIED_STATUSES:
                     return reply
                 reason = f'{entry}: {_reason(reply)}'
-            self._entry += 1
+            self._leave_entry()
             await asyncio.sleep(self.settings.pause_s)
         raise TrainerError(reason)
 
+    async def _choose_entry(self) -> str:
+        """Stay with one host, which then holds the steps, while it is named.
+
+        Without discovery the configured hosts are used in turn.
+        """
+        entries = self.settings.entries
+        if self._book is None:
+            return entries[self._failures % len(entries)]
+        chosen = await self._book.choose(set())
+        named = {entry.address for entry in self._book.entries}
+        if self._entry is None or self._entry.address not in named:
+            self._entry = chosen
+        return entries[0] if self._entry is None else self._entry.address
+
+    def _leave_entry(self) -> None:
+        self._failures += 1
+        if self._book is not None and self._entry is not None:
+            self._book.failed(self._entry)
+        self._entry = None
+
     async def _call_once(
         self, method: str, entry: str, path: str, message: object | None
     ) -> _Reply:
--- a/anvilcove/commands/batches.py
+++ b/anvilcove/commands/batches.py
@@ -37,12 +37,16 @@
     StoreUnavailable,
 )
 from anvilcove.settings.classes import TrainerClass
+from anvilcove.state.leases import LeaseWatch
 
 RETRY_S = 0.1
 ACK_LIMIT_S = 3.0
 # Rows of this many acknowledged steps stay, for repeated acknowledgements.
 KEPT_STEPS = 8
 PEER_MARGIN_S = 1.0
+# After so many lease times without an answer, a holder that still renews in
+# the table is taken to be cut off from the other hosts.
+UNREACHED_LEASES = 3
 
 
 class _Fetch:
@@ -73,6 +77,8 @@
         self.steps: Steps = context.part(Steps)
         self.fixing: Fixing = context.part(Fixing)
         self.weights: WeightsPart = context.part(WeightsPart)
+        lease_s = context.settings.timing.lease_ms / 1000
+        self.unreached = LeaseWatch(UNREACHED_LEASES * lease_s)
 
     def routes(self) -> list[web.RouteDef]:
         """Return the trainers' routes."""
@@ -100,6 +106,7 @@
             except PlatformError as error:
                 logger.warning('batch not available: {}', error)
                 self.steps.watch.restart()
+                self.unreached.restart()
                 response = None
             if response is not None:
                 return response
@@ -183,11 +190,15 @@
             fetch.key, (row.fence, row.beat), self.context.clock.now()
         )
         state = await self._fix_at(fetch, row)
-        if state == FIXED:
-            return True
-        if state == OPEN:
-            return False
-        if state == MISSING or expired:
+        if state:
+            self.unreached.forget(fetch.key)
+        if state in (FIXED, OPEN):
+            return state == FIXED
+        # A holder that renews but that nobody reaches serves no trainer.
+        cut_off = self.unreached.expired(
+            fetch.key, row.fence, self.context.clock.now()
+        )
+        if state == MISSING or expired or cut_off:
             return await self._take(fetch, row, rows, [], row.epoch)
         return False
 
--- a/anvilcove/commands/sample_attempts.py
+++ b/anvilcove/commands/sample_attempts.py
@@ -41,6 +41,7 @@
 SCORING_LIMIT_S = 5.0
 SCORING_RETRY_S = 0.2
 MAX_BACKOFF_S = 2.0
+NOT_FAILED_DELAY_S = 0.1
 # Retries of samples go on while the step is open; this only bounds one.
 ATTEMPT_DEADLINE_S = 60.0
 
@@ -157,8 +158,14 @@
     )
 
 
-def backoff_s(context: Context, sample: SampleRun) -> float:
-    """Return the delay before a failed sample is queued again."""
+def backoff_s(context: Context, sample: SampleRun, outcome: str) -> float:
+    """Return the delay before a failed sample is queued again.
+
+    Only failures spend the retry budget; an engine that is full or runs an
+    old version has not failed.
+    """
+    if outcome in (CANCELLED, OVERLOADED):
+        return NOT_FAILED_DELAY_S
     now = context.clock.now()
     decision = context.policy('retry').next_attempt(
         now,
--- a/anvilcove/commands/samples.py
+++ b/anvilcove/commands/samples.py
@@ -19,11 +19,14 @@
     outcome_of,
     score,
 )
-from anvilcove.commands.viability import Viability, content_of
+from anvilcove.commands.viability import (
+    Viability,
+    content_of,
+    waiting_views,
+)
 from anvilcove.commands.weights import WeightsPart
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
-from anvilcove.decisions.groups import SampleView
 from anvilcove.decisions.types import (
     CANCELLED,
     CRASH,
@@ -71,17 +74,10 @@
 
     def start(self, run: StepRun) -> None:
         """Start to generate the samples of a step that have no result."""
-        views = [
-            SampleView(
-                position=position,
-                content=content_of(run, sample),
-                max_tokens=sample.group.max_tokens,
-            )
-            for position, sample in enumerate(run.samples)
-            if sample.result is None
-        ]
         now = self.context.clock.now()
-        for position in self.context.policy('groups').order(now, views):
+        for position in self.context.policy('groups').order(
+            now, waiting_views(run)
+        ):
             self._queue(run, run.samples[position])
         self._wake(self.pool(run))
 
@@ -157,7 +153,6 @@
                 await self.context.clock.sleep(IDLE_PERIOD_S)
 
     def _choose(self, pool: str) -> tuple[StepRun, SampleRun] | None:
-        now = self.context.clock.now()
         ready: dict[StepId, tuple[StepRun, SampleRun]] = {}
         for run in self.book.by_id.values():
             if run.pending and self.pool(run) == pool:
@@ -167,7 +162,9 @@
         if not ready:
             return None
         needs = [need_of(run) for run, _ in ready.values()]
-        need = self.context.policy('groups').next(now, needs)
+        need = self.context.policy('groups').next(
+            self.context.clock.now(), needs
+        )
         run, sample = ready[need.trainer, need.step]
         run.pending.remove(sample)
         sample.queued = False
@@ -181,14 +178,11 @@
             if content in refused:
                 continue
             if self.gate.may_start(content):
-                return sample if self._has_engine(run, sample, pool) else None
+                usable = self.viability.has_engine(run, sample, pool)
+                return sample if usable else None
             refused.add(content)
         return None
 
-    def _has_engine(self, run: StepRun, sample: SampleRun, pool: str) -> bool:
-        known = len(self.context.endpoints.ids_by_pool.get(pool, []))
-        return known > len(self.viability.excluded(run, sample, pool))
-
     async def _start_one(self, run: StepRun, sample: SampleRun) -> None:
         """Wait for room for a sample and start its attempt."""
         request = self.route_request(run, sample)
@@ -294,7 +288,7 @@
         if outcome == OK:
             await self._finish(run, sample, attempt)
         else:
-            await self._failed(run, sample, attempt, reason)
+            await self._failed(run, sample, attempt, outcome, reason)
 
     async def _generate(
         self, run: StepRun, sample: SampleRun, attempt: Attempt, slot: Slot
@@ -353,7 +347,12 @@
         run.set_result(sample, result)
 
     async def _failed(
-        self, run: StepRun, sample: SampleRun, attempt: Attempt, reason: str
+        self,
+        run: StepRun,
+        sample: SampleRun,
+        attempt: Attempt,
+        outcome: str,
+        reason: str,
     ) -> None:
         """Keep the tokens and queue the sample again after a delay."""
         logger.info('attempt {}: {}', attempt.request_id, reason)
@@ -366,7 +365,9 @@
             sample.keep(attempt)
         if sample.attempts:
             return
-        await self.context.clock.sleep(backoff_s(self.context, sample))
+        await self.context.clock.sleep(
+            backoff_s(self.context, sample, outcome)
+        )
         if not sample.attempts:
             self._queue(run, sample, first=True)
             self._wake(self.pool(run))
--- a/anvilcove/commands/steps.py
+++ b/anvilcove/commands/steps.py
@@ -15,20 +15,25 @@
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
 from anvilcove.daemon.replies import read_message, refusal, reply
-from anvilcove.messages.base import decode, encode
+from anvilcove.messages.base import MessageError, decode, encode
 from anvilcove.messages.steps import (
     OPEN,
     StepRow,
     cursor_key,
     cursor_row,
+    partial_object,
     row_value,
     step_key,
     step_object,
     step_row,
 )
 from anvilcove.messages.table import Check, Put, Row, Transaction
-from anvilcove.messages.trainers import StepAccepted, SubmitStep
-from anvilcove.platform.errors import PlatformError, StoreAnswerLost
+from anvilcove.messages.trainers import Sample, StepAccepted, SubmitStep
+from anvilcove.platform.errors import (
+    ObjectNotFound,
+    PlatformError,
+    StoreAnswerLost,
+)
 from anvilcove.settings.classes import TrainerClass
 from anvilcove.state.leases import LeaseWatch
 from anvilcove.state.steps import StepBook, StepRun
@@ -156,9 +161,16 @@
             self._hold(message, existing, row.revision)
         return reply(StepAccepted(step=message.step, epoch=existing.epoch))
 
-    def _hold(self, body: SubmitStep, row: StepRow, revision: int) -> StepRun:
+    def _hold(
+        self,
+        body: SubmitStep,
+        row: StepRow,
+        revision: int,
+        samples: list[Sample] | None = None,
+    ) -> StepRun:
         now = self.context.clock.now()
         run = StepRun(body, row, revision, now)
+        run.adopt(samples or [])
         self.book.add(run)
         self.watch.forget(step_key(*run.step_id))
         self.runner.start(run)
@@ -179,6 +191,7 @@
         """
         if self.released:
             return False
+        samples = await self._handed_over(row, body, epoch)
         own = structs.replace(
             row,
             state=OPEN,
@@ -205,9 +218,23 @@
                 return False
             revision = current.revision
         logger.info('took {} with fence {} epoch {}', key, own.fence, epoch)
-        self._hold(body, own, revision)
+        self._hold(body, own, revision, samples)
         return True
 
+    async def _handed_over(
+        self, row: StepRow, body: SubmitStep, epoch: int
+    ) -> list[Sample]:
+        """Read the finished samples of a holder that was stopped."""
+        if not row.partial or epoch != row.epoch:
+            return []
+        name = partial_object(body.trainer, body.step, row.partial)
+        try:
+            data = await self.context.ports['objects'].get(name)
+            return decode(data, list[Sample])
+        except (ObjectNotFound, MessageError) as error:
+            logger.warning('finished samples {} not used: {}', name, error)
+            return []
+
     async def load_body(
         self, trainer: str, step: int, digest: str
     ) -> SubmitStep:
@@ -290,13 +317,25 @@
         async with run.lock:
             if run.dropped:
                 return
-            row = structs.replace(run.row, holder='')
             try:
+                partial = await self._store_finished(run)
+                row = structs.replace(run.row, holder='', partial=partial)
                 await self.write(run, row)
             except PlatformError as error:
                 logger.warning('step not handed over: {}', error)
             self.drop(run, 'daemon is stopping')
 
+    async def _store_finished(self, run: StepRun) -> str:
+        """Store the finished samples for the next holder."""
+        samples = [s.result for s in run.samples if s.result is not None]
+        if not samples:
+            return ''
+        data = encode(samples)
+        digest = xxh3_128_hexdigest(data)
+        name = partial_object(*run.step_id, digest)
+        await self.context.ports['objects'].put(name, data)
+        return digest
+
 
 def insert(
     key: str, revision: int, row: StepRow, checks: list[Check] | None = None
--- a/anvilcove/commands/viability.py
+++ b/anvilcove/commands/viability.py
@@ -2,6 +2,7 @@
 
 from anvilcove.commands.weights import WeightsPart
 from anvilcove.daemon.context import Context
+from anvilcove.decisions.groups import SampleView
 from anvilcove.messages.callers import VersionRange
 from anvilcove.state.content import content_hash
 from anvilcove.state.steps import (
@@ -27,6 +28,19 @@
     return known
 
 
+def waiting_views(run: StepRun) -> list[SampleView]:
+    """Return what the groups policy needs of the samples without a result."""
+    return [
+        SampleView(
+            position=position,
+            content=content_of(run, sample),
+            max_tokens=sample.group.max_tokens,
+        )
+        for position, sample in enumerate(run.samples)
+        if sample.result is None
+    ]
+
+
 class Viability:
     """Judge by the versions in tokens, never by orders to engines."""
 
@@ -47,6 +61,11 @@
         """Return the version of an engine's last token and its time."""
         return self._version_by_endpoint.get(endpoint, (0, float('-inf')))
 
+    def has_engine(self, run: StepRun, sample: SampleRun, pool: str) -> bool:
+        """Tell whether an engine of the pool may run a sample."""
+        known = len(self.context.endpoints.ids_by_pool.get(pool, []))
+        return known > len(self.excluded(run, sample, pool))
+
     def excluded(self, run: StepRun, sample: SampleRun, pool: str) -> set[str]:
         """Return the engines that must not run a sample now.
 
--- a/anvilcove/messages/steps.py
+++ b/anvilcove/messages/steps.py
@@ -16,7 +16,8 @@
     """Value of row `step/<trainer>/<n>`.
 
     `nonce` tells apart two processes of one host; an empty `holder` means
-    that the step was handed over and is free to take.
+    that the step was handed over and is free to take; `partial` then names
+    the finished samples.
     """
 
     state: str
@@ -81,6 +82,11 @@
     return f'steps/{trainer}/{step}/{digest}'
 
 
+def partial_object(trainer: str, step: int, digest: str) -> str:
+    """Return the name of the object with samples that were handed over."""
+    return f'steps/{trainer}/{step}/partial/{digest}'
+
+
 def batch_object(trainer: str, step: int, epoch: int, digest: str) -> str:
     """Return the name of the object with a fixed batch."""
     return f'batch/{trainer}/{step}/{epoch}/{digest}'
--- a/anvilcove/state/steps.py
+++ b/anvilcove/state/steps.py
@@ -178,6 +178,14 @@
         if self.missing == 0:
             self.complete.set()
 
+    def adopt(self, results: list[Sample]) -> None:
+        """Keep results of an earlier holder in the same epoch."""
+        by_id = {result.sample_id: result for result in results}
+        for sample in self.samples:
+            result = by_id.get(self.sample_id(sample))
+            if result is not None:
+                self.set_result(sample, result)
+
     def clear_result(self, sample: SampleRun) -> None:
         """Take the result of a sample back."""
         if sample.result is not None:
--- a/features/exactly_once.feature
+++ b/features/exactly_once.feature
@@ -10,8 +10,10 @@
     Guards against missing or repeated samples without any fault.
     When trainer t1 submits step 1 with 2 groups of 3 samples of 4 tokens at host h1
     And trainer t1 submits step 2 with 2 groups of 3 samples of 4 tokens at host h2
+    And trainer t1 submits step 3 with 1 groups of 3 samples of 4 tokens at host h2
     And trainer t1 takes 2 steps from hosts h3, h2
-    Then trainer t1 has each sample of steps 1 to 2 once
+    And trainer t1 takes 3 steps from the hosts that h1 names
+    Then trainer t1 has each sample of steps 1 to 3 once
     And the versions of each sample are those that the engines ran
 
   Scenario: A step is submitted twice and with another body
@@ -112,3 +114,13 @@
     Then trainer t1 has each sample of steps 1 to 1 once
     And each epoch of a step was fixed at most once
     And step 1 of trainer t1 was handed over
+
+  Scenario: A holder is stopped gracefully with finished samples
+    Guards against finished samples that are generated again at the next host.
+    When trainer t1 submits step 1 with 1 groups of 4 samples of 4 tokens at host h1
+    And step 1 of trainer t1 has 4 finished samples
+    And daemon h1 is stopped gracefully
+    And trainer t1 takes 1 steps from hosts h2, h3
+    Then trainer t1 has each sample of steps 1 to 1 once
+    And each sample of step 1 of trainer t1 ran once
+    And step 1 of trainer t1 was handed over
--- a/features/steps/library_steps.py
+++ b/features/steps/library_steps.py
@@ -25,6 +25,7 @@
         self.fetches = 0
         self.refused = set()
         self.acknowledged = []
+        self.cursor = None
 
     def clock(self):
         """Return the time that the library sees."""
@@ -49,6 +50,9 @@
         message = await request.json()
         if message['epoch'] in self.refused:
             return web.json_response({}, status=409)
+        if self.cursor not in (None, message['step'] - 1):
+            return web.json_response({}, status=409)
+        self.cursor = message['step']
         self.acknowledged.append(message['epoch'])
         return web.json_response({'cursor': message['step']})
 
@@ -81,13 +85,20 @@
     context.entry.refused.add(epoch)
 
 
+@given('the entry host has the cursor at step {step:d}')
+def set_cursor(context, step):
+    """Refuse acknowledgements of any step but the next one."""
+    context.entry.cursor = step
+
+
 @when('the library takes {count:d} step')
-def take(context, count):
+@when('the library takes {count:d} step after step {after:d}')
+def take(context, count, after=0):
     """Take and acknowledge steps."""
-    run(context, take_batches(context, count))
+    run(context, take_batches(context, count, after))
 
 
-async def take_batches(context, count):
+async def take_batches(context, count, after):
     """Serve the entry host and take batches from it."""
     app = web.Application()
     app.router.add_get('/v1/trainers/t1/batch', context.entry.fetch)
@@ -98,14 +109,17 @@
     await site.start()
     ip, port = runner.addresses[0]
     settings = TrainerSettings(
-        trainer='t1', class_name='rollouts', entries=[f'{ip}:{port}']
+        trainer='t1',
+        class_name='rollouts',
+        entries=[f'{ip}:{port}'],
+        discover=False,
     )
     context.taken = []
     async with (
         asyncio.timeout(30),
         Trainer(settings, clock=context.entry.clock) as trainer,
     ):
-        async for batch in trainer.batches(after=0):
+        async for batch in trainer.batches(after=after):
             context.taken.append(batch)
             await batch.ack()
             if len(context.taken) == count:
@@ -129,3 +143,9 @@
 def check_ack(context, epoch):
     """Check the acknowledged epochs."""
     assert context.entry.acknowledged == [epoch]
+
+
+@then('the cursor of the entry host is at step {step:d}')
+def check_cursor(context, step):
+    """Check the step that was acknowledged last."""
+    assert context.entry.cursor == step, context.entry.cursor
--- a/features/steps/training_steps.py
+++ b/features/steps/training_steps.py
@@ -47,6 +47,7 @@
         trainer=trainer,
         class_name='rollouts',
         entries=[by_host[host].listen_address for host in hosts],
+        discover=False,
     )
 
 
@@ -118,12 +119,28 @@
 def take_steps(context, trainer, count, hosts):
     """Take and acknowledge batches with the trainer's library."""
     names = [name.strip() for name in hosts.split(',')]
+    take_with(context, count, settings(context, trainer, names))
+
+
+@when(
+    'trainer {trainer} takes {count:d} steps from the hosts that {host} names'
+)
+def take_discovered(context, trainer, count, host):
+    """Take batches from the entry hosts that one host names."""
+    chosen = settings(context, trainer, [host])
+    chosen.discover = True
+    take_with(context, count, chosen)
+
+
+def take_with(context, count, chosen):
+    """Take batches until the trainer has a number of steps."""
+    trainer = chosen.trainer
     taken = records(context).delivered.setdefault(trainer, [])
 
     async def take():
         async with (
             asyncio.timeout(TAKE_LIMIT_S),
-            Trainer(settings(context, trainer, names)) as client,
+            Trainer(chosen) as client,
         ):
             async for batch in client.batches(after=len(taken)):
                 taken.append(batch)
@@ -437,3 +454,16 @@
 def check_known(context):
     """Check that every version is one that exists."""
     assert min(delivered_versions(context)) >= 0
+
+
+@then('each sample of step {step:d} of trainer {trainer} ran once')
+def check_ran_once(context, step, trainer):
+    """Check that no sample was started twice at the engines."""
+    started = [
+        line['request_id'].partition('~')[0]
+        for lines in engine_lines(context).values()
+        for line in lines
+        if line['event'] == 'started'
+        and line['request_id'].startswith(f'{trainer}/{step}/')
+    ]
+    assert len(started) == len(set(started)), started
--- a/features/trainer_library.feature
+++ b/features/trainer_library.feature
@@ -24,3 +24,15 @@
     When the library takes 1 step
     Then the steps have the epochs 1
     And the entry host acknowledged epoch 2
+
+  Scenario: A trainer starts after a step that it did not acknowledge
+    Guards against a trainer that can never acknowledge again because it ended
+    between consuming a step and acknowledging it.
+    Given an entry host that answers fetches with
+      | answer | epoch |
+      | whole  | 1     |
+      | whole  | 1     |
+      | whole  | 1     |
+    And the entry host has the cursor at step 0
+    When the library takes 1 step after step 1
+    Then the cursor of the entry host is at step 2
