--- a/anvilcove/commands/dispatch.py
+++ b/anvilcove/commands/dispatch.py
@@ -8,6 +8,7 @@
 
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
+from anvilcove.decisions.limits import queue_ratio
 from anvilcove.decisions.types import (
     CRASH,
     OK,
@@ -136,6 +137,7 @@
             latency_s=now - slot.started_at_s,
             in_flight=state.in_flight,
             class_name=slot.request.class_name,
+            queue_ratio=queue_ratio(state),
         )
         state.in_flight -= 1
         context.policy('limits').finished(now, result)
--- a/anvilcove/decisions/admission.py
+++ b/anvilcove/decisions/admission.py
@@ -20,6 +20,10 @@
 BATCH_QUEUE_SHARE = 0.75
 # Smallest share of a pool's throughput that is assumed to be left for batch.
 MIN_BATCH_SHARE = 0.05
+# Up to this share of the pool's limit is admitted whatever the service time
+# was: it may be that of an overload that is over, and only finished requests
+# tell.
+PROBE_SHARE = 0.1
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 30.0
 RATE_WINDOW_S = 1.0
@@ -75,6 +79,9 @@
         rate = self._rate_by_pool.setdefault(target.pool, ArrivalRate())
         if interactive:
             rate.add(now)
+        probes = max(load.limit * PROBE_SHARE, 1.0)
+        if load.queued == 0 and load.in_flight < probes:
+            return Admit(priority)
         wait_s = self._wait_s(load, priority, rate.value(now))
         bound_s = left_s * WAIT_SHARE if interactive else left_s
         if wait_s + load.service_time_s > bound_s:
--- a/anvilcove/decisions/limits.py
+++ b/anvilcove/decisions/limits.py
@@ -1,5 +1,7 @@
 """Concurrency limit per endpoint, learned from latency and refusals."""
 
+from math import exp
+
 from anvilcove.decisions.registry import policy
 from anvilcove.decisions.types import (
     CRASH,
@@ -9,7 +11,7 @@
     AttemptResult,
 )
 from anvilcove.settings.daemon import DaemonSettings
-from anvilcove.state.endpoints import DEFAULT_LIMIT
+from anvilcove.state.endpoints import DEFAULT_LIMIT, EndpointState
 
 INITIAL_LIMIT = DEFAULT_LIMIT
 MIN_LIMIT = 1.0
@@ -24,6 +26,11 @@
 ERROR_FACTOR = 0.9
 # Without congestion for this long the limit doubles per turn again.
 PROBE_AFTER_S = 2.0
+# Refusals of long generations lower the limit at least this often.
+LONGEST_TURN_S = 1.0
+# Reports lag by 2 s and more: a queue in them lowers the limit only this
+# often, so that the effect of the last change is seen before the next one.
+REPORT_LAG_S = 2.0
 # The lowest latency is forgotten within two periods, so that a server that
 # became slower for good is not throttled for ever.
 BASE_PERIOD_S = 30.0
@@ -59,7 +66,14 @@
 class EndpointLimit:
     """Limit of one endpoint and what it was learned from."""
 
-    __slots__ = ('value', '_decreased_at_s', '_turn_s', '_windows')
+    __slots__ = (
+        'value',
+        '_decreased_at_s',
+        '_turn_s',
+        '_windows',
+        '_queue_ratio',
+        '_at_s',
+    )
 
     def __init__(self) -> None:
         """Start with the initial limit."""
@@ -67,6 +81,8 @@
         self._decreased_at_s = float('-inf')
         self._turn_s = 0.0
         self._windows: dict[str, LatencyWindow] = {}
+        self._queue_ratio = 0.0
+        self._at_s = 0.0
 
     def finished(self, now: float, result: AttemptResult) -> None:
         """Adjust the limit to one result."""
@@ -81,11 +97,22 @@
         self._turn_s += 0.2 * (result.latency_s - self._turn_s)
         window = self._windows.setdefault(result.class_name, LatencyWindow())
         ratio = window.add(now, result.latency_s)
+        wait = 1.0 + self._smoothed_queue(now, result.queue_ratio)
         if ratio is not None and ratio > TOLERANCE:
             self._decrease(now, max(TOLERANCE / ratio, MIN_GRADIENT))
+        elif wait > TOLERANCE:
+            # The minimum was learned under load; the queue shows it.
+            if now - self._decreased_at_s >= REPORT_LAG_S:
+                self._decrease(now, max(TOLERANCE / wait, MIN_GRADIENT))
         elif result.in_flight > self.value - 1:
             self._increase(now)
 
+    def _smoothed_queue(self, now: float, queue_ratio: float) -> float:
+        weight = 1 - exp(-max(now - self._at_s, 0.0) / REPORT_LAG_S)
+        self._at_s = now
+        self._queue_ratio += weight * (queue_ratio - self._queue_ratio)
+        return self._queue_ratio
+
     def _increase(self, now: float) -> None:
         quiet = now - self._decreased_at_s > PROBE_AFTER_S
         step = 1.0 if quiet else 1.0 / self.value
@@ -94,12 +121,20 @@
     def _decrease(self, now: float, factor: float) -> None:
         # Results of one turn describe the same congestion; only the first
         # of them lowers the limit.
-        if now - self._decreased_at_s < self._turn_s:
+        if now - self._decreased_at_s < min(self._turn_s, LONGEST_TURN_S):
             return
         self._decreased_at_s = now
         self.value = max(self.value * factor, MIN_LIMIT)
 
 
+def queue_ratio(state: EndpointState) -> float:
+    """Return the queue over the capacity in the last load report."""
+    report = state.report
+    if report is None or report.capacity <= 0:
+        return 0.0
+    return report.queued / report.capacity
+
+
 @policy('limits', 'gradient')
 class GradientLimit:
     """Raise the limit while latency is low, lower it when it grows."""
--- a/anvilcove/decisions/routing.py
+++ b/anvilcove/decisions/routing.py
@@ -1,7 +1,7 @@
 """Routing to the endpoint with the least expected wait."""
 
 import random
-from math import exp, log
+from math import exp, inf, log
 
 from anvilcove.decisions.affinity import PrefixAffinity
 from anvilcove.decisions.pool_index import PoolIndex, hash_of
@@ -15,7 +15,7 @@
     Route,
     RouteRequest,
 )
-from anvilcove.decisions.yielding import BatchShare
+from anvilcove.decisions.yielding import BatchRoom
 from anvilcove.messages.engines import CacheEvent
 from anvilcove.settings.daemon import DaemonSettings
 from anvilcove.state.endpoints import EndpointState, EndpointView
@@ -26,9 +26,11 @@
 DRAWS = 4
 LOCAL_SAMPLES = 3
 RING_SAMPLES = 2
-# A report counts by exp(-age / this): at the usual age of 2 s it weighs
-# 0.14, so that hosts that read the same report do not follow it together.
-REPORT_LIFE_S = 1.0
+# Hosts that follow the last of the late reports move together and swing
+# between the servers. Only the mean of many reports counts, less with age.
+REPORT_SMOOTHING = 0.05
+REPORT_LIFE_S = 10.0
+REPORT_WEIGHT = 0.5
 # Latencies within this factor count as equal; they differ by chance.
 LATENCY_STEP = 1.5
 # Time over which own work is remembered to keep the spread level.
@@ -49,13 +51,15 @@
 class EndpointLearned:
     """What own requests told of one endpoint."""
 
-    __slots__ = ('latency_s', 'work', 'work_at_s')
+    __slots__ = ('latency_s', 'work', 'work_at_s', 'load', 'report_at_s')
 
     def __init__(self) -> None:
         """Start without knowledge."""
         self.latency_s = 0.0
         self.work = 0.0
         self.work_at_s = 0.0
+        self.load = 0.0
+        self.report_at_s = 0.0
 
     def work_at(self, now: float) -> float:
         """Return the work sent, which fades with time."""
@@ -92,7 +96,7 @@
         '_index',
         '_affinity',
         '_learned',
-        '_share_by_pool',
+        '_room_by_pool',
         '_freed_by_pool',
         '_reserved',
     )
@@ -104,7 +108,7 @@
         self._index = PoolIndex()
         self._affinity = PrefixAffinity()
         self._learned: dict[str, EndpointLearned] = {}
-        self._share_by_pool: dict[str, BatchShare] = {}
+        self._room_by_pool: dict[str, BatchRoom] = {}
         self._freed_by_pool: dict[str, str] = {}
         self._reserved: dict[str, tuple[str, float]] = {}
 
@@ -119,7 +123,7 @@
         self._index.follow(view)
         if request.isolated:
             return self._choose_isolated(now, request, view, rng)
-        share = self._share(now, request)
+        room = self._room(now, request)
         match = self._affinity.holders(now, request.prefixes)
         ids = view.ids_by_pool.get(request.pool, [])
         draws = DRAWS if len(ids) > SAMPLES else 1
@@ -127,7 +131,7 @@
             drawn = view.sample(request.pool, SAMPLES, rng)
             if draw == 0:
                 drawn = self._with_preferred(drawn, request, view, match, rng)
-            usable = [s for s in drawn if self._usable(now, request, s, share)]
+            usable = [s for s in drawn if self._usable(now, request, s, room)]
             if usable:
                 return self._best(now, request, usable, match, rng)
         return NoRoute('no endpoint of the pool has room')
@@ -142,9 +146,9 @@
         learned = self._learned.setdefault(result.endpoint, EndpointLearned())
         known = learned.latency_s or result.latency_s
         learned.latency_s = known + 0.1 * (result.latency_s - known)
-        share = self._share_by_pool.get(pool)
-        if kind == INTERACTIVE and share is not None:
-            share.finished(result.class_name, result.latency_s)
+        room = self._room_by_pool.get(pool)
+        if kind == INTERACTIVE and room is not None:
+            room.finished(result.class_name, result.latency_s)
 
     def observe_cache(
         self, now: float, endpoint: str, events: list[CacheEvent]
@@ -152,14 +156,14 @@
         """Learn the prefix cache of an endpoint from late, gappy events."""
         self._affinity.observe(now, endpoint, events)
 
-    def _share(self, now: float, request: RouteRequest) -> float:
-        share = self._share_by_pool.get(request.pool)
+    def _room(self, now: float, request: RouteRequest) -> float:
+        room = self._room_by_pool.get(request.pool)
         if request.kind == INTERACTIVE:
-            if share is None:
-                share = self._share_by_pool[request.pool] = BatchShare()
-            share.started(now)
-            return 1.0
-        return 1.0 if share is None else share.value(now)
+            if room is None:
+                room = self._room_by_pool[request.pool] = BatchRoom()
+            room.started(now)
+            return inf
+        return inf if room is None else room.value(now)
 
     def _with_preferred(
         self,
@@ -191,16 +195,13 @@
         now: float,
         request: RouteRequest,
         state: EndpointState,
-        share: float,
+        room: float,
     ) -> bool:
         if not state.has_room(now) or state.endpoint in request.excluded:
             return False
         reserved = self._reserved.get(state.endpoint)
         if reserved is not None and reserved[1] > now:
             return False
-        if request.kind == INTERACTIVE or share >= 1.0:
-            return True
-        room = state.limit * share
         if room >= 1.0:
             return state.in_flight < room
         # Less than one request at a time: use the endpoint in that share of
@@ -263,11 +264,7 @@
     ) -> float:
         state = candidate.state
         busy = state.in_flight / state.limit
-        report = state.report
-        if report is not None and report.capacity > 0:
-            age_s = max(now - state.report_at_s, 0.0)
-            load = (report.running + report.queued) / report.capacity
-            busy += load * exp(-age_s / REPORT_LIFE_S)
+        busy += self._reported_load(now, state)
         excess = (candidate.work - mean_work) / (mean_work + 1.0)
         level = LEVEL_WEIGHT * max(min(excess, 1.0), -1.0)
         score = candidate.level * (1.0 + busy + level)
@@ -275,6 +272,18 @@
             score -= LOCAL_WEIGHT
         return score
 
+    def _reported_load(self, now: float, state: EndpointState) -> float:
+        report = state.report
+        if report is None or report.capacity <= 0:
+            return 0.0
+        learned = self._learned.setdefault(state.endpoint, EndpointLearned())
+        if learned.report_at_s != state.report_at_s:
+            learned.report_at_s = state.report_at_s
+            load = (report.running + report.queued) / report.capacity
+            learned.load += REPORT_SMOOTHING * (load - learned.load)
+        age_s = max(now - state.report_at_s, 0.0)
+        return REPORT_WEIGHT * learned.load * exp(-age_s / REPORT_LIFE_S)
+
     def _choose_isolated(
         self,
         now: float,
--- a/anvilcove/decisions/types.py
+++ b/anvilcove/decisions/types.py
@@ -97,13 +97,17 @@
 
 
 class AttemptResult(Struct, frozen=True):
-    """Result of one attempt at an endpoint."""
+    """Result of one attempt at an endpoint.
+
+    `queue_ratio` is the queue over the capacity in the last load report.
+    """
 
     endpoint: str
     outcome: str
     latency_s: float
     in_flight: int = 1
     class_name: str = ''
+    queue_ratio: float = 0.0
 
 
 class RetryRequest(Struct, frozen=True):
