--- a/anvilcove/platform/http.py
+++ b/anvilcove/platform/http.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from itertools import count
 from typing import Any
 
 from aiohttp import (
@@ -27,6 +28,9 @@
 
 REFUSED_STATUSES = (429, 503)
 HEADERS = {'Content-Type': 'application/json'}
+CONNECT_LIMIT_S = 1.0
+CONNECT_SHARE = 0.5
+_fresh = count()
 
 
 @asynccontextmanager
@@ -37,6 +41,7 @@
     timeout_s: float,
     message: object | None = None,
     data: bytes | None = None,
+    headers: dict[str, str] | None = None,
 ) -> AsyncIterator[ClientResponse]:
     """Call a store; raise StoreUnavailable only if nothing was applied."""
     body = encode(message) if message is not None else data
@@ -45,8 +50,9 @@
             method,
             url,
             data=body,
-            headers=HEADERS,
-            timeout=ClientTimeout(total=timeout_s, sock_connect=timeout_s),
+            headers=HEADERS if body is not None else headers,
+            timeout=_timeout(timeout_s),
+            allow_redirects=False,
         ) as response:
             if response.status in REFUSED_STATUSES:
                 raise StoreUnavailable(f'{url}: status {response.status}')
@@ -64,16 +70,27 @@
     url: str,
     timeout_s: float | None,
     message: object | None = None,
-    headers: dict[str, str] | None = None,
+    fresh_connection: bool = False,
 ) -> AsyncIterator[ClientResponse]:
-    """Call an endpoint; raise EndpointNotRun only if it ran nothing."""
+    """Call an endpoint; raise EndpointNotRun only if it ran nothing.
+
+    Redirects are not followed, since each one would send the call again.
+    """
+    options: dict[str, Any] = {}
+    if fresh_connection:
+        # The pool finds connections by this name among others, so a new name
+        # makes it open one. `Connection: close` alone would only keep a
+        # connection out of the pool after its use.
+        options['server_hostname'] = f'fresh-{next(_fresh)}'
+        options['headers'] = {**HEADERS, 'Connection': 'close'}
     try:
         async with session.request(
             method,
             url,
             data=None if message is None else encode(message),
-            headers={**HEADERS, **(headers or {})},
-            timeout=ClientTimeout(total=timeout_s, sock_connect=1.0),
+            timeout=_timeout(timeout_s),
+            allow_redirects=False,
+            **{'headers': HEADERS, **options},
         ) as response:
             if response.status in REFUSED_STATUSES:
                 raise await _refused(response, url)
@@ -90,6 +107,18 @@
         raise EndpointCrashed(f'{url}: {error!r}') from error
 
 
+def _timeout(total_s: float | None) -> ClientTimeout:
+    """Limit connecting to a part of the total time.
+
+    Only the end of a connection attempt is known as not run; at the end of
+    the total time the call may have been sent.
+    """
+    connect_s = CONNECT_LIMIT_S
+    if total_s is not None:
+        connect_s = min(connect_s, total_s * CONNECT_SHARE)
+    return ClientTimeout(total=total_s, sock_connect=connect_s)
+
+
 async def _refused(
     response: ClientResponse, url: str
 ) -> EndpointNotRun | EndpointFailed:
