--- a/anvilcove/commands/dispatch.py
+++ b/anvilcove/commands/dispatch.py
@@ -13,6 +13,7 @@
 from anvilcove.commands.pool_queue import PoolQueue, Waiter
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
+from anvilcove.decisions.limits import queue_ratio
 from anvilcove.decisions.types import (
     CANCELLED,
     OK,
@@ -212,6 +213,7 @@
             latency_s=now - slot.started_at_s,
             in_flight=state.in_flight,
             class_name=slot.request.class_name,
+            queue_ratio=queue_ratio(state),
         )
         state.in_flight -= 1
         self._in_flight_by_pool[state.pool] -= 1
