--- a/anvilcove/daemon/context.py
+++ b/anvilcove/daemon/context.py
@@ -76,7 +76,10 @@
         self.policies: dict[str, Any] = {}
         self.parts: dict[type[Any], Any] = {}
         self.confirmation = Confirmation(
-            settings.timing.confirm_window_ms / 1000, self.config, self.peers
+            settings.timing.confirm_window_ms / 1000,
+            self.config,
+            self.peers,
+            clock.now(),
         )
         self.draining = False
         # Requests of callers and trainers that the listener is serving.
--- a/anvilcove/state/confirmation.py
+++ b/anvilcove/state/confirmation.py
@@ -18,13 +18,19 @@
         'table_read_at_s',
         'list_read_at_s',
         'joined',
+        'started_at_s',
     )
 
     def __init__(
-        self, window_s: float, config: ConfigState, peers: PeerTable
+        self,
+        window_s: float,
+        config: ConfigState,
+        peers: PeerTable,
+        started_at_s: float,
     ) -> None:
         """Start unconfirmed."""
         self.window_s = window_s
+        self.started_at_s = started_at_s
         self.config = config
         self.peers = peers
         self.table_read_at_s = NEVER
@@ -43,11 +49,15 @@
     def heard_majority(self, now: float) -> bool:
         """Tell whether a majority confirms the revision in force.
 
-        A daemon that never joined has no memory of accepted revisions, so it
-        does not count itself.
+        A daemon that never joined has no memory of accepted revisions. It
+        does not count itself, nor what a peer told before the start: its
+        former process may have accepted a revision since.
         """
+        since_s = now - self.window_s
+        if not self.joined:
+            since_s = max(since_s, self.started_at_s)
         heard = self.peers.heard_majority(
-            now - self.window_s, self.config.revision, self.joined
+            since_s, self.config.revision, self.joined
         )
         self.joined = self.joined or heard
         return heard
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import json
+import signal
+import uuid
 
 import yaml
 from behave import given, then, when
 from site_steps import OPERATOR_HEADERS, host_url, run, wait_for
 
+from anvilcove.demo.processes import wait_until_ready
 from anvilcove.demo.site import Site, SiteShape
 
 DATA_CENTRES = ['casa-ain', 'casa-sidi', 'casa-maarif']
@@ -100,9 +103,9 @@
     assert answer['ttl_s'] == ttl_ms / 1000, answer
 
 
-async def journal(context, endpoint):
-    """Return what reached an endpoint."""
-    member = next(
+async def journal(context, endpoint, member=None):
+    """Return what reached an endpoint; pass its entry if it is not listed."""
+    member = member or next(
         m for m in context.site.members.endpoints if m.endpoint == endpoint
     )
     url = f'http://{member.address}/journal'
@@ -129,3 +132,48 @@
 def platform_faults(context, switches):
     """Switch faults of the platform on."""
     run(context, set_faults(context, json.loads(switches)))
+
+
+async def submit(context, host, class_name, body, **fields):
+    """Send a request to a host and return its outcome."""
+    message = {
+        'request_id': f'{host}.{uuid.uuid4().hex}',
+        'class_name': class_name,
+        'caller': 'shop-1',
+        'body': body,
+        **fields,
+    }
+    _, outcome = await call(context, host, 'POST', '/v1/requests', message)
+    return outcome
+
+
+async def status_of(context, host):
+    """Return the status report of a host."""
+    status, answer = await call(context, host, 'GET', '/v1/status')
+    assert status == 200, answer
+    return answer
+
+
+@when('host {host:w} is paused')
+def pause_host(context, host):
+    """Stop a daemon with SIGSTOP."""
+    context.site.processes.signal(host, signal.SIGSTOP)
+
+
+@when('host {host:w} goes on')
+def continue_host(context, host):
+    """Continue a daemon with SIGCONT."""
+    context.site.processes.signal(host, signal.SIGCONT)
+
+
+@when('host {host:w} is killed and started again')
+def restart_host(context, host):
+    """Replace a daemon by a new one without memory."""
+
+    async def replace():
+        await context.site.processes.kill(host)
+        await context.site.processes.restart(host)
+        url = f'{host_url(context, host)}/healthz'
+        await wait_until_ready(context.session, url)
+
+    run(context, replace())
