Finish streams and attached waits at shutdown

Cause: nothing guarded a planned shutdown, and callers who were attached at another host lost their wait: the other host asks in rounds, and the closing listener ended its connection after each round.

--- a/anvilcove/daemon/listeners.py
+++ b/anvilcove/daemon/listeners.py
@@ -8,7 +8,7 @@
 from aiohttp.web_protocol import RequestHandler
 from loguru import logger
 
-from anvilcove.daemon.auth import is_allowed
+from anvilcove.daemon.auth import PEER_PREFIX, is_allowed
 from anvilcove.daemon.context import Context
 from anvilcove.daemon.metrics import is_control_path
 from anvilcove.daemon.replies import (
@@ -24,18 +24,21 @@
 BACKLOG = 512
 CLOSE_LIMIT_S = 2.0
 IDLE_POLL_S = 0.02
+# Longer than the pause between two rounds of a peer that waits for an answer.
+QUIET_S = 0.3
 
 
 class GuardedHandler(RequestHandler):
     """Connection that must send its headers in time."""
 
-    __slots__ = ('_headers_limit_s', '_headers_timer')
+    __slots__ = ('_headers_limit_s', '_headers_timer', 'serves_peer')
 
     def __init__(self, *arguments: Any, limit_s: float, **options: Any):
         """Keep the time limit of the headers."""
         super().__init__(*arguments, **options)
         self._headers_limit_s = limit_s
         self._headers_timer: asyncio.TimerHandle | None = None
+        self.serves_peer = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the time limit."""
@@ -161,15 +164,20 @@
     async def close(self, limit_s: float) -> bool:
         """Refuse new connections and finish the requests in flight.
 
-        Idle connections are closed, the others after their answer. Return
-        whether all requests ended within the limit.
+        Idle connections are closed, the others after their answer. Those of
+        peers stay open to the end: callers who are attached at another host
+        wait over them in rounds. Return whether all requests ended within
+        the limit.
         """
         assert self._server is not None and self._runner is not None
         self.closing = True
         self._server.close()
         loop = asyncio.get_running_loop()
         until_s = loop.time() + limit_s
-        while self._close_idle() and loop.time() < until_s:
+        busy_at_s = loop.time()
+        while loop.time() < min(until_s, busy_at_s + QUIET_S):
+            if self._close_idle():
+                busy_at_s = loop.time()
             await asyncio.sleep(IDLE_POLL_S)
         return self.context.in_flight == 0
 
@@ -181,7 +189,11 @@
     def _close_idle(self) -> int:
         assert self._runner is not None and self._runner.server is not None
         for connection in self._runner.server.connections:
-            if isinstance(connection, GuardedHandler) and connection.is_idle():
+            if (
+                isinstance(connection, GuardedHandler)
+                and connection.is_idle()
+                and not connection.serves_peer
+            ):
                 connection.close()
         return self.context.in_flight
 
@@ -202,7 +214,7 @@
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
         response.headers.popall('Server', None)
-        if self.closing:
+        if self.closing and not request.path.startswith(PEER_PREFIX):
             response.headers['Connection'] = 'close'
             response.force_close()
         if is_control_path(request.path):
@@ -215,6 +227,8 @@
         """Authenticate, count, and turn errors into JSON answers."""
         if not is_allowed(request, self.context.settings.keys):
             return refusal(401, 'unauthorized', 'a valid key is required')
+        if isinstance(request.protocol, GuardedHandler):
+            request.protocol.serves_peer = request.path.startswith(PEER_PREFIX)
         counted = not is_control_path(request.path)
         self.context.in_flight += counted
         try:
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -400,7 +400,7 @@
 async def run_program(context, arguments):
     """Run `anvilcove ARGUMENTS` and return exit status and output."""
     words = shlex.split(arguments)
-    if words[0] in ('classes', 'status', 'explain'):
+    if words[0] in ('classes', 'status', 'drain', 'explain'):
         address = context.site.settings_by_host['h1'].listen_address
         words[1:1] = [f'--address={address}', f'--key={OPERATOR_KEY}']
     process = await asyncio.create_subprocess_exec(
