Count a crash once and pass by endpoints without a listener

Cause: each attempt that a crash interrupted counted the crash against all contents in flight there, so contents beside a poison request were refused for good; connect failures at the crashed endpoint used up the retry budget, so other requests were refused; a row that the table cannot take would have held up all claims; the pruning reads `claimed_at`, which the rows did not have. Change: one count per crash; up to four free moves after a connect failure; one run at a time of a suspected content; smaller batches after a failed write; own identifiers for repeated attempts at engines, so that a late cancellation cannot stop the next attempt; `claimed_at` in the rows; every end without an answer is logged.

--- a/anvilcove/commands/attempts.py
+++ b/anvilcove/commands/attempts.py
@@ -12,6 +12,7 @@
 from anvilcove.daemon.context import Context
 from anvilcove.decisions.types import (
     CANCELLED,
+    ERROR,
     OK,
     GiveUp,
     Isolate,
@@ -27,6 +28,8 @@
 )
 
 QUARANTINE_RETRY_S = 60.0
+# Endpoints without a listener that a request passes by.
+FREE_MOVES = 4
 
 
 class Attempts:
@@ -110,6 +113,8 @@
             raise GivenUp(
                 f'no second attempt of a suspected content: {failure}'
             )
+        if self._may_move(job, slot, failure):
+            return
         context = self.context
         now = context.clock.now()
         decision = context.policy('retry').next_attempt(
@@ -132,6 +137,19 @@
         self._exclude(job, slot)
         await context.clock.sleep(decision.delay_s)
 
+    def _may_move(self, job: Job, slot: Slot, failure: EndpointError) -> bool:
+        """Go on elsewhere at once if no connection could be opened.
+
+        This costs no endpoint anything, so it is not paid from the retry
+        budget: a crashed endpoint stays listed for a while and would use up
+        the budget of requests that are innocent of its crash.
+        """
+        if not isinstance(failure, EndpointNotRun) or failure.overloaded:
+            return False
+        job.moves += 1
+        self._exclude(job, slot)
+        return job.moves <= FREE_MOVES and bool(job.route.excluded)
+
     def _exclude(self, job: Job, slot: Slot) -> None:
         """Try another endpoint next, while the pool has one."""
         excluded = job.route.excluded
@@ -145,7 +163,9 @@
     ) -> Outcome:
         """Make one attempt and release its slot; raise EndpointError."""
         result = CANCELLED
+        job.attempts += 1
         job.may_have_run += 1
+        engine_id = job.engine_id
         try:
             left_s = job.route.deadline_at_s - self.context.clock.now()
             outcome = await send(
@@ -160,15 +180,13 @@
             raise
         finally:
             slot.release(result)
-            if result != OK and slot.state.kind == ENGINE:
-                self._cancel_generation(job, slot)
+            if result in (CANCELLED, ERROR) and slot.state.kind == ENGINE:
+                self._cancel_generation(slot, engine_id)
 
-    def _cancel_generation(self, job: Job, slot: Slot) -> None:
-        """Free the engine's slot; a crashed engine does not answer."""
+    def _cancel_generation(self, slot: Slot, engine_id: str) -> None:
+        """Free the place in the engine of an attempt that has ended."""
         port = self.context.endpoint_port(slot.state)
-        task = asyncio.create_task(
-            _quietly(port.cancel(job.message.request_id))
-        )
+        task = asyncio.create_task(_quietly(port.cancel(engine_id)))
         self._cancels.add(task)
         task.add_done_callback(self._cancels.discard)
 
--- a/anvilcove/commands/claim.py
+++ b/anvilcove/commands/claim.py
@@ -109,7 +109,7 @@
             request_id=job.message.request_id,
             body_hash=job.route.content,
             state=CLAIMED,
-            at_s=time.time(),
+            claimed_at=time.time(),
         )
         key = job.record.claim_key
         write = RowWrite(key, revision, claim_value(claim))
--- a/anvilcove/commands/dispatch.py
+++ b/anvilcove/commands/dispatch.py
@@ -77,6 +77,7 @@
         )
         self.contents_by_endpoint: dict[str, dict[str, int]] = {}
         self.service_time_s_by_pool: dict[str, float] = {}
+        self._crashed_at_s_by_endpoint: dict[str, float] = {}
         self._in_flight_by_pool: dict[str, int] = {}
         self._capacity = Capacity(context.endpoints)
 
@@ -241,7 +242,7 @@
     def _account_content(self, now: float, slot: Slot, outcome: str) -> None:
         contents = self.contents_by_endpoint.get(slot.state.endpoint, {})
         content = slot.request.content
-        if outcome == CRASH:
+        if outcome == CRASH and self._is_new_crash(now, slot):
             self.context.policy('quarantine').crashed(
                 now, slot.state.endpoint, list(contents)
             )
@@ -254,6 +255,15 @@
         else:
             contents.pop(content, None)
 
+    def _is_new_crash(self, now: float, slot: Slot) -> bool:
+        """Count a crash once, not for each attempt that it interrupts."""
+        endpoint = slot.state.endpoint
+        last_s = self._crashed_at_s_by_endpoint.get(endpoint, float('-inf'))
+        if slot.started_at_s <= last_s:
+            return False
+        self._crashed_at_s_by_endpoint[endpoint] = now
+        return True
+
     def _try(self, request: RouteRequest) -> Slot | None:
         now = self.context.clock.now()
         route = self._route(now, request)
@@ -262,7 +272,7 @@
         self._record(now, request, route)
         state = self.context.endpoints.by_id[route.endpoint]
         if request.isolated:
-            self._isolation.begin(state)
+            self._isolation.begin(state, request.content)
         contents = self.contents_by_endpoint.setdefault(state.endpoint, {})
         contents[request.content] = contents.get(request.content, 0) + 1
         in_flight = self._in_flight_by_pool.get(state.pool, 0)
--- a/anvilcove/commands/isolation.py
+++ b/anvilcove/commands/isolation.py
@@ -11,16 +11,28 @@
     suspected requests do not stop the whole pool.
     """
 
-    __slots__ = ('endpoints', '_view', '_reserved_by_pool')
+    __slots__ = (
+        'endpoints',
+        '_view',
+        '_reserved_by_pool',
+        '_content_by_endpoint',
+    )
 
     def __init__(self, view: EndpointView) -> None:
         """Start with none."""
         self.endpoints: set[str] = set()
         self._view = view
         self._reserved_by_pool: dict[str, EndpointState] = {}
+        self._content_by_endpoint: dict[str, str] = {}
 
     def choose(self, now: float, request: RouteRequest) -> Route | None:
-        """Return an idle endpoint."""
+        """Return an idle endpoint.
+
+        The same content runs once at a time: its next run is refused if this
+        one crashes the endpoint.
+        """
+        if request.content in self._content_by_endpoint.values():
+            return None
         reserved = self._reserved_by_pool.get(request.pool)
         for state in self._usable(now, request):
             if state.in_flight == 0 and (
@@ -52,16 +64,18 @@
         if reserved is not None:
             self.end(reserved)
 
-    def begin(self, state: EndpointState) -> None:
+    def begin(self, state: EndpointState, content: str) -> None:
         """Keep other requests away while a suspected one runs."""
         if self._reserved_by_pool.get(state.pool) is state:
             del self._reserved_by_pool[state.pool]
+        self._content_by_endpoint[state.endpoint] = content
         self._close(state)
 
     def end(self, state: EndpointState) -> None:
         """Open an endpoint to other requests."""
         state.isolated = False
         self.endpoints.discard(state.endpoint)
+        self._content_by_endpoint.pop(state.endpoint, None)
 
     def _close(self, state: EndpointState) -> None:
         state.isolated = True
--- a/anvilcove/commands/job.py
+++ b/anvilcove/commands/job.py
@@ -45,6 +45,8 @@
         'record',
         'route',
         'priority',
+        'attempts',
+        'moves',
         'may_have_run',
     )
 
@@ -61,9 +63,23 @@
         self.record = record
         self.route = route
         self.priority = 0
+        self.attempts = 0
+        # Endpoints to which no connection could be opened.
+        self.moves = 0
         # Number of attempts that may have run something.
         self.may_have_run = 0
 
+    @property
+    def engine_id(self) -> str:
+        """Return the identifier of the current attempt at an engine.
+
+        Each attempt has its own, so that the late cancellation of one does
+        not stop the next. Identifiers of callers contain no tilde.
+        """
+        if self.attempts <= 1:
+            return self.message.request_id
+        return f'{self.message.request_id}~{self.attempts}'
+
     def answered(self, outcome: Outcome) -> Outcome:
         """Return an answer under the identifier of this request."""
         return replace(outcome, request_id=self.message.request_id)
--- a/anvilcove/commands/non_repeatable.py
+++ b/anvilcove/commands/non_repeatable.py
@@ -12,6 +12,7 @@
     context: Context, attempts: Attempts, job: Job
 ) -> Outcome:
     """Claim and run a request, or raise GivenUp if there is no claim."""
+    context.policy('retry').started(context.clock.now())
     claims: ClaimPart = context.part(ClaimPart)
     taken = await claims.take(job)
     if isinstance(taken, Outcome):
--- a/anvilcove/commands/row_writer.py
+++ b/anvilcove/commands/row_writer.py
@@ -15,11 +15,7 @@
     Transaction,
     TransactionResult,
 )
-from anvilcove.platform.errors import (
-    PlatformError,
-    StoreAnswerLost,
-    StoreUnavailable,
-)
+from anvilcove.platform.errors import PlatformError
 
 BATCH_ROWS = 64
 BATCH_BYTES = 1024 * 1024
@@ -35,7 +31,15 @@
     The future holds the row as it is in the table: ours if `committed`.
     """
 
-    __slots__ = ('key', 'revision', 'value', 'future', 'size', 'dropped')
+    __slots__ = (
+        'key',
+        'revision',
+        'value',
+        'future',
+        'size',
+        'urgent',
+        'dropped',
+    )
 
     def __init__(self, key: str, revision: int, value: dict[str, Any]) -> None:
         """Create the future on the running loop."""
@@ -43,6 +47,7 @@
         self.revision = revision
         self.value = value
         self.size = len(encode(value))
+        self.urgent = False
         self.dropped = False
         self.future: asyncio.Future[Row] = (
             asyncio.get_running_loop().create_future()
@@ -62,7 +67,14 @@
     row that makes it fail is either our own or that of another writer.
     """
 
-    __slots__ = ('context', '_urgent', '_later', '_wake', '_open')
+    __slots__ = (
+        'context',
+        '_urgent',
+        '_later',
+        '_wake',
+        '_open',
+        '_batch_rows',
+    )
 
     def __init__(self, context: Context) -> None:
         """Start with nothing to write."""
@@ -71,9 +83,13 @@
         self._later: deque[RowWrite] = deque()
         self._wake = asyncio.Event()
         self._open = 0
+        # Halved after a failure, so that a row which the store cannot take
+        # is soon written alone.
+        self._batch_rows = BATCH_ROWS
 
     def add(self, write: RowWrite, urgent: bool) -> None:
         """Queue a write; urgent ones are written first."""
+        write.urgent = urgent
         (self._urgent if urgent else self._later).append(write)
         self._wake.set()
 
@@ -95,7 +111,9 @@
             self._open = len(batch)
             if await self._write(batch):
                 backoff_s = FIRST_BACKOFF_S
+                self._batch_rows = BATCH_ROWS
             else:
+                self._batch_rows = max(self._batch_rows // 2, 1)
                 await self.context.clock.sleep(backoff_s)
                 backoff_s = min(2 * backoff_s, LAST_BACKOFF_S)
             self._open = 0
@@ -106,7 +124,7 @@
         held_back: list[RowWrite] = []
         size = 0
         while (queue := self._urgent or self._later) and (
-            len(batch) < BATCH_ROWS and size < BATCH_BYTES
+            len(batch) < self._batch_rows and size < BATCH_BYTES
         ):
             write = queue.popleft()
             if write.dropped:
@@ -129,12 +147,8 @@
         )
         try:
             result = await self.context.ports['table'].transact(change)
-        except (StoreUnavailable, StoreAnswerLost) as error:
-            logger.warning('{} rows not written: {}', len(batch), error)
-            self._again(batch)
-            return False
         except PlatformError as error:
-            logger.error('rows not written: {}', error)
+            logger.warning('{} rows not written: {}', len(batch), error)
             self._again(batch)
             return False
         self._finish(batch, result)
@@ -162,7 +176,8 @@
 
     def _again(self, batch: list[RowWrite]) -> None:
         writes = [write for write in batch if not write.dropped]
-        self._urgent.extendleft(reversed(writes))
+        self._urgent.extendleft(reversed([w for w in writes if w.urgent]))
+        self._later.extend(write for write in writes if not write.urgent)
         if writes:
             self._wake.set()
 
--- a/anvilcove/commands/sending.py
+++ b/anvilcove/commands/sending.py
@@ -57,7 +57,7 @@
     """Generate the tokens that earlier attempts did not produce."""
     message = job.message
     request = Generate(
-        request_id=message.request_id,
+        request_id=job.engine_id,
         prompt=message.body['prompt'],
         max_tokens=message.body.get('max_tokens', DEFAULT_MAX_TOKENS),
         model=getattr(job.target, 'model', ''),
@@ -68,6 +68,7 @@
         async with asyncio.timeout(timeout_s):
             async for event in port.generate(request):
                 if isinstance(event, TokenEvent):
+                    event.request_id = message.request_id
                     job.record.add_token(event)
     except TimeoutError:
         raise EndpointFailed('no complete answer in time') from None
--- a/anvilcove/commands/submit.py
+++ b/anvilcove/commands/submit.py
@@ -35,6 +35,7 @@
     RouteRequest,
 )
 from anvilcove.messages.callers import (
+    ANSWERED,
     FAILED,
     NOT_RUN,
     UNKNOWN,
@@ -147,6 +148,8 @@
         finally:
             if outcome.outcome == FAILED and not message.repeatable:
                 outcome.outcome = UNKNOWN
+            if outcome.outcome != ANSWERED:
+                self._record_end(message, outcome)
             status = record.status or STATUS_BY_OUTCOME[outcome.outcome]
             self.attach.book.finish(
                 self.context.clock.now(), record, outcome, status
@@ -212,7 +215,6 @@
         A not-repeatable request that names another host was sent there
         before, so only that host can tell that it was not run.
         """
-        self._record_refusal(message, error)
         first = asked_first(message.request_id)
         if (
             not message.repeatable
@@ -245,15 +247,16 @@
             retry_after_ms=int(error.retry_after_s * 1000),
         )
 
-    def _record_refusal(self, message: SubmitRequest, error: GivenUp) -> None:
+    def _record_end(self, message: SubmitRequest, outcome: Outcome) -> None:
+        """Log why a request has no answer."""
         self.context.decisions.record(
             DecisionRecord(
                 at_s=self.context.clock.now(),
-                decision='refuse',
+                decision='refuse' if outcome.outcome == NOT_RUN else 'end',
                 subject=message.request_id,
                 class_name=message.class_name,
-                choice='',
-                reason=str(error),
+                choice=outcome.outcome,
+                reason=outcome.reason,
                 revision=self.context.config.revision,
             )
         )
--- a/anvilcove/state/claims.py
+++ b/anvilcove/state/claims.py
@@ -23,14 +23,14 @@
 
 
 class ClaimRow(Message):
-    """Value of the row `claim/<caller>/<key>`; `at_s` is wall-clock time."""
+    """Value of the row `claim/<caller>/<key>`; `claimed_at` is wall time."""
 
     nonce: str
     host: str
     request_id: str
     body_hash: str
     state: str
-    at_s: float
+    claimed_at: float
     outcome: Outcome | None = None
 
 
--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -58,12 +58,14 @@
     while its caller has gone to another host.
 
     Given the platform switches {"store_delay_s": 0.2}
+    And the services are paused
     When posting p5 is on its way through host h1
     And the claim of posting p5 is in the table
     And host h1 is paused
     And posting p5 is sent to host h2
     Then the last outcome is unknown
-    When host h1 goes on
+    When the services go on
+    And host h1 goes on
     And the request on its way ends
     And posting p5 is sent to host h2
     Then posting p5 ran at most 1 time
