--- a/anvilcove/commands/dispatch.py
+++ b/anvilcove/commands/dispatch.py
@@ -7,15 +7,15 @@
 from msgspec.structs import replace
 from reactivex.abc import DisposableBase
 
-from anvilcove.commands.announce import AnnouncePart
 from anvilcove.commands.capacity import Capacity
+from anvilcove.commands.crashes import CrashAccounting
 from anvilcove.commands.isolation import Isolation
 from anvilcove.commands.pool_queue import PoolQueue, Waiter
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
+from anvilcove.decisions.limits import queue_ratio
 from anvilcove.decisions.types import (
     CANCELLED,
-    CRASH,
     OK,
     TRAINER,
     AttemptResult,
@@ -75,9 +75,8 @@
                 lambda _: self._endpoints_changed()
             )
         )
-        self.contents_by_endpoint: dict[str, dict[str, int]] = {}
+        self.crashes = CrashAccounting(context)
         self.service_time_s_by_pool: dict[str, float] = {}
-        self._crashed_at_s_by_endpoint: dict[str, float] = {}
         self._in_flight_by_pool: dict[str, int] = {}
         self._capacity = Capacity(context.endpoints)
 
@@ -214,6 +213,7 @@
             latency_s=now - slot.started_at_s,
             in_flight=state.in_flight,
             class_name=slot.request.class_name,
+            queue_ratio=queue_ratio(state),
         )
         state.in_flight -= 1
         self._in_flight_by_pool[state.pool] -= 1
@@ -230,7 +230,9 @@
         state.ejected_until_s = context.policy('ejection').finished(
             now, result, pool
         )
-        self._account_content(now, slot, outcome)
+        self.crashes.ended(
+            now, state, slot.request.content, slot.started_at_s, outcome
+        )
         self.wake(state.pool)
 
     def _learn_service_time(self, pool: str, latency_s: float) -> None:
@@ -239,31 +241,6 @@
             latency_s - mean_s
         )
 
-    def _account_content(self, now: float, slot: Slot, outcome: str) -> None:
-        contents = self.contents_by_endpoint.get(slot.state.endpoint, {})
-        content = slot.request.content
-        if outcome == CRASH and self._is_new_crash(now, slot):
-            self.context.policy('quarantine').crashed(
-                now, slot.state.endpoint, list(contents)
-            )
-            self.context.part(AnnouncePart).suspects()
-        elif outcome == OK:
-            self.context.policy('quarantine').finished(now, content)
-        left = contents.get(content, 0) - 1
-        if left > 0:
-            contents[content] = left
-        else:
-            contents.pop(content, None)
-
-    def _is_new_crash(self, now: float, slot: Slot) -> bool:
-        """Count a crash once, not for each attempt that it interrupts."""
-        endpoint = slot.state.endpoint
-        last_s = self._crashed_at_s_by_endpoint.get(endpoint, float('-inf'))
-        if slot.started_at_s <= last_s:
-            return False
-        self._crashed_at_s_by_endpoint[endpoint] = now
-        return True
-
     def _try(self, request: RouteRequest) -> Slot | None:
         now = self.context.clock.now()
         route = self._route(now, request)
@@ -273,8 +250,7 @@
         state = self.context.endpoints.by_id[route.endpoint]
         if request.isolated:
             self._isolation.begin(state, request.content)
-        contents = self.contents_by_endpoint.setdefault(state.endpoint, {})
-        contents[request.content] = contents.get(request.content, 0) + 1
+        self.crashes.started(state.endpoint, request.content)
         in_flight = self._in_flight_by_pool.get(state.pool, 0)
         self._in_flight_by_pool[state.pool] = in_flight + 1
         return Slot(self, state, request, now)
--- a/anvilcove/commands/sample_attempts.py
+++ b/anvilcove/commands/sample_attempts.py
@@ -8,6 +8,7 @@
 
 from anvilcove.commands.dispatch import Dispatcher, NoSlot, Slot
 from anvilcove.daemon.context import Context
+from anvilcove.decisions.groups import StepNeed
 from anvilcove.decisions.types import (
     CANCELLED,
     CRASH,
@@ -40,6 +41,7 @@
 SCORING_LIMIT_S = 5.0
 SCORING_RETRY_S = 0.2
 MAX_BACKOFF_S = 2.0
+NOT_FAILED_DELAY_S = 0.1
 # Retries of samples go on while the step is open; this only bounds one.
 ATTEMPT_DEADLINE_S = 60.0
 
@@ -156,8 +158,14 @@
     )
 
 
-def backoff_s(context: Context, sample: SampleRun) -> float:
-    """Return the delay before a failed sample is queued again."""
+def backoff_s(context: Context, sample: SampleRun, outcome: str) -> float:
+    """Return the delay before a failed sample is queued again.
+
+    Only failures spend the retry budget; an engine that is full or runs an
+    old version has not failed.
+    """
+    if outcome in (CANCELLED, OVERLOADED):
+        return NOT_FAILED_DELAY_S
     now = context.clock.now()
     decision = context.policy('retry').next_attempt(
         now,
@@ -169,3 +177,25 @@
     if isinstance(decision, RetryAfter):
         return decision.delay_s
     return float(min(MAX_BACKOFF_S, 0.05 * 2 ** min(sample.failures, 8)))
+
+
+def need_of(run: StepRun) -> StepNeed:
+    """Return what the groups policy needs to know of a step."""
+    return StepNeed(
+        trainer=run.body.trainer,
+        step=run.body.step,
+        opened_at_s=run.opened_at_s,
+        waiting_since_s=run.waiting_since_s,
+        missing=run.missing,
+    )
+
+
+async def cancel_attempt(context: Context, attempt: Attempt) -> None:
+    """Stop an attempt at its engine; it may have ended already."""
+    state = context.endpoints.by_id.get(attempt.endpoint)
+    if state is None:
+        return
+    try:
+        await context.endpoint_port(state).cancel(attempt.request_id)
+    except EndpointError as error:
+        logger.debug('cancel of {}: {}', attempt.request_id, error)
