--- a/anvilcove/commands/content_gate.py
+++ b/anvilcove/commands/content_gate.py
@@ -3,8 +3,7 @@
 from collections import OrderedDict
 
 from anvilcove.daemon.context import Context
-from anvilcove.decisions.types import CRASH, ERROR, Allow, Isolate, Reject
-from anvilcove.state.endpoints import EndpointState
+from anvilcove.decisions.types import Allow, Isolate, Reject
 
 REMEMBERED_CONTENTS = 10_000
 
@@ -18,14 +17,13 @@
     reasons while they run it do not condemn it.
     """
 
-    __slots__ = ('context', '_proven', '_active', '_crashed_at_s')
+    __slots__ = ('context', '_proven', '_active')
 
     def __init__(self, context: Context) -> None:
         """Start without proven contents."""
         self.context = context
         self._proven: OrderedDict[str, None] = OrderedDict()
         self._active: dict[str, int] = {}
-        self._crashed_at_s: dict[str, float] = {}
 
     def may_start(self, content: str) -> bool:
         """Tell whether one more sample of a content may start now."""
@@ -68,21 +66,9 @@
             self._proven.popitem(last=False)
         return True
 
-    def crash(
-        self, state: EndpointState, content: str, started_s: float, alone: bool
-    ) -> str:
-        """Return the outcome for one of the runs that a crash has ended.
-
-        All runs on the engine end with it, but it is one crash: it counts
-        once against every content in flight there.
-        """
-        if alone:
-            self._proven.pop(content, None)
-        counted_s = self._crashed_at_s.get(state.endpoint, float('-inf'))
-        if started_s <= counted_s:
-            return ERROR
-        self._crashed_at_s[state.endpoint] = self.context.clock.now()
-        return CRASH
+    def crashed_alone(self, content: str) -> None:
+        """Note that a content that ran alone crashed its engine."""
+        self._proven.pop(content, None)
 
     def _verdict(self, content: str) -> Allow | Isolate | Reject:
         now = self.context.clock.now()
--- a/anvilcove/commands/samples.py
+++ b/anvilcove/commands/samples.py
@@ -278,10 +278,8 @@
             reason = repr(error)
         finally:
             content = slot.request.content
-            if outcome == CRASH:
-                outcome = self.gate.crash(
-                    slot.state, content, slot.started_at_s, slot.isolated
-                )
+            if outcome == CRASH and slot.isolated:
+                self.gate.crashed_alone(content)
             self.gate.ended(content)
             slot.release(outcome)
             self._wake(self.pool(run))
