--- a/anvilcove/commands/rollout.py
+++ b/anvilcove/commands/rollout.py
@@ -18,7 +18,8 @@
 from anvilcove.state.endpoints import EndpointState
 
 IDLE_PERIOD_S = 0.5
-ACTIVE_PERIOD_S = 0.1
+# A finished swap must be seen soon, or the weight store idles meanwhile.
+ACTIVE_PERIOD_S = 0.05
 FIRST_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 10.0
 # Tokens that cross a switch may still name the version before it.
--- a/anvilcove/commands/samples.py
+++ b/anvilcove/commands/samples.py
@@ -315,17 +315,12 @@
         self, run: StepRun, sample: SampleRun, attempt: Attempt
     ) -> None:
         """Keep the result of a complete attempt unless one was first."""
-        now = self.context.clock.now()
         groups = self.context.policy('groups')
         tokens = len(attempt.tokens)
         groups.finished(
             content_of(run, sample), tokens, sample.group.max_tokens
         )
-        groups.observe_rate(
-            attempt.endpoint,
-            tokens - attempt.resumed,
-            now - attempt.started_at_s,
-        )
+        groups.observe_rate(attempt.endpoint, *attempt.progress())
         result = Sample(
             sample_id=run.sample_id(sample),
             group=sample.group.group,
--- a/anvilcove/commands/stragglers.py
+++ b/anvilcove/commands/stragglers.py
@@ -19,8 +19,10 @@
 
 CHECK_PERIOD_S = 0.1
 SLOT_WAIT_S = 0.3
-# A sample that is slow at a third engine is a long one.
-MAX_MOVES = 2
+# A sample that is slow at a fourth engine is a long one.
+MAX_MOVES = 3
+# With fewer tokens the rate of the engine is a better estimate.
+MEASURED_TOKENS = 5
 
 
 @part
@@ -44,36 +46,48 @@
                     self._check_step(run)
 
     def _check_step(self, run: StepRun) -> None:
-        rates = self._rates(self.runner.pool(run))
-        if not rates:
-            return
+        free = self._free_slots(self.runner.pool(run))
         for sample in run.samples:
             if (
                 len(sample.attempts) == 1
                 and not sample.attempts[0].ended
+                and not sample.moving
                 and sample.moves < MAX_MOVES
             ):
-                self._check(run, sample, rates)
+                self._check(run, sample, free)
+
+    def _free_slots(self, pool: str) -> dict[str, int]:
+        """Return the free slots of engines with room and a known rate.
 
-    def _rates(self, pool: str) -> dict[str, float]:
-        """Return the rates of engines with room, where they are known."""
+        Limits are above the slots, so that an engine's queue is never empty;
+        a second attempt must not wait in that queue.
+        """
         now = self.context.clock.now()
         groups = self.context.policy('groups')
-        return {
-            state.endpoint: groups.rate(state.endpoint)
-            for state in self.context.endpoints.in_pool(pool)
-            if state.has_room(now) and groups.rate(state.endpoint) > 0
-        }
+        free = {}
+        for state in self.context.endpoints.in_pool(pool):
+            if not state.has_room(now) or groups.rate(state.endpoint) <= 0:
+                continue
+            used, slots = state.in_flight, int(state.limit)
+            if state.report is not None and state.report.capacity:
+                slots = min(slots, state.report.capacity)
+                used = max(used, state.report.running + state.report.queued)
+            if used < slots:
+                free[state.endpoint] = slots - used
+        return free
 
     def _check(
-        self, run: StepRun, sample: SampleRun, rates: dict[str, float]
+        self, run: StepRun, sample: SampleRun, free: dict[str, int]
     ) -> None:
         attempt = sample.attempts[0]
         now = self.context.clock.now()
+        groups = self.context.policy('groups')
+        rates = {e: groups.rate(e) for e, slots in free.items() if slots > 0}
         view = self._view(run, sample, attempt, rates, now)
-        decision = self.context.policy('groups').straggler(now, view)
+        decision = groups.straggler(now, view)
         if isinstance(decision, Wait):
             return
+        free[decision.endpoint] -= 1
         self.context.decisions.record(
             DecisionRecord(
                 at_s=now,
@@ -85,10 +99,11 @@
                 revision=self.context.config.revision,
             )
         )
-        sample.moves += 1
+        sample.moving = True
         task = self.runner.spawn(self._second(run, sample, attempt, decision))
         run.tasks.add(task)
         task.add_done_callback(run.tasks.discard)
+        task.add_done_callback(lambda _: setattr(sample, 'moving', False))
 
     def _view(
         self,
@@ -102,15 +117,17 @@
             run, sample, self.runner.pool(run)
         )
         excluded = excluded | {attempt.endpoint}
-        produced = len(attempt.tokens) - attempt.resumed
-        spent_s = attempt.token_at_s - attempt.started_at_s
+        produced, spent_s = attempt.progress()
+        rate = self.context.policy('groups').rate(attempt.endpoint)
+        if produced >= MEASURED_TOKENS and spent_s > 0:
+            rate = produced / spent_s
         return StragglerView(
             content=content_of(run, sample),
             tokens=len(attempt.tokens),
             max_tokens=sample.group.max_tokens,
             running_s=now - attempt.started_at_s,
             silent_s=now - attempt.token_at_s,
-            rate=produced / spent_s if spent_s > 0 else 0.0,
+            rate=rate,
             viable=self.runner.viability.viable(run, attempt, sample),
             rates={e: r for e, r in rates.items() if e not in excluded},
         )
@@ -143,6 +160,7 @@
         if run.dropped or attempt not in sample.attempts or attempt.ended:
             slot.release(CANCELLED)
             return
+        sample.moves += 1
         resume = attempt if isinstance(decision, Move) else Attempt('', '', 0)
         self.runner.begin(
             run,
--- a/anvilcove/state/steps.py
+++ b/anvilcove/state/steps.py
@@ -25,6 +25,7 @@
         'versions',
         'resumed',
         'started_at_s',
+        'first_at_s',
         'token_at_s',
         'ended',
         'task',
@@ -38,6 +39,7 @@
         self.versions: list[VersionRange] = []
         self.resumed = 0
         self.started_at_s = now
+        self.first_at_s = now
         self.token_at_s = now
         self.ended = False
         self.task: asyncio.Task[None] | None = None
@@ -54,6 +56,8 @@
     def add(self, text: str, version: int, now: float) -> None:
         """Add a token and the version that produced it."""
         position = len(self.tokens)
+        if position == self.resumed:
+            self.first_at_s = now
         self.tokens.append(text)
         self.token_at_s = now
         if self.versions and self.versions[-1].version == version:
@@ -63,6 +67,14 @@
                 VersionRange(version=version, start=position, end=position + 1)
             )
 
+    def progress(self) -> tuple[int, float]:
+        """Return the tokens after the first one and the seconds they took.
+
+        The time before the first token is that of the engine's queue.
+        """
+        produced = len(self.tokens) - self.resumed
+        return max(0, produced - 1), self.token_at_s - self.first_at_s
+
 
 class SampleRun:
     """One wanted sample: its attempts, kept tokens and result."""
@@ -75,6 +87,7 @@
         'count',
         'failures',
         'moves',
+        'moving',
         'queued',
         'tokens',
         'versions',
@@ -90,6 +103,7 @@
         self.count = 0
         self.failures = 0
         self.moves = 0
+        self.moving = False
         self.queued = False
         self.tokens: list[str] = []
         self.versions: list[VersionRange] = []
--- a/features/staleness.feature
+++ b/features/staleness.feature
@@ -71,6 +71,22 @@
     And a fetch of step 1 by trainer t1 at host h2 has status 409
     And the table has a lost answer
 
+  Scenario Outline: An acknowledgement meets a fetch that takes the batch back
+    Guards against a cursor on an epoch that was taken back, or an
+    acknowledged step that is generated again, when both happen at once.
+    When trainer t1 submits step 1 with 1 groups of 4 samples of 4 tokens at host h1
+    And trainer t1 fetches step 1 at host h2
+    And the trainer publishes version 2 at host h3
+    And the platform has the faults {"store_delay_s": 0.3}
+    And a fetch of step 1 by t1 at h2 meets the acknowledgement at h3 <later> s later
+    And the platform has the faults {"store_delay_s": null}
+    Then each acknowledgement was of the fixed epoch, which stayed
+
+    Examples:
+      | later |
+      | 0.0   |
+      | 0.5   |
+
   Scenario: Weights are published twice with lost answers
     Guards against versions that go back, or a publication that is answered
     before the table holds it.
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -203,6 +203,21 @@
         last[key] = value
 
 
+@then('each acknowledgement was of the fixed epoch, which stayed')
+def check_acknowledged(context):
+    """Follow the rows of steps and cursors in the order of their writes."""
+    rows = {}
+    acknowledged = set()
+    for key, value, _ in step_puts(context):
+        assert key not in acknowledged, (key, value)
+        if key.startswith('cursor/'):
+            step = f'step/{key.partition("/")[2]}/{value["step"]}'
+            assert rows[step]['state'] == 'fixed', rows[step]
+            assert rows[step]['epoch'] == value['epoch'], rows[step]
+            acknowledged.add(step)
+        rows[key] = value
+
+
 @then('the cursor of trainer {trainer} moved by one step each time')
 def check_cursor(context, trainer):
     """Check the writes of the cursor."""
--- a/features/steps/training_steps.py
+++ b/features/steps/training_steps.py
@@ -416,6 +416,38 @@
     records(context).newest = version
 
 
+@when(
+    'a fetch of step {step:d} by {trainer} at {host} meets the '
+    'acknowledgement at {other} {later:f} s later'
+)
+def fetch_and_acknowledge(context, trainer, step, host, other, later):
+    """Fetch again while the first batch is acknowledged; either may win."""
+    data, digest = context.fetches[0]
+    path = f'/v1/trainers/{trainer}/batch?after={step - 1}&wait_ms=1000'
+    message = {
+        'step': step,
+        'epoch': decode(data, Batch).epoch,
+        'digest': digest,
+    }
+
+    async def fetch_once():
+        async with context.session.get(
+            f'{host_url(context, host)}{path}'
+        ) as response:
+            assert response.status in (200, 204, 409), response.status
+
+    async def send_late():
+        await asyncio.sleep(later)
+        url = f'{host_url(context, other)}/v1/trainers/{trainer}/ack'
+        async with context.session.post(url, json=message) as response:
+            assert response.status in (200, 409), response.status
+
+    async def both():
+        await asyncio.gather(fetch_once(), send_late())
+
+    run(context, both())
+
+
 @when('trainer {trainer} acknowledges the first fetched batch at host {host}')
 def acknowledge_first(context, trainer, host):
     """Acknowledge the batch that was fetched first."""
