Make the switch scenarios strict about gaps, repeats and slow machines

The count of calls to an endpoint could not tell two calls of one adapter from one of each, and some calls were limited to 0.3 s although they must succeed.

Change: the lag is off when gaps are checked; the paths of the calls must differ; short limits only where no answer can come.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -114,7 +114,7 @@
     Given a stand-in engine with faults {}
     When generations first at 0, low at 0 and high at 5 compete for 1 slot
     And generation first is cancelled
-    Then the stand-in started "first high low"
+    Then the stand-in journal has request_id "first high low"
     And a generation that resumes 2 of 4 tokens yields tokens 2 and 3
 
   Scenario: Prompt prefixes are cached in limited memory
@@ -126,7 +126,7 @@
     Then the cache events are ""
     When the stand-in clock advances by 6 s
     Then the cache events are "+a -a +b -b +a"
-    When the stand-in faults become {"cache_gaps": 1.0}
+    When the stand-in faults become {"cache_gaps": 1.0, "cache_lag_s": null}
     And prompts "c|1" are generated with room for 1 prefix
     Then the cache events are "+a -a +b -b +a"
 
--- a/features/steps/classification_steps.py
+++ b/features/steps/classification_steps.py
@@ -6,12 +6,7 @@
 
 from behave import then, when
 from site_steps import run
-from standin_steps import (
-    attempt,
-    generate,
-    lines,
-    stop_later,
-)
+from standin_steps import Servers, attempt, generate, lines
 
 from anvilcove.demo.processes import free_port
 from anvilcove.messages.services import ServiceCall
@@ -40,15 +35,10 @@
     return RAW_PART % 1000 if words[1] == 'within' else b''
 
 
-async def close(server):
-    """Close a listener."""
-    server.close()
-
-
 @when('a raw endpoint {behaviour}')
 def start_raw_server(context, behaviour):
     """Serve raw bytes over TCP and count the calls."""
-    context.calls = 0
+    context.paths = []
     context.crashed = asyncio.Event()
     context.address = f'127.0.0.1:{free_port()}'
 
@@ -56,7 +46,7 @@
         head = await reader.readuntil(b'\r\n\r\n')
         size = int(head.lower().split(b'content-length:')[1].split()[0])
         await reader.readexactly(size)
-        context.calls += 1
+        context.paths.append(head.split()[1])
         writer.write(raw_answer(behaviour, context.address))
         await writer.drain()
         if behaviour.startswith('resets'):
@@ -70,7 +60,8 @@
         context.address = '127.0.0.1:{}'.format(
             server.sockets[0].getsockname()[1]
         )
-        stop_later(context, lambda: close(server))
+        context.site = Servers()
+        context.site.callback(server.close)
 
     if behaviour != 'does not listen':
         run(context, listen())
@@ -107,4 +98,4 @@
 @then('the endpoint received each at most once')
 def check_raw_count(context):
     """Check that no adapter repeats a call by itself."""
-    assert context.calls <= 2, context.calls
+    assert len(set(context.paths)) == len(context.paths), context.paths
--- a/features/steps/engine_steps.py
+++ b/features/steps/engine_steps.py
@@ -54,13 +54,6 @@
     assert len(low) == len(high) == 1
 
 
-@then('the stand-in started "{names}"')
-def check_order(context, names):
-    """Check the order in which generations started."""
-    started = [line['request_id'] for line in lines(context, 'started')]
-    assert started == names.split(), started
-
-
 @then('a generation that resumes 2 of 4 tokens yields tokens 2 and 3')
 def check_resume(context):
     """Resume a generation."""
--- a/features/steps/standin_steps.py
+++ b/features/steps/standin_steps.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import time
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from types import SimpleNamespace
 
 from aiohttp import ClientSession, TCPConnector, web
@@ -27,27 +27,21 @@
 from anvilcove.standins.service import ServiceOptions, ServiceStandin
 
 LONG_S = 5.0
-NO_ANSWER_S = 0.3
+NO_ANSWER_S = 1.0
+GENEROUS_S = 30.0
 PREFILL_S = 0.002
 
 
-class Servers:
+class Servers(AsyncExitStack):
     """What a scenario started; the fixtures stop it like a site."""
 
-    def __init__(self):
-        """Start empty."""
-        self.stops = []
-
-    async def stop(self):
-        """Stop all, the last one first."""
-        while self.stops:
-            await self.stops.pop()()
+    stop = AsyncExitStack.aclose
 
 
 def stop_later(context, stop):
-    """Stop something at the end of the scenario, on its loop."""
+    """Stop something at the end of the scenario, the last one first."""
     context.site = context.site or Servers()
-    context.site.stops.append(stop)
+    context.site.push_async_callback(stop)
 
 
 async def serve(context, app, ip='127.0.0.1'):
@@ -116,8 +110,11 @@
     stop_later(context, release)
     context.engine = HttpEngine(context.address, context.session)
     context.service = HttpService(context.address, context.session)
-    settings = AdapterSettings(address=context.address, timeout_ms=300)
-    context.store = HttpTable(settings, context.session)
+    limit_s = NO_ANSWER_S if 'store_delay_s' in faults else GENEROUS_S
+    context.settings = AdapterSettings(
+        address=context.address, timeout_ms=int(limit_s * 1000)
+    )
+    context.store = HttpTable(context.settings, context.session)
 
 
 async def put(context, path, data):
@@ -224,8 +221,8 @@
 
     async def listed(ip):
         async with session_from(ip) as session:
-            settings = AdapterSettings(address=context.address)
-            members = await HttpMembership(settings, session).members()
+            port = HttpMembership(context.settings, session)
+            members = await port.members()
             return members.hosts[0].host
 
     assert run(context, listed(one_ip)) == one
@@ -235,8 +232,7 @@
 @then('the stand-in lists nothing')
 def check_no_members(context):
     """Check that the list is unavailable."""
-    settings = AdapterSettings(address=context.address)
-    port = HttpMembership(settings, context.session)
+    port = HttpMembership(context.settings, context.session)
     ended = run(context, attempt(context, port.members()))
     assert ended == 'StoreUnavailable'
 
@@ -301,7 +297,7 @@
     late = context.standin.faults.get('late_s')
     return context.service.call(
         ServiceCall(request_id=name, body=body),
-        NO_ANSWER_S if late else 30.0,
+        NO_ANSWER_S if late else GENEROUS_S,
     )
 
 
