--- a/features/access.feature
+++ b/features/access.feature
@@ -32,7 +32,7 @@
     are held open by slow senders.
     Given a site with 1 host, 2 services and settings
       """
-      limits: {body_timeout_ms: 300, header_timeout_ms: 300, body_bytes: 2000}
+      limits: {body_timeout_ms: 300, header_timeout_ms: 3000, body_bytes: 2000}
       """
     And the class declarations
       """
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import json
-import signal
 import uuid
 
 import yaml
 from behave import given, then, when
 from site_steps import OPERATOR_HEADERS, host_url, run, wait_for
 
-from anvilcove.demo.processes import wait_until_ready
 from anvilcove.demo.site import Site, SiteShape
 
 DATA_CENTRES = ['casa-ain', 'casa-sidi', 'casa-maarif']
@@ -152,28 +150,3 @@
     status, answer = await call(context, host, 'GET', '/v1/status')
     assert status == 200, answer
     return answer
-
-
-@when('host {host:w} is paused')
-def pause_host(context, host):
-    """Stop a daemon with SIGSTOP."""
-    context.site.processes.signal(host, signal.SIGSTOP)
-
-
-@when('host {host:w} goes on')
-def continue_host(context, host):
-    """Continue a daemon with SIGCONT."""
-    context.site.processes.signal(host, signal.SIGCONT)
-
-
-@when('host {host:w} is killed and started again')
-def restart_host(context, host):
-    """Replace a daemon by a new one without memory."""
-
-    async def replace():
-        await context.site.processes.kill(host)
-        await context.site.processes.restart(host)
-        url = f'{host_url(context, host)}/healthz'
-        await wait_until_ready(context.session, url)
-
-    run(context, replace())
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -173,24 +173,6 @@
     run(context, wait_for(ended))
 
 
-@when('host {host:w} is killed')
-def kill_host(context, host):
-    """Kill the daemon of a host."""
-    run(context, context.site.processes.kill(host))
-
-
-@when('host {host:w} is paused')
-def pause_host(context, host):
-    """Pause the daemon of a host."""
-    context.site.processes.signal(host, signal.SIGSTOP)
-
-
-@when('host {host:w} goes on')
-def continue_host(context, host):
-    """Continue the daemon of a host."""
-    context.site.processes.signal(host, signal.SIGCONT)
-
-
 @when('posting {key} has started')
 def wait_for_start(context, key):
     """Wait until a service runs a posting."""
