--- a/anvilcove/cli/main.py
+++ b/anvilcove/cli/main.py
@@ -18,6 +18,7 @@
     'settings': 'anvilcove.cli.settings',
     'standin': 'anvilcove.cli.standin',
     'demo': 'anvilcove.cli.demo',
+    'replay': 'anvilcove.cli.replay',
 }
 
 
--- a/anvilcove/daemon/context.py
+++ b/anvilcove/daemon/context.py
@@ -45,6 +45,7 @@
         'draining',
         'in_flight',
         'newest_versions',
+        'recorder',
         '_endpoint_ports',
     )
 
@@ -82,6 +83,7 @@
         # Requests of callers and trainers that the listener is serving.
         self.in_flight = 0
         self.newest_versions: dict[str, int] = {}
+        self.recorder: Any = None
         self._endpoint_ports: dict[tuple[str, str, bool], Any] = {}
 
     def _platform_ports(self) -> dict[str, Any]:
@@ -106,9 +108,22 @@
         """Return this daemon's instance of a policy, built on first use."""
         if topic not in self.policies:
             name = getattr(self.settings.policies, topic)
-            self.policies[topic] = policy_class(topic, name)(self.settings)
+            built = policy_class(topic, name)(self.settings)
+            self.policies[topic] = self._recorded(topic, built)
         return self.policies[topic]
 
+    def _recorded(self, topic: str, built: Any) -> Any:
+        """Wrap a policy when the settings ask for a trace."""
+        if not self.settings.recorder_file:
+            return built
+        from anvilcove.replay.recorder import METHODS, RecordedPolicy, Recorder
+
+        if topic not in METHODS:
+            return built
+        if self.recorder is None:
+            self.recorder = Recorder(self.settings)
+        return RecordedPolicy(topic, built, self.recorder, self.settings)
+
     def refusal_reason(self) -> str:
         """Return why no new work may be taken, or an empty string."""
         return self.confirmation.problem(self.clock.now())
--- a/anvilcove/decisions/affinity.py
+++ b/anvilcove/decisions/affinity.py
@@ -58,3 +58,11 @@
         self._holders[prefix] = holders
         if len(self._holders) > REMEMBERED_PREFIXES:
             del self._holders[next(iter(self._holders))]
+
+
+def cache_prefixes(prompts: list[str]) -> list[str]:
+    """Return the parts of prompts that the engines' caches name.
+
+    Engines cache the part of a prompt before the marker `|`.
+    """
+    return [prompt.partition('|')[0] for prompt in prompts]
--- a/anvilcove/decisions/routing.py
+++ b/anvilcove/decisions/routing.py
@@ -3,7 +3,9 @@
 import random
 from math import exp, inf, log
 
-from anvilcove.decisions.affinity import PrefixAffinity
+from msgspec.structs import replace
+
+from anvilcove.decisions.affinity import PrefixAffinity, cache_prefixes
 from anvilcove.decisions.pool_index import PoolIndex, hash_of
 from anvilcove.decisions.registry import policy
 from anvilcove.decisions.types import (
@@ -123,6 +125,9 @@
         self._index.follow(view)
         if request.isolated:
             return self._choose_isolated(now, request, view, rng)
+        if request.prefixes:
+            prefixes = cache_prefixes(request.prefixes)
+            request = replace(request, prefixes=prefixes)
         room = self._room(now, request)
         match = self._affinity.holders(now, request.prefixes)
         ids = view.ids_by_pool.get(request.pool, [])
--- a/anvilcove/decisions/yielding.py
+++ b/anvilcove/decisions/yielding.py
@@ -50,7 +50,8 @@
         if quiet_s <= 0:
             return self._room
         doublings = min(quiet_s / DOUBLING_S, 20.0)
-        return min(self._room * 2.0**doublings, MAX_ROOM)
+        grown: float = self._room * 2.0**doublings
+        return min(grown, MAX_ROOM)
 
     def started(self, now: float) -> None:
         """Note that interactive work is there."""
--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -14,6 +14,7 @@
     'lint': ['ruff', 'check', *SOURCES],
     'openstack style': ['flake8', *SOURCES],
     'types': ['mypy'],
+    'replay': ['anvilcove', 'replay', '--all=traces'],
 }
 
 
