Compare the same number of endpoints at every size of the pool

A small pool gave about 9 candidates, since the draws overlap there; a large one gave up to 16. A learned record was also built for each candidate and thrown away. Change: endpoints with a reason (own data centre, prefix, just freed) are drawn first and random ones fill up to 8, at least 3. The hash ring is asked only when nobody is known to hold the prefix.

--- a/anvilcove/decisions/affinity.py
+++ b/anvilcove/decisions/affinity.py
@@ -6,7 +6,9 @@
 # long is dropped: the event that would have removed it may be missing.
 ENTRY_LIFE_S = 600.0
 REMEMBERED_PREFIXES = 65_536
-MAX_HOLDERS = 4
+# Holders that one decision compares, and that are remembered per prefix.
+MAX_HOLDERS = 2
+REMEMBERED_HOLDERS = 8
 
 
 class PrefixAffinity:
@@ -53,7 +55,7 @@
         holders = self._holders.pop(prefix, None) or {}
         holders.pop(endpoint, None)
         holders[endpoint] = now
-        if len(holders) > 2 * MAX_HOLDERS:
+        if len(holders) > REMEMBERED_HOLDERS:
             del holders[next(iter(holders))]
         self._holders[prefix] = holders
         if len(self._holders) > REMEMBERED_PREFIXES:
--- a/anvilcove/decisions/routing.py
+++ b/anvilcove/decisions/routing.py
@@ -22,11 +22,13 @@
 from anvilcove.settings.daemon import DaemonSettings
 from anvilcove.state.endpoints import EndpointState, EndpointView
 
-# Endpoints drawn at random for one decision and, when none of them has
-# room, in each further draw.
-SAMPLES = 6
+# Endpoints that one decision compares: those with a reason, and at least
+# some drawn at random. The number does not grow with that of the servers.
+# When none of them has room, each further draw takes as many at random.
+SAMPLES = 8
+RANDOM_SAMPLES = 3
 DRAWS = 4
-LOCAL_SAMPLES = 3
+LOCAL_SAMPLES = 2
 RING_SAMPLES = 2
 # Hosts that follow the last of the late reports move together and swing
 # between the servers. Only the mean of many reports counts, less with age.
@@ -133,9 +135,10 @@
         ids = view.ids_by_pool.get(request.pool, [])
         draws = DRAWS if len(ids) > SAMPLES else 1
         for draw in range(draws):
-            drawn = view.sample(request.pool, SAMPLES, rng)
-            if draw == 0:
-                drawn = self._with_preferred(drawn, request, view, match, rng)
+            if draw == 0 and draws > 1:
+                drawn = self._first_draw(request, view, match, rng)
+            else:
+                drawn = view.sample(request.pool, SAMPLES, rng)
             usable = [s for s in drawn if self._usable(now, request, s, room)]
             if usable:
                 return self._best(now, request, usable, match, rng)
@@ -170,21 +173,21 @@
             return inf
         return inf if room is None else room.value(now)
 
-    def _with_preferred(
+    def _first_draw(
         self,
-        drawn: list[EndpointState],
         request: RouteRequest,
         view: EndpointView,
         match: dict[str, float],
         rng: random.Random,
     ) -> list[EndpointState]:
+        """Draw those that probably fit, and others at random."""
         pool = request.pool
-        states = {state.endpoint: state for state in drawn}
+        states: dict[str, EndpointState] = {}
         for state in self._index.sample_in(
             pool, self._data_centre, LOCAL_SAMPLES, rng
         ):
             states[state.endpoint] = state
-        if request.prefixes:
+        if request.prefixes and not match:
             position = hash_of(request.prefixes[0])
             for state in self._index.near(pool, position, RING_SAMPLES):
                 states[state.endpoint] = state
@@ -193,6 +196,9 @@
             known = view.by_id.get(endpoint)
             if known is not None and known.pool == pool:
                 states[endpoint] = known
+        count = max(SAMPLES - len(states), RANDOM_SAMPLES)
+        for state in view.sample(pool, count, rng):
+            states[state.endpoint] = state
         return list(states.values())
 
     def _usable(
@@ -281,7 +287,9 @@
         report = state.report
         if report is None or report.capacity <= 0:
             return 0.0
-        learned = self._learned.setdefault(state.endpoint, EndpointLearned())
+        learned = self._learned.get(state.endpoint)
+        if learned is None:
+            learned = self._learned[state.endpoint] = EndpointLearned()
         if learned.report_at_s != state.report_at_s:
             learned.report_at_s = state.report_at_s
             load = (report.running + report.queued) / report.capacity
