Compare the real policies with the naive ones on daemons

Scenarios guard the recorder against prompts in traces and the comparison of outcomes against passing whatever happens.

--- a/anvilcove/cli/bench.py
+++ b/anvilcove/cli/bench.py
@@ -12,14 +12,20 @@
 from loguru import logger
 
 from anvilcove.bench.capacity import write_page, write_plots
+from anvilcove.bench.compare import MEASURES, write
+from anvilcove.bench.compare import compare as run_comparison
 from anvilcove.bench.slopes import fit, measure_all
 from anvilcove.bench.subsets import measure_loss
 from anvilcove.cli.registry import program
+from anvilcove.daemon.app import load_modules
 
 FLAGS = flags.FLAGS
 flags.DEFINE_integer('most_daemons', 64, 'Largest number of daemons.')
 flags.DEFINE_float('seconds', 6.0, 'Time of each measurement, s.')
 flags.DEFINE_string('measurements', 'docs/measurements', 'Output folder.')
+flags.DEFINE_enum(
+    'only', '', ['', *MEASURES], 'Run one measure of compare again.'
+)
 flags.DEFINE_string('page', 'docs/CAPACITY.md', 'Page to regenerate.')
 
 SUBSET_SIZES = [8, 16, 32, 64, 128, 557]
@@ -53,10 +59,22 @@
     return 0
 
 
-COMMANDS: dict[str, Callable[[], int]] = {'slopes': slopes, 'page': page}
+def compare() -> int:
+    """Compare the real policies with the naive ones."""
+    load_modules()
+    folder = Path(FLAGS.measurements)
+    write(run_comparison(FLAGS.only, folder), folder)
+    return 0
+
+
+COMMANDS: dict[str, Callable[[], int]] = {
+    'slopes': slopes,
+    'page': page,
+    'compare': compare,
+}
 
 
-@program('bench', 'Measure: anvilcove bench slopes|page [FLAGS]')
+@program('bench', 'Measure: anvilcove bench slopes|page|compare [FLAGS]')
 def bench(arguments: list[str]) -> int:
     """Run one of the measurements."""
     name = arguments[0] if arguments else ''
--- /dev/null
+++ b/features/steps/replay_steps.py
@@ -0,0 +1,72 @@
+"""Steps that record decisions and replay them."""
+
+import random
+
+from behave import given, then
+from msgspec.json import encode
+from queue_model import POOL, build, daemon_settings, members
+
+from anvilcove.decisions.types import INTERACTIVE, OK, AttemptResult
+from anvilcove.decisions.types import RouteRequest as Request
+from anvilcove.messages.engines import CacheEvent
+from anvilcove.replay.outcomes import faults
+from anvilcove.replay.recorder import RecordedPolicy, Recorder
+from anvilcove.replay.replay import read_trace, replay
+from anvilcove.state.endpoints import EndpointView
+
+SECRET = 'account of a customer'
+
+
+@given('a recorded trace of {count:d} routed prompts')
+def record_trace(context, count):
+    """Route prompts with a recorded policy."""
+    context.trace = context.folder / 'trace.jsonl'
+    settings = daemon_settings()
+    settings.recorder_file = str(context.trace)
+    settings.seed = 5
+    recorder = Recorder(settings)
+    router = RecordedPolicy(
+        'routing', build('routing', 'real'), recorder, settings
+    )
+    view = EndpointView()
+    view.update(members(4))
+    for number in range(count):
+        request = Request(
+            request_id=f'r{number}',
+            class_name='ask',
+            kind=INTERACTIVE,
+            pool=POOL,
+            prefixes=[f'{SECRET} {number % 5}|{number}'],
+        )
+        now = number * 0.1
+        route = router.choose(now, request, view, random.Random())
+        result = AttemptResult(route.endpoint, OK, 0.05, 1, 'ask')
+        router.finished(now, result, POOL, INTERACTIVE)
+        event = CacheEvent(
+            sequence=number + 1, prefix=f'{SECRET} {number % 5}', stored=True
+        )
+        router.observe_cache(now, route.endpoint, [event])
+    recorder.flush()
+
+
+@then('the trace holds no prompt')
+def check_no_prompt(context):
+    """Check that the text of the prompts is not in the file."""
+    assert SECRET not in context.trace.read_text()
+
+
+@then('two replays give the recorded results')
+def check_replays(context):
+    """Check both replays against the trace and each other."""
+    _, rows = read_trace(context.trace)
+    first = replay(context.trace)
+    assert [row[3] for row in rows] == [d.result for d in first]
+    assert encode(first) == encode(replay(context.trace))
+
+
+@then('the outcome "{name}" of {bad:g} fails and of {good:g} holds')
+def check_outcome_bound(context, name, bad, good):
+    """Check both sides of the bound of an outcome."""
+    decisions = replay(context.trace)
+    assert faults(decisions, {name: bad})
+    assert not faults(decisions, {name: good})
