Run the features three at a time and fail when one does not load

Cause: the scenarios took about five minutes one by one, and a feature that could not be loaded added no scenario and so passed unseen. Change: tools/run_checks.py runs one behave process per feature file, three at a time; a file that ends with an error and without a failed scenario counts as a failure of its own, and equal scenario names in two files no longer hide each other. Conclusion: the verdict covers every feature file.

--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -5,10 +5,14 @@
 import subprocess
 import sys
 import tempfile
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 SOURCES = ['anvilcove', 'features', 'tools', 'examples']
+# Each feature starts up to about 20 processes.
+FEATURES_AT_A_TIME = 3
+OUTPUT_SHOWN = 6_000
 CHECKS = {
     'format': ['ruff', 'format', '--check', *SOURCES],
     'lint': ['ruff', 'check', *SOURCES],
@@ -40,12 +44,14 @@
     return result.returncode == 0
 
 
-def run_scenarios():
-    """Run behave and return the status of each scenario by its name."""
-    print('== scenarios', flush=True)
+def run_feature(path):
+    """Run one feature and return (scenario name, status) of each scenario.
+
+    A feature that cannot be loaded counts as one failed scenario.
+    """
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / 'behave.json'
-        subprocess.run(
+        result = subprocess.run(
             [
                 sys.executable,
                 '-m',
@@ -55,18 +61,36 @@
                 f'--outfile={report}',
                 '--format=progress2',
                 '--outfile=/dev/stdout',
+                str(path),
             ],
             cwd=ROOT,
             check=False,
+            capture_output=True,
+            text=True,
             env={**os.environ, 'PYTHONPATH': str(ROOT)},
         )
-        features = json.loads(report.read_text() or '[]')
-    return {
-        element['name']: element['status']
-        for feature in features
+        text = report.read_text() if report.exists() else ''
+    statuses = [
+        (element['name'], element['status'])
+        for feature in json.loads(text or '[]')
         for element in feature.get('elements', [])
         if element['type'] == 'scenario'
-    }
+    ]
+    if result.returncode:
+        print(result.stdout[-OUTPUT_SHOWN:], result.stderr[-OUTPUT_SHOWN:])
+        if all(status == 'passed' for _, status in statuses):
+            statuses.append((path.name, 'not loaded or not ended'))
+    print(f'{path.name}: {len(statuses)} scenarios', flush=True)
+    return statuses
+
+
+def run_scenarios():
+    """Run the features, some at a time, and return the statuses."""
+    print('== scenarios', flush=True)
+    features = sorted((ROOT / 'features').glob('*.feature'))
+    with ThreadPoolExecutor(FEATURES_AT_A_TIME) as pool:
+        results = list(pool.map(run_feature, features))
+    return [status for statuses in results for status in statuses]
 
 
 def main():
@@ -79,7 +103,7 @@
             failed += 1
             print(f'FAILED: {name}')
     known = known_failures()
-    for name, status in run_scenarios().items():
+    for name, status in run_scenarios():
         if name in known:
             skipped += 1
             print(f'KNOWN FAILURE ({status}): {name}')
