Keep trying to open a relayed listener and give each demo its own subnet

Cause: with three demos at once, one never became ready: opening the relay's listener failed because an outgoing connection had its port, and the task that follows the server ended. Another run named engines of a neighbouring run: 206 of 576 samples did not match its own journals. Change: the relay tries again; a site takes a subnet; a scenario holds the port while the relay starts (red without the change).

--- a/anvilcove/demo/run.py
+++ b/anvilcove/demo/run.py
@@ -1,6 +1,7 @@
 """Run one site under load and faults and judge the promises."""
 
 import asyncio
+import os
 import random
 import time
 from collections.abc import Coroutine
@@ -42,7 +43,11 @@
         self.rng = random.Random(seed)
         self.record = RunRecord()
         self.site = Site(
-            SHAPES_BY_NAME[site], folder, relay=True, mixed_speeds=True
+            SHAPES_BY_NAME[site],
+            folder,
+            relay=True,
+            mixed_speeds=True,
+            subnet=1 + os.getpid() % 250,
         )
         self.site.timing.entry_ttl_ms = ENTRY_TTL_MS
         self.site.plan()
--- a/anvilcove/demo/site.py
+++ b/anvilcove/demo/site.py
@@ -97,6 +97,8 @@
     With `relay`, membership and settings name addresses of the relay, and
     `real_by_name` holds those where the processes listen. With
     `mixed_speeds`, every second engine takes twice the time for a token.
+    Sites that run at the same time use different subnets (third number of
+    the addresses), or outgoing connections of one take ports of another.
     """
 
     def __init__(
@@ -105,12 +107,14 @@
         folder: Path,
         relay: bool = False,
         mixed_speeds: bool = False,
+        subnet: int = 0,
     ) -> None:
         """Plan the addresses; nothing runs yet."""
         self.shape = shape
         self.folder = folder
         self.relay = relay
         self.mixed_speeds = mixed_speeds
+        self.subnet = subnet
         self.real_by_name: dict[str, str] = {}
         self.relayed: list[Relayed] = []
         self.processes = ProcessGroup(folder / 'logs')
@@ -149,7 +153,8 @@
 
     def _data_centre(self, index: int) -> tuple[str, str]:
         position = index % len(self.shape.data_centres)
-        ip = f'127.{position + 1}.0.{index // len(self.shape.data_centres)}'
+        last = index // len(self.shape.data_centres)
+        ip = f'127.{position + 1}.{self.subnet}.{last}'
         return self.shape.data_centres[position], ip
 
     def _plan_host(self, index: int) -> None:
--- a/anvilcove/standins/network.py
+++ b/anvilcove/standins/network.py
@@ -181,9 +181,16 @@
         return True
 
     async def _open(self) -> None:
-        self._server = await asyncio.get_running_loop().create_server(
-            lambda: Pair(self).client, *self.advertised, backlog=512
-        )
+        loop = asyncio.get_running_loop()
+        try:
+            self._server = await loop.create_server(
+                lambda: Pair(self).client, *self.advertised, backlog=512
+            )
+        except OSError:
+            # An outgoing connection has the port; it is tried again.
+            await asyncio.sleep(PROBE_PERIOD_S)
+            self._check.set()
+            return
         self.apply_cuts()
 
     def _close(self) -> None:
--- a/features/standins.feature
+++ b/features/standins.feature
@@ -181,3 +181,10 @@
     When endpoint account-app-1 crashes on the call {"account": "poison"} at host h1
     Then its journal file tells the crash and it serves after a restart
     And cutting casa-ain off makes its host unreachable until it heals
+
+  Scenario: The relay listens once its port is free again
+    Guards against a listener that stays closed for ever because an outgoing
+    connection had its port when it first opened.
+    Given a relayed server whose advertised port is taken
+    When the port becomes free
+    Then the relay accepts connections at the advertised port
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -1,6 +1,7 @@
 """Steps of the relay and of sites behind it."""
 
 import asyncio
+import socket
 import time
 
 from behave import given, then, when
@@ -169,3 +170,40 @@
     run(context, context.site.heal(context.session))
     ended = run(context, reach())
     assert ended == 'EndpointFailed', ended
+
+
+@given('a relayed server whose advertised port is taken')
+def start_relay_without_port(context):
+    """Hold the advertised port with a socket that does not listen."""
+    start_standin(context, 'service', '{}')
+    context.holder = socket.socket()
+    context.holder.bind(('127.1.0.1', 0))
+    port = context.holder.getsockname()[1]
+    relayed = Relayed(
+        advertised=f'127.1.0.1:{port}',
+        real=context.address,
+        data_centre='casa-ain',
+    )
+    options = NetworkOptions(data_centres=['casa-ain'], listeners=[relayed])
+    context.network = Network(options)
+    context.address = relayed.advertised
+    stop_later(context, context.network.stop)
+    run(context, context.network.start())
+    run(context, asyncio.sleep(0.1))
+    assert not context.network.listeners[0].is_open()
+
+
+@when('the port becomes free')
+def free_the_port(context):
+    """Close the socket that held the port."""
+    context.holder.close()
+
+
+@then('the relay accepts connections at the advertised port')
+def check_relay_open(context):
+    """Wait until a call passes the relay."""
+
+    async def passes():
+        return await relayed_call(context, '127.1.0.9') == 'success'
+
+    run(context, wait_for(passes))
