--- a/anvilcove/decisions/naive.py
+++ b/anvilcove/decisions/naive.py
@@ -197,6 +197,11 @@
     def finished(self, now: float, content: str) -> None:
         """Count nothing."""
 
+    def forgive(
+        self, now: float, endpoint: str, contents: list[str], reachable: bool
+    ) -> None:
+        """Forgive nothing."""
+
     def verdict(self, now: float, content: str) -> Allow:
         """Allow the content."""
         return Allow()
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import signal
 import uuid
 
 import yaml
@@ -22,7 +21,7 @@
             setattr(getattr(settings, section), key, value)
 
 
-def plan_site(context, hosts, services, changes, engines=0):
+def plan_site(context, hosts, services, changes, engines=0, relay=False):
     """Plan a site without starting it."""
     shape = SiteShape(
         'test',
@@ -31,7 +30,7 @@
         ('advisor-llm', engines),
         ('account-app', services),
     )
-    context.site = Site(shape, context.folder)
+    context.site = Site(shape, context.folder, relay=relay)
     context.site.plan()
     for settings in context.site.settings_by_host.values():
         change_settings(settings, changes)
@@ -154,18 +153,6 @@
     return answer
 
 
-@when('host {host:w} is paused')
-def pause_host(context, host):
-    """Stop a daemon with SIGSTOP."""
-    context.site.processes.signal(host, signal.SIGSTOP)
-
-
-@when('host {host:w} goes on')
-def continue_host(context, host):
-    """Continue a daemon with SIGCONT."""
-    context.site.processes.signal(host, signal.SIGCONT)
-
-
 @when('host {host:w} is killed and started again')
 def restart_host(context, host):
     """Replace a daemon by a new one without memory."""
