--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -281,13 +281,13 @@
 def apply_in_failure(context, name, host):
     """Cut the store off during the write, and connect it again.
 
-    With a delay of 1 s, the row is read for 1 s, then written for 1 s.
+    With a delay of 0.6 s, the row is read, then written from 0.6 to 1.2 s.
     """
 
     async def send():
-        await set_faults(context, {'store_delay_s': 1.0})
+        await set_faults(context, {'store_delay_s': 0.6})
         task = asyncio.create_task(apply(context, name, host, 0))
-        await asyncio.sleep(1.5)
+        await asyncio.sleep(0.9)
         cut = {'down_for': ['127.1'], 'store_down': True}
         await set_faults(context, cut)
         await asyncio.sleep(1.0)
