--- a/anvilcove/cli/main.py
+++ b/anvilcove/cli/main.py
@@ -18,6 +18,8 @@
     'settings': 'anvilcove.cli.settings',
     'standin': 'anvilcove.cli.standin',
     'demo': 'anvilcove.cli.demo',
+    'replay': 'anvilcove.cli.replay',
+    'bench': 'anvilcove.cli.bench',
 }
 
 
--- a/anvilcove/commands/dispatch.py
+++ b/anvilcove/commands/dispatch.py
@@ -249,7 +249,7 @@
         self._record(now, request, route)
         state = self.context.endpoints.by_id[route.endpoint]
         if request.isolated:
-            self._isolation.begin(state)
+            self._isolation.begin(state, request.content)
         self.crashes.started(state.endpoint, request.content)
         in_flight = self._in_flight_by_pool.get(state.pool, 0)
         self._in_flight_by_pool[state.pool] = in_flight + 1
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -76,24 +76,6 @@
     put_faults(context, member.address, json.loads(switches))
 
 
-@when('daemon {host} is stopped gracefully')
-def stop_host(context, host):
-    """Stop a daemon and require a clean exit."""
-    assert run(context, context.site.processes.terminate(host)) == 0
-
-
-@when('daemon {host} is paused')
-def pause_host(context, host):
-    """Pause a daemon."""
-    context.site.processes.signal(host, signal.SIGSTOP)
-
-
-@when('daemon {host} is resumed')
-def resume_host(context, host):
-    """Resume a paused daemon."""
-    context.site.processes.signal(host, signal.SIGCONT)
-
-
 @when('model engine {number:d} starts again')
 def restart_engine(context, number):
     """Wait for the crash of an engine and start it again."""
@@ -203,6 +185,21 @@
         last[key] = value
 
 
+@then('each acknowledgement was of the fixed epoch, which stayed')
+def check_acknowledged(context):
+    """Follow the rows of steps and cursors in the order of their writes."""
+    rows = {}
+    acknowledged = set()
+    for key, value, _ in step_puts(context):
+        assert key not in acknowledged, (key, value)
+        if key.startswith('cursor/'):
+            step = f'step/{key.partition("/")[2]}/{value["step"]}'
+            assert rows[step]['state'] == 'fixed', rows[step]
+            assert rows[step]['epoch'] == value['epoch'], rows[step]
+            acknowledged.add(step)
+        rows[key] = value
+
+
 @then('the cursor of trainer {trainer} moved by one step each time')
 def check_cursor(context, trainer):
     """Check the writes of the cursor."""
