--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -20,7 +20,7 @@
             setattr(getattr(settings, section), key, value)
 
 
-def plan_site(context, hosts, services, changes, engines=0):
+def plan_site(context, hosts, services, changes, engines=0, relay=False):
     """Plan a site without starting it."""
     shape = SiteShape(
         'test',
@@ -29,7 +29,7 @@
         ('advisor-llm', engines),
         ('account-app', services),
     )
-    context.site = Site(shape, context.folder)
+    context.site = Site(shape, context.folder, relay=relay)
     context.site.plan()
     for settings in context.site.settings_by_host.values():
         change_settings(settings, changes)
