--- a/anvilcove/commands/leases.py
+++ b/anvilcove/commands/leases.py
@@ -75,11 +75,15 @@
 
     async def _loop(self) -> None:
         while True:
-            await asyncio.gather(
-                *(self._tick(lease) for lease in self._by_name.values())
-            )
+            await self.look()
             await self.context.clock.sleep(self.lease_s / RENEWALS_PER_LEASE)
 
+    async def look(self) -> None:
+        """Renew what is held and try to take what is free or expired."""
+        await asyncio.gather(
+            *(self._tick(lease) for lease in self._by_name.values())
+        )
+
     async def _tick(self, lease: _Lease) -> None:
         if self.released:
             return
