--- a/anvilcove/bench/compare.py
+++ b/anvilcove/bench/compare.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from anvilcove.bench.policy_sites import (
+    beside_batch,
     busiest_to_mean,
     poisoned_engines,
     prefix_hits,
@@ -22,12 +23,17 @@
 VARIANTS = ('naive', 'real')
 # Measures of design 1.7 that this program does not run yet.
 NOT_RUN = {
-    'interactive on time, batch at 10 times capacity': 'at least 99.9%',
     'goodput during 3-times overload': 'at least 95% of capacity',
     'recovery after overload or store outage': 'within 10 s',
     'latency added to a streamed answer': 'p99 at most 3 ms',
 }
 
+# Suspected, not isolated: shown with a measure that does not meet its target.
+CAUSE = (
+    'no; suspected: a host with less than one interactive request a second '
+    'counts as quiet and gives its room to batch work'
+)
+
 Row = dict[str, Any]
 
 
@@ -134,11 +140,33 @@
     return {'prefix cache hits relative to an oracle': row}
 
 
+def _interactive() -> dict[str, Row]:
+    shares: dict[str, list[float]] = {v: [] for v in VARIANTS}
+    ratios: dict[str, list[float]] = {v: [] for v in VARIANTS}
+    for seed in SEEDS[:1]:
+        for variant in VARIANTS:
+            share, ratio = asyncio.run(beside_batch(variant, seed))
+            shares[variant].append(share)
+            ratios[variant].append(ratio)
+            logger.info('interactive {} {:.3f} {:.2f}', variant, share, ratio)
+    row = _row('at least 0.999', shares, 1.0)
+    row['met'] = min(shares['real']) >= 0.999
+    slow = _row('at most 1.5', ratios, 1.5)
+    for found in (row, slow):
+        if not found['met']:
+            found['note'] = CAUSE
+    return {
+        'interactive on time, batch at 10 times capacity': row,
+        'interactive p99 to idle, batch at 10 times capacity': slow,
+    }
+
+
 MEASURES: dict[str, Callable[[], dict[str, Row]]] = {
     'routing_time': _time,
     'level': _level,
     'poison': _poison,
     'prefixes': _prefixes,
+    'interactive': _interactive,
 }
 
 
@@ -150,7 +178,7 @@
         '# Real policies against naive ones',
         '',
         'Command: `anvilcove bench compare`, seeds 1 to 3; poison, prefixes',
-        '1 and 2.',
+        '1 and 2, interactive 1.',
         'Medians; the spread is that of the real policies.',
         '',
         '| measure | target | naive | real | spread | met |',
--- a/anvilcove/bench/policy_sites.py
+++ b/anvilcove/bench/policy_sites.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 
 from anvilcove.decisions.registry import POLICIES
 from anvilcove.demo.site import OPERATOR_KEY, SHAPES_BY_NAME, Site
@@ -18,6 +18,7 @@
 CLASSES_LIMIT_S = 20.0
 REQUEST_LIMIT_S = 10.0
 SETTLE_S = 2.0
+DEADLINE_S = 2.0
 OUR_TOPICS = (
     'admission',
     'limits',
@@ -88,6 +89,28 @@
             await asyncio.sleep(max(ahead_s, 0.0))
         return await asyncio.gather(*tasks)
 
+    async def timed_load(
+        self,
+        class_name: str,
+        count: int,
+        rate: float,
+        body: Callable[[int], Any],
+    ) -> list[tuple[str, float]]:
+        """Send requests at a rate; return outcomes and times in seconds."""
+        loop = asyncio.get_running_loop()
+
+        async def timed(number: int) -> tuple[str, float]:
+            start_s = loop.time()
+            host = self.hosts[number % len(self.hosts)]
+            outcome = await self.send(host, class_name, body(number))
+            return outcome, loop.time() - start_s
+
+        tasks = []
+        for number in range(count):
+            tasks.append(asyncio.create_task(timed(number)))
+            await asyncio.sleep(1 / rate)
+        return await asyncio.gather(*tasks)
+
     async def faults(self, kind: str, switches: dict[str, Any]) -> None:
         """Set switches at every endpoint of a kind."""
         for member in self.site.members.endpoints:
@@ -99,15 +122,23 @@
     async def declare(self) -> None:
         """Declare an interactive class of each pool."""
         shape = self.site.shape
-        classes = [
+        classes: list[dict[str, Any]] = [
             {
                 'kind': 'interactive',
                 'name': name,
                 'pool': pool,
-                'deadline_ms': 2000,
+                'deadline_ms': int(DEADLINE_S * 1000),
             }
             for name, pool in (('lookup', shape.app), ('ask', shape.model))
         ]
+        classes.append(
+            {
+                'kind': 'background',
+                'name': 'posting',
+                'pool': shape.model,
+                'complete_within_ms': 60_000,
+            }
+        )
         body = {'expected_revision': 0, 'document': {'classes': classes}}
         address = self.site.settings_by_host['h1'].listen_address
         headers = {'Authorization': f'Bearer {OPERATOR_KEY}'}
@@ -145,7 +176,9 @@
             settings.policies = policies(variant)
             settings.seed = 100 * seed + number + 1
             settings.log.level = 'WARNING'
-        async with ClientSession() as session:
+        # The client must not queue what the daemons are to be measured by.
+        connector = TCPConnector(limit=0)
+        async with ClientSession(connector=connector) as session:
             try:
                 await site.start(session)
                 bench = BenchSite(site, session)
@@ -209,3 +242,31 @@
                         runs += 1
                         hits += line['cached']
         return hits / (runs - len(set(drawn)))
+
+
+async def beside_batch(variant: str, seed: int) -> tuple[float, float]:
+    """Return the share on time and the p99 against the idle system.
+
+    Six engines with 8 slots run 48 postings of 200 tokens in about 1.1 s;
+    480 a second are offered, ten times their capacity.
+    """
+    async with running('tifawt', variant, seed) as bench:
+
+        def ask(number: int) -> Any:
+            return {'prompt': f'q{number}', 'max_tokens': 8}
+
+        def posting(number: int) -> Any:
+            return {'prompt': f'b{number}', 'max_tokens': 200}
+
+        idle = await bench.timed_load('ask', 120, 20, ask)
+        batch = asyncio.create_task(bench.load('posting', 4_800, 480, posting))
+        await asyncio.sleep(2.0)
+        beside = await bench.timed_load('ask', 150, 20, ask)
+        batch.cancel()
+        await asyncio.gather(batch, return_exceptions=True)
+        on_time = [t for outcome, t in beside if outcome == 'answered']
+        share = sum(t <= DEADLINE_S for t in on_time) / len(beside)
+        times = sorted(t for _, t in beside)
+        idle_times = sorted(t for _, t in idle)
+        slow = times[int(len(times) * 0.99)]
+        return share, slow / idle_times[int(len(idle_times) * 0.99)]
