--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -173,12 +173,6 @@
     run(context, wait_for(ended))
 
 
-@when('host {host:w} is killed')
-def kill_host(context, host):
-    """Kill the daemon of a host."""
-    run(context, context.site.processes.kill(host))
-
-
 @when('posting {key} has started')
 def wait_for_start(context, key):
     """Wait until a service runs a posting."""
