Count outcomes in the metrics and let idle daemons sleep

Change: submit, attempts, dispatch and fixing count what they end; the dispatcher, the sample pump and the straggler watch wait for work. Conclusion: series are filled; wakeups follow work.

--- a/anvilcove/commands/attempts.py
+++ b/anvilcove/commands/attempts.py
@@ -136,6 +136,7 @@
         if now + decision.delay_s >= job.route.deadline_at_s:
             raise GivenUp(f'{failure}; no time for another attempt')
         self._exclude(job, slot)
+        context.metrics.retried(job.route.class_name)
         await context.clock.sleep(decision.delay_s)
 
     def _may_move(self, job: Job, slot: Slot, failure: EndpointError) -> bool:
--- a/anvilcove/commands/dispatch.py
+++ b/anvilcove/commands/dispatch.py
@@ -69,6 +69,8 @@
         """Start with empty queues."""
         super().__init__(context)
         self._queue_by_pool: dict[str, PoolQueue[Slot]] = {}
+        # An idle daemon must not wake up to find nothing to do.
+        self._waiting = asyncio.Event()
         self._isolation = Isolation(context.endpoints)
         self._subscription: DisposableBase = (
             context.endpoints.changes.subscribe(
@@ -86,8 +88,11 @@
 
     async def _wake_periodically(self) -> None:
         while True:
+            await self._waiting.wait()
             await self.context.clock.sleep(WAKE_PERIOD_S)
             self.wake_all()
+            if not any(queue.size for queue in self._queue_by_pool.values()):
+                self._waiting.clear()
 
     async def acquire(self, request: RouteRequest, priority: int) -> Slot:
         """Wait for room at an endpoint.
@@ -109,6 +114,7 @@
     async def _wait(self, request: RouteRequest, priority: int) -> Slot:
         queue = self._queue_by_pool.setdefault(request.pool, PoolQueue())
         waiter = queue.add(request, priority)
+        self._waiting.set()
         self.wake(request.pool)
         try:
             left_s = request.deadline_at_s - self.context.clock.now()
@@ -230,6 +236,8 @@
         state.ejected_until_s = context.policy('ejection').finished(
             now, result, pool
         )
+        if state.ejected_until_s > now:
+            context.metrics.ejected(state.endpoint)
         self.crashes.ended(
             now, state, slot.request.content, slot.started_at_s, outcome
         )
--- a/anvilcove/commands/fixing.py
+++ b/anvilcove/commands/fixing.py
@@ -119,10 +119,20 @@
             )
             check = Check(key=key, revision=weights.revision)
             if await self.steps.write(run, fixed, check):
+                self._count(run, newest)
                 self.steps.drop(run, 'fixed')
                 return True
             return run.dropped
 
+    def _count(self, run: StepRun, newest: int) -> None:
+        """Count the staleness of each sample that is handed over."""
+        for sample in run.samples:
+            if sample.result is not None and sample.result.versions:
+                oldest = min(p.version for p in sample.result.versions)
+                self.context.metrics.sample_delivered(
+                    run.row.class_name, newest - oldest
+                )
+
     async def _store(self, run: StepRun) -> str:
         """Write the batch as an object before the row names it."""
         body, row = run.body, run.row
--- a/anvilcove/commands/samples.py
+++ b/anvilcove/commands/samples.py
@@ -139,11 +139,7 @@
             wake.clear()
             choice = self._choose(pool)
             if choice is None:
-                try:
-                    async with asyncio.timeout(IDLE_PERIOD_S):
-                        await wake.wait()
-                except TimeoutError:
-                    pass
+                await self._wait_for_work(pool, wake)
                 continue
             try:
                 await self._start_one(*choice)
@@ -152,6 +148,18 @@
                 self._queue(*choice)
                 await self.context.clock.sleep(IDLE_PERIOD_S)
 
+    async def _wait_for_work(self, pool: str, wake: asyncio.Event) -> None:
+        """Wait for a new sample, or for an engine if a sample needs one."""
+        waiting = any(
+            run.pending and self.pool(run) == pool
+            for run in self.book.by_id.values()
+        )
+        try:
+            async with asyncio.timeout(IDLE_PERIOD_S if waiting else None):
+                await wake.wait()
+        except TimeoutError:
+            pass
+
     def _choose(self, pool: str) -> tuple[StepRun, SampleRun] | None:
         ready: dict[StepId, tuple[StepRun, SampleRun]] = {}
         for run in self.book.by_id.values():
--- a/anvilcove/commands/stragglers.py
+++ b/anvilcove/commands/stragglers.py
@@ -18,6 +18,7 @@
 from anvilcove.state.steps import Attempt, SampleRun, StepRun
 
 CHECK_PERIOD_S = 0.1
+IDLE_PERIOD_S = 0.5
 SLOT_WAIT_S = 0.3
 # A sample that is slow at a fourth engine is a long one.
 MAX_MOVES = 3
@@ -40,7 +41,10 @@
 
     async def _watch(self) -> None:
         while True:
-            await self.context.clock.sleep(CHECK_PERIOD_S)
+            held = bool(self.runner.book.by_id)
+            await self.context.clock.sleep(
+                CHECK_PERIOD_S if held else IDLE_PERIOD_S
+            )
             for run in list(self.runner.book.by_id.values()):
                 if not run.pending and run.missing:
                     self._check_step(run)
--- a/anvilcove/commands/submit.py
+++ b/anvilcove/commands/submit.py
@@ -56,6 +56,7 @@
 DEFAULT_DEADLINE_S = 30.0
 UNDECLARED_RETRY_S = 1.0
 DRAIN_CHECK_S = 0.05
+UNDECLARED = 'undeclared'
 
 
 @part
@@ -141,6 +142,7 @@
             outcome=FAILED,
             reason='the request was stopped',
         )
+        arrived_at_s = self.context.clock.now()
         try:
             outcome = await self.run(message, record)
         except Exception:
@@ -150,6 +152,7 @@
                 outcome.outcome = UNKNOWN
             if outcome.outcome != ANSWERED:
                 self._record_end(message, outcome)
+            self._count(message, outcome, arrived_at_s)
             status = record.status or STATUS_BY_OUTCOME[outcome.outcome]
             self.attach.book.finish(
                 self.context.clock.now(), record, outcome, status
@@ -252,6 +255,23 @@
             retry_after_ms=int(error.retry_after_s * 1000),
         )
 
+    def _count(
+        self, message: SubmitRequest, outcome: Outcome, arrived_at_s: float
+    ) -> None:
+        """Count an outcome; undeclared names would make endless series."""
+        target = self.context.config.target(message.class_name)
+        name = UNDECLARED if target is None else message.class_name
+        latency_s = self.context.clock.now() - arrived_at_s
+        limit_s = DEFAULT_DEADLINE_S
+        if target is not None:
+            limit_s = _deadline_s(message, target)
+        metrics = self.context.metrics
+        metrics.request_finished(
+            name, outcome.outcome, latency_s, latency_s <= limit_s
+        )
+        if outcome.outcome == NOT_RUN:
+            metrics.request_refused(name, outcome.reason)
+
     def _record_end(self, message: SubmitRequest, outcome: Outcome) -> None:
         """Log why a request has no answer."""
         self.context.decisions.record(
