--- a/anvilcove/bench/compare.py
+++ b/anvilcove/bench/compare.py
@@ -30,8 +30,8 @@
 
 # Suspected, not isolated: shown with a measure that does not meet its target.
 CAUSE = (
-    'no; suspected: a host with less than one interactive request a second '
-    'counts as quiet and gives its room to batch work'
+    'no; suspected: running batch generations are not preempted, so that '
+    'an interactive request waits until one ends and frees its slot'
 )
 
 Row = dict[str, Any]
--- a/anvilcove/cli/main.py
+++ b/anvilcove/cli/main.py
@@ -30,6 +30,13 @@
     return f'usage: anvilcove PROGRAM [ARGUMENTS] [--help]\n{names}'
 
 
+def show_flags(module: str) -> None:
+    """Let --help list the flags of a program and of what it shares."""
+    for name in (module, 'anvilcove.cli.operator'):
+        for flag in flags.FLAGS.get_flags_for_module(name):
+            flags.FLAGS.register_key_flag_for_module(sys.argv[0], flag)
+
+
 def run() -> None:
     """Run the program that the command line names."""
     if len(sys.argv) < 2 or sys.argv[1] not in MODULE_BY_PROGRAM:
@@ -37,7 +44,8 @@
         print(usage(), file=sys.stdout if asked else sys.stderr)
         sys.exit(0 if asked else 2)
     name = sys.argv.pop(1)
-    import_module(MODULE_BY_PROGRAM[name])
+    module = import_module(MODULE_BY_PROGRAM[name]).__name__
+    show_flags(module)
     flags.FLAGS.set_gnu_getopt(True)
     sys.modules['__main__'].__doc__ = HELP_BY_NAME[name]
 
--- a/anvilcove/cli/operator.py
+++ b/anvilcove/cli/operator.py
@@ -42,7 +42,12 @@
 async def _call(method: str, path: str, body: Any) -> Any:
     key = FLAGS.key
     if FLAGS.key_file:
-        key = Path(FLAGS.key_file).read_text().strip()
+        try:
+            key = Path(FLAGS.key_file).read_text().strip()
+        except OSError as error:
+            raise CallError(
+                f'--key_file: {error.strerror}: {FLAGS.key_file}', 0, None
+            ) from error
     scheme = 'https' if FLAGS.tls else 'http'
     try:
         async with (
--- a/anvilcove/commands/dispatch.py
+++ b/anvilcove/commands/dispatch.py
@@ -243,12 +243,28 @@
             now, result, pool
         )
         if state.ejected_until_s > now:
-            context.metrics.ejected(state.endpoint)
+            self._log_ejection(now, state, outcome)
         self.crashes.ended(
             now, state, slot.request.content, slot.started_at_s, outcome
         )
         self.wake(state.pool)
 
+    def _log_ejection(
+        self, now: float, state: EndpointState, outcome: str
+    ) -> None:
+        self.context.metrics.ejected(state.endpoint)
+        self.context.decisions.record(
+            DecisionRecord(
+                at_s=now,
+                decision='eject',
+                subject=state.endpoint,
+                class_name='',
+                choice=f'{state.ejected_until_s - now:.1f} s',
+                reason=f'last attempt ended as {outcome}',
+                revision=self.context.config.revision,
+            )
+        )
+
     def _learn_service_time(
         self, pool: str, class_name: str, latency_s: float
     ) -> None:
--- a/anvilcove/commands/rollout.py
+++ b/anvilcove/commands/rollout.py
@@ -139,6 +139,7 @@
         if at_s > known.since_s + TOKEN_DELAY_S:
             # Tokens show what runs; the report may be wrong.
             version = min(version, seen)
+        state.version = version
         known.follow(now, report.swapping, version == target)
         load = state.in_flight / max(state.limit, 1.0)
         if state.report is not None and state.report.capacity:
--- a/anvilcove/commands/viability.py
+++ b/anvilcove/commands/viability.py
@@ -56,6 +56,9 @@
         """Note the version of a token that an engine just sent."""
         now = self.context.clock.now()
         self._version_by_endpoint[endpoint] = (version, now)
+        state = self.context.endpoints.by_id.get(endpoint)
+        if state is not None:
+            state.version = version
 
     def last_token(self, endpoint: str) -> tuple[int, float]:
         """Return the version of an engine's last token and its time."""
