Move the ports beside the product and the own adapters to native

Cause: anvilcove/platform/ held ports and the adapters of the project's own interface, while the users' platform needs that name for its adapter. Ruled out: one folder for both families; a newcomer could not see which names belong to which system. Change: anvilcove/ports/ has interfaces, errors and the registry, anvilcove/native/ the adapters of the own interface. Conclusion: no behaviour changes.

--- a/anvilcove/commands/apply.py
+++ b/anvilcove/commands/apply.py
@@ -19,7 +19,7 @@
 )
 from anvilcove.messages.peers import Announce
 from anvilcove.messages.table import Check, Put, Row, Transaction
-from anvilcove.platform.errors import (
+from anvilcove.ports.errors import (
     PlatformError,
     StoreAnswerLost,
     StoreUnavailable,
--- a/anvilcove/commands/attempts.py
+++ b/anvilcove/commands/attempts.py
@@ -21,7 +21,7 @@
 )
 from anvilcove.messages.callers import Outcome
 from anvilcove.messages.membership import ENGINE, SERVICE
-from anvilcove.platform.errors import (
+from anvilcove.ports.errors import (
     EndpointError,
     EndpointFailed,
     EndpointNotRun,
--- a/anvilcove/commands/batches.py
+++ b/anvilcove/commands/batches.py
@@ -31,7 +31,7 @@
 )
 from anvilcove.messages.table import Check, Put, Row, Transaction
 from anvilcove.messages.trainers import AckBatch, Acked
-from anvilcove.platform.errors import (
+from anvilcove.ports.errors import (
     PlatformError,
     StoreAnswerLost,
     StoreUnavailable,
--- a/anvilcove/commands/claim.py
+++ b/anvilcove/commands/claim.py
@@ -25,7 +25,7 @@
 from anvilcove.messages.callers import ANSWERED, NOT_RUN, Outcome
 from anvilcove.messages.peers import ClaimState
 from anvilcove.messages.table import Row
-from anvilcove.platform.errors import PlatformError
+from anvilcove.ports.errors import PlatformError
 from anvilcove.queries.attach import AttachPart
 from anvilcove.state.claims import (
     ABANDONED,
--- a/anvilcove/commands/crashes.py
+++ b/anvilcove/commands/crashes.py
@@ -7,7 +7,7 @@
 from anvilcove.commands.announce import AnnouncePart
 from anvilcove.daemon.context import Context
 from anvilcove.decisions.types import CRASH, OK
-from anvilcove.platform.errors import EndpointError, EndpointNotRun
+from anvilcove.ports.errors import EndpointError, EndpointNotRun
 from anvilcove.state.endpoints import EndpointState
 
 
--- a/anvilcove/commands/fixing.py
+++ b/anvilcove/commands/fixing.py
@@ -25,7 +25,7 @@
 )
 from anvilcove.messages.table import Check
 from anvilcove.messages.trainers import Batch
-from anvilcove.platform.errors import PlatformError
+from anvilcove.ports.errors import PlatformError
 from anvilcove.state.steps import StepRun
 
 MAX_WAIT_MS = 1_000
--- a/anvilcove/commands/leases.py
+++ b/anvilcove/commands/leases.py
@@ -13,7 +13,7 @@
 from anvilcove.messages.base import Message
 from anvilcove.messages.steps import row_value
 from anvilcove.messages.table import Check, Put, Row, Transaction
-from anvilcove.platform.errors import PlatformError, StoreAnswerLost
+from anvilcove.ports.errors import PlatformError, StoreAnswerLost
 from anvilcove.state.leases import LeaseWatch
 
 RENEWALS_PER_LEASE = 3
--- a/anvilcove/commands/membership.py
+++ b/anvilcove/commands/membership.py
@@ -9,7 +9,7 @@
 from anvilcove.daemon.context import Part
 from anvilcove.daemon.parts import part
 from anvilcove.messages.peers import Announce
-from anvilcove.platform.errors import PlatformError
+from anvilcove.ports.errors import PlatformError
 
 
 @part
--- a/anvilcove/commands/non_repeatable.py
+++ b/anvilcove/commands/non_repeatable.py
@@ -5,7 +5,7 @@
 from anvilcove.commands.job import GivenUp, Job
 from anvilcove.daemon.context import Context
 from anvilcove.messages.callers import NOT_RUN, Outcome
-from anvilcove.platform.errors import EndpointFailed, EndpointNotRun
+from anvilcove.ports.errors import EndpointFailed, EndpointNotRun
 
 
 async def run_claimed(
--- a/anvilcove/commands/prune.py
+++ b/anvilcove/commands/prune.py
@@ -10,7 +10,7 @@
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
 from anvilcove.messages.table import Check, Row, Transaction
-from anvilcove.platform.errors import PlatformError
+from anvilcove.ports.errors import PlatformError
 
 LEASE = 'claims'
 PREFIX = 'claim/'
--- a/anvilcove/commands/reports.py
+++ b/anvilcove/commands/reports.py
@@ -10,7 +10,7 @@
 from anvilcove.messages.engines import LoadReport
 from anvilcove.messages.membership import ENGINE
 from anvilcove.messages.peers import ReportDigest
-from anvilcove.platform.errors import EndpointError
+from anvilcove.ports.errors import EndpointError
 from anvilcove.state.endpoints import EndpointState, EndpointView
 from anvilcove.state.peers import NEVER
 
--- a/anvilcove/commands/rollout.py
+++ b/anvilcove/commands/rollout.py
@@ -14,7 +14,7 @@
 from anvilcove.decisions.rollout import RolloutState, ServerView, SwapOrder
 from anvilcove.decisions.types import DecisionRecord
 from anvilcove.messages.engines import EngineOrder, EngineState
-from anvilcove.platform.errors import EndpointError
+from anvilcove.ports.errors import EndpointError
 from anvilcove.state.endpoints import EndpointState
 
 IDLE_PERIOD_S = 0.5
--- a/anvilcove/commands/row_writer.py
+++ b/anvilcove/commands/row_writer.py
@@ -15,7 +15,7 @@
     Transaction,
     TransactionResult,
 )
-from anvilcove.platform.errors import PlatformError
+from anvilcove.ports.errors import PlatformError
 
 BATCH_ROWS = 64
 BATCH_BYTES = 1024 * 1024
--- a/anvilcove/commands/sample_attempts.py
+++ b/anvilcove/commands/sample_attempts.py
@@ -25,7 +25,7 @@
 from anvilcove.messages.engines import Generate, TokenEvent
 from anvilcove.messages.services import ServiceCall
 from anvilcove.messages.trainers import Sample
-from anvilcove.platform.errors import (
+from anvilcove.ports.errors import (
     EndpointCrashed,
     EndpointError,
     EndpointNotRun,
--- a/anvilcove/commands/sending.py
+++ b/anvilcove/commands/sending.py
@@ -10,7 +10,7 @@
 from anvilcove.messages.engines import Generate, TokenEvent
 from anvilcove.messages.membership import SERVICE
 from anvilcove.messages.services import ServiceCall
-from anvilcove.platform.errors import (
+from anvilcove.ports.errors import (
     EndpointCrashed,
     EndpointError,
     EndpointFailed,
--- a/anvilcove/commands/steps.py
+++ b/anvilcove/commands/steps.py
@@ -29,7 +29,7 @@
 )
 from anvilcove.messages.table import Check, Put, Row, Transaction
 from anvilcove.messages.trainers import Sample, StepAccepted, SubmitStep
-from anvilcove.platform.errors import (
+from anvilcove.ports.errors import (
     ObjectNotFound,
     PlatformError,
     StoreAnswerLost,
--- a/anvilcove/commands/stragglers.py
+++ b/anvilcove/commands/stragglers.py
@@ -14,7 +14,7 @@
 from anvilcove.daemon.parts import part
 from anvilcove.decisions.groups import Move, Rerun, StragglerView, Wait
 from anvilcove.decisions.types import CANCELLED, DecisionRecord
-from anvilcove.platform.errors import EndpointError
+from anvilcove.ports.errors import EndpointError
 from anvilcove.state.steps import Attempt, SampleRun, StepRun
 
 CHECK_PERIOD_S = 0.1
--- a/anvilcove/commands/weights.py
+++ b/anvilcove/commands/weights.py
@@ -19,7 +19,7 @@
 )
 from anvilcove.messages.table import Check, Put, Transaction
 from anvilcove.messages.trainers import PublishWeights, WeightsPublished
-from anvilcove.platform.errors import PlatformError, StoreAnswerLost
+from anvilcove.ports.errors import PlatformError, StoreAnswerLost
 from anvilcove.settings.classes import TrainerClass
 
 POLL_PERIOD_S = 1.0
--- a/anvilcove/daemon/app.py
+++ b/anvilcove/daemon/app.py
@@ -43,12 +43,12 @@
     'anvilcove.queries.status',
 )
 ADAPTER_MODULES = (
-    'anvilcove.platform.table',
-    'anvilcove.platform.objects',
-    'anvilcove.platform.membership',
-    'anvilcove.platform.weights',
-    'anvilcove.platform.engines',
-    'anvilcove.platform.services',
+    'anvilcove.native.table',
+    'anvilcove.native.objects',
+    'anvilcove.native.membership',
+    'anvilcove.native.weights',
+    'anvilcove.native.engines',
+    'anvilcove.native.services',
 )
 CONNECT_LIMIT_S = 1.0
 POLICY_MODULES = (
--- a/anvilcove/daemon/context.py
+++ b/anvilcove/daemon/context.py
@@ -15,7 +15,7 @@
 from anvilcove.daemon.merged_reads import MergedReads
 from anvilcove.daemon.metrics import Metrics
 from anvilcove.decisions.registry import policy_class
-from anvilcove.platform.registry import adapter_class
+from anvilcove.ports.registry import adapter_class
 from anvilcove.settings.daemon import DaemonSettings
 from anvilcove.state.clock import Clock, until_tick_s
 from anvilcove.state.config import ConfigState
--- a/anvilcove/daemon/counted_table.py
+++ b/anvilcove/daemon/counted_table.py
@@ -5,8 +5,8 @@
 
 from anvilcove.daemon.metrics import Metrics
 from anvilcove.messages.table import Row, Transaction, TransactionResult
-from anvilcove.platform.errors import StoreAnswerLost, StoreUnavailable
-from anvilcove.platform.ports import TablePort
+from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
+from anvilcove.ports.interfaces import TablePort
 
 
 class CountedTable:
--- a/anvilcove/daemon/merged_reads.py
+++ b/anvilcove/daemon/merged_reads.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from anvilcove.messages.table import Row, Transaction, TransactionResult
-from anvilcove.platform.ports import TablePort
+from anvilcove.ports.interfaces import TablePort
 
 # Loops that wake up at the same tick ask within this time.
 MERGE_WINDOW_S = 0.005
--- a/anvilcove/decisions/admission.py
+++ b/anvilcove/decisions/admission.py
@@ -9,7 +9,7 @@
     Refuse,
 )
 from anvilcove.settings.classes import ClassTarget
-from anvilcove.settings.daemon import DaemonSettings
+from anvilcove.settings.daemon import HostSettings
 
 # An interactive request may spend this share of its time waiting; the rest
 # absorbs the spread of service times, so that admitted work is on time.
@@ -57,7 +57,7 @@
 
     __slots__ = ('_rate_by_pool',)
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Start without knowledge of the demand."""
         self._rate_by_pool: dict[str, ArrivalRate] = {}
 
--- a/anvilcove/decisions/ejection.py
+++ b/anvilcove/decisions/ejection.py
@@ -9,7 +9,7 @@
     OVERLOADED,
     AttemptResult,
 )
-from anvilcove.settings.daemon import DaemonSettings
+from anvilcove.settings.daemon import HostSettings
 
 FIRST_EJECTION_S = 1.0
 LONGEST_EJECTION_S = 60.0
@@ -47,7 +47,7 @@
 
     __slots__ = ('_by_endpoint', '_ejected', '_median_by_class')
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Start with every endpoint in."""
         self._by_endpoint: dict[str, EndpointRecord] = {}
         self._ejected: dict[str, float] = {}
--- a/anvilcove/decisions/groups.py
+++ b/anvilcove/decisions/groups.py
@@ -5,7 +5,7 @@
 from msgspec import Struct
 
 from anvilcove.decisions.registry import policy
-from anvilcove.settings.daemon import DaemonSettings
+from anvilcove.settings.daemon import HostSettings
 
 # Engines serve higher numbers first. Callers' requests use 0 and above, so
 # every priority of a sample stays below 0.
@@ -80,7 +80,7 @@
 
     __slots__ = ('_length_by_content', '_mean_share', '_rate_by_endpoint')
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Start without earlier lengths."""
         self._length_by_content: OrderedDict[str, float] = OrderedDict()
         self._mean_share = 1.0
--- a/anvilcove/decisions/hedging.py
+++ b/anvilcove/decisions/hedging.py
@@ -3,7 +3,7 @@
 from collections import deque
 
 from anvilcove.decisions.registry import policy
-from anvilcove.settings.daemon import DaemonSettings
+from anvilcove.settings.daemon import HostSettings
 
 PERCENTILE = 0.95
 REMEMBERED = 256
@@ -42,7 +42,7 @@
 
     __slots__ = ('_by_class', '_tokens')
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Start without knowledge and without budget."""
         self._by_class: dict[str, ClassLatencies] = {}
         self._tokens = 0.0
--- a/anvilcove/decisions/limits.py
+++ b/anvilcove/decisions/limits.py
@@ -10,7 +10,7 @@
     OVERLOADED,
     AttemptResult,
 )
-from anvilcove.settings.daemon import DaemonSettings
+from anvilcove.settings.daemon import HostSettings
 from anvilcove.state.endpoints import DEFAULT_LIMIT, EndpointState
 
 INITIAL_LIMIT = DEFAULT_LIMIT
@@ -141,7 +141,7 @@
 
     __slots__ = ('_by_endpoint',)
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Start without knowledge."""
         self._by_endpoint: dict[str, EndpointLimit] = {}
 
--- a/anvilcove/decisions/naive.py
+++ b/anvilcove/decisions/naive.py
@@ -23,7 +23,7 @@
 from anvilcove.messages.membership import HostMember
 from anvilcove.messages.peers import SuspectDigest
 from anvilcove.settings.classes import ClassTarget
-from anvilcove.settings.daemon import DaemonSettings
+from anvilcove.settings.daemon import HostSettings
 from anvilcove.state.endpoints import EndpointView
 
 
@@ -33,7 +33,7 @@
 
     __slots__ = ()
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Take no settings."""
 
     def offer(
@@ -53,7 +53,7 @@
 
     __slots__ = ('_next_by_pool',)
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Start every pool at its first endpoint."""
         self._next_by_pool: dict[str, int] = {}
 
@@ -110,7 +110,7 @@
 
     __slots__ = ()
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Take no settings."""
 
     def limit(self, endpoint: str) -> float:
@@ -130,7 +130,7 @@
 
     __slots__ = ()
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Take no settings."""
 
     def finished(
@@ -146,7 +146,7 @@
 
     __slots__ = ()
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Take no settings."""
 
     def started(self, now: float) -> None:
@@ -167,7 +167,7 @@
 
     __slots__ = ()
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Take no settings."""
 
     def finished(self, class_name: str, latency_s: float) -> None:
@@ -188,7 +188,7 @@
 
     __slots__ = ()
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Take no settings."""
 
     def crashed(self, now: float, endpoint: str, contents: list[str]) -> None:
@@ -220,7 +220,7 @@
 
     __slots__ = ()
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Take no settings."""
 
     def plan(self, now: float, state: PlacementState) -> list[PlacementOrder]:
@@ -234,7 +234,7 @@
 
     __slots__ = ()
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Take no settings."""
 
     def choose(
--- a/anvilcove/decisions/naive_training.py
+++ b/anvilcove/decisions/naive_training.py
@@ -11,7 +11,7 @@
 )
 from anvilcove.decisions.registry import policy
 from anvilcove.decisions.rollout import RolloutState, SwapOrder
-from anvilcove.settings.daemon import DaemonSettings
+from anvilcove.settings.daemon import HostSettings
 
 
 @policy('groups', 'naive')
@@ -21,7 +21,7 @@
 
     __slots__ = ()
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Take no settings."""
 
     def order(self, now: float, samples: list[SampleView]) -> list[int]:
@@ -66,7 +66,7 @@
 
     __slots__ = ()
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Take no settings."""
 
     def published(self, now: float, model: str, version: int) -> None:
@@ -92,7 +92,7 @@
 
     __slots__ = ()
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Take no settings."""
 
     def plan(self, now: float, state: RolloutState) -> list[SwapOrder]:
--- a/anvilcove/decisions/placement.py
+++ b/anvilcove/decisions/placement.py
@@ -9,7 +9,7 @@
     PlacementOrder,
     PlacementState,
 )
-from anvilcove.settings.daemon import DaemonSettings
+from anvilcove.settings.daemon import HostSettings
 
 # Utilization at which waits stay short compared with the service time.
 TARGET_UTILIZATION = 0.75
@@ -29,7 +29,7 @@
 
     __slots__ = ('_short_since', '_moved_at_s')
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Start without shortages."""
         self._short_since: dict[ModelRole, float] = {}
         self._moved_at_s: dict[str, float] = {}
--- a/anvilcove/decisions/quarantine.py
+++ b/anvilcove/decisions/quarantine.py
@@ -3,7 +3,7 @@
 from anvilcove.decisions.registry import policy
 from anvilcove.decisions.types import Allow, Isolate, Reject
 from anvilcove.messages.peers import SuspectDigest
-from anvilcove.settings.daemon import DaemonSettings
+from anvilcove.settings.daemon import HostSettings
 
 # Crashes after which a content is never run again.
 REJECT_AFTER = 2
@@ -44,7 +44,7 @@
 
     __slots__ = ('_by_content',)
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Start without suspects."""
         self._by_content: dict[str, ContentRecord] = {}
 
--- a/anvilcove/decisions/retry.py
+++ b/anvilcove/decisions/retry.py
@@ -4,7 +4,7 @@
 
 from anvilcove.decisions.registry import policy
 from anvilcove.decisions.types import GiveUp, RetryAfter, RetryRequest
-from anvilcove.settings.daemon import DaemonSettings
+from anvilcove.settings.daemon import HostSettings
 
 # Share of a retry that a first attempt earns. Retries then add at most a
 # tenth to the load, so that an overload ends when its cause ends.
@@ -22,7 +22,7 @@
 
     __slots__ = ('_tokens',)
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Start with the saved retries."""
         self._tokens = SAVED
 
--- a/anvilcove/decisions/rollout.py
+++ b/anvilcove/decisions/rollout.py
@@ -5,7 +5,7 @@
 from msgspec import Struct
 
 from anvilcove.decisions.registry import policy
-from anvilcove.settings.daemon import DaemonSettings
+from anvilcove.settings.daemon import HostSettings
 
 # Share of a pool that may swap at once. Two transfers keep the weight store
 # busy while one engine switches, so more would not end sooner.
@@ -46,7 +46,7 @@
 
     __slots__ = ()
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Take no settings."""
 
     def plan(self, now: float, state: RolloutState) -> list[SwapOrder]:
--- a/anvilcove/decisions/routing.py
+++ b/anvilcove/decisions/routing.py
@@ -19,7 +19,7 @@
 )
 from anvilcove.decisions.yielding import BatchRoom
 from anvilcove.messages.engines import CacheEvent
-from anvilcove.settings.daemon import DaemonSettings
+from anvilcove.settings.daemon import HostSettings
 from anvilcove.state.endpoints import EndpointState, EndpointView
 
 # Endpoints that one decision compares: those with a reason, and at least
@@ -105,7 +105,7 @@
         '_reserved',
     )
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Start without knowledge."""
         self._host = settings.host
         self._data_centre = settings.data_centre
--- a/anvilcove/decisions/staleness.py
+++ b/anvilcove/decisions/staleness.py
@@ -1,7 +1,7 @@
 """Which samples are worth generating to their end."""
 
 from anvilcove.decisions.registry import policy
-from anvilcove.settings.daemon import DaemonSettings
+from anvilcove.settings.daemon import HostSettings
 
 LEARNING_SHARE = 0.3
 # Without this many intervals seen, the next version is not predicted.
@@ -28,7 +28,7 @@
 
     __slots__ = ('_by_model',)
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(self, settings: HostSettings) -> None:
         """Start without knowing how often weights are published."""
         self._by_model: dict[str, _Publishing] = {}
 
--- /dev/null
+++ b/anvilcove/native/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters of the outside systems behind the own interface."""
--- a/anvilcove/platform/engines.py
+++ b/anvilcove/native/engines.py
@@ -16,9 +16,9 @@
     LoadReport,
     TokenEvent,
 )
-from anvilcove.platform.errors import AnswerMismatch, EndpointCrashed
-from anvilcove.platform.http import endpoint_call, read_answer
-from anvilcove.platform.registry import adapter
+from anvilcove.native.http import endpoint_call, read_answer
+from anvilcove.ports.errors import AnswerMismatch, EndpointCrashed
+from anvilcove.ports.registry import adapter
 
 CONTROL_TIMEOUT_S = 2.0
 EVENT_KINDS: dict[str, type[TokenEvent] | type[DoneEvent]] = {
--- a/anvilcove/platform/http.py
+++ b/anvilcove/native/http.py
@@ -17,7 +17,7 @@
 
 from anvilcove.messages.base import MessageError, decode, encode
 from anvilcove.messages.services import EndpointRefusal
-from anvilcove.platform.errors import (
+from anvilcove.ports.errors import (
     AnswerMismatch,
     EndpointCrashed,
     EndpointFailed,
--- a/anvilcove/platform/membership.py
+++ b/anvilcove/native/membership.py
@@ -4,9 +4,9 @@
 
 from anvilcove.messages.base import MessageError, decode
 from anvilcove.messages.membership import Members
-from anvilcove.platform.errors import StoreUnavailable
-from anvilcove.platform.http import store_call
-from anvilcove.platform.registry import adapter
+from anvilcove.native.http import store_call
+from anvilcove.ports.errors import StoreUnavailable
+from anvilcove.ports.registry import adapter
 from anvilcove.settings.daemon import AdapterSettings
 
 
--- a/anvilcove/platform/objects.py
+++ b/anvilcove/native/objects.py
@@ -2,9 +2,9 @@
 
 from aiohttp import ClientSession
 
-from anvilcove.platform.errors import ObjectNotFound
-from anvilcove.platform.http import store_call
-from anvilcove.platform.registry import adapter
+from anvilcove.native.http import store_call
+from anvilcove.ports.errors import ObjectNotFound
+from anvilcove.ports.registry import adapter
 from anvilcove.settings.daemon import AdapterSettings
 
 
--- a/anvilcove/platform/services.py
+++ b/anvilcove/native/services.py
@@ -4,9 +4,9 @@
 
 from anvilcove.messages.engines import LoadReport
 from anvilcove.messages.services import ServiceAnswer, ServiceCall
-from anvilcove.platform.errors import AnswerMismatch
-from anvilcove.platform.http import endpoint_call, read_answer
-from anvilcove.platform.registry import adapter
+from anvilcove.native.http import endpoint_call, read_answer
+from anvilcove.ports.errors import AnswerMismatch
+from anvilcove.ports.registry import adapter
 
 REPORT_TIMEOUT_S = 1.0
 
--- a/anvilcove/platform/table.py
+++ b/anvilcove/native/table.py
@@ -13,9 +13,9 @@
     Transaction,
     TransactionResult,
 )
-from anvilcove.platform.errors import StoreAnswerLost
-from anvilcove.platform.http import store_call
-from anvilcove.platform.registry import adapter
+from anvilcove.native.http import store_call
+from anvilcove.ports.errors import StoreAnswerLost
+from anvilcove.ports.registry import adapter
 from anvilcove.settings.daemon import AdapterSettings
 
 T = TypeVar('T')
--- a/anvilcove/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Ports to outside systems and their adapters."""
--- /dev/null
+++ b/anvilcove/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Ports: what the product needs of outside systems."""
--- a/anvilcove/platform/ports.py
+++ b/anvilcove/ports/interfaces.py
@@ -1,4 +1,4 @@
-"""Ports: what the daemon needs of each outside system."""
+"""Interfaces of the ports: what the daemon needs of each outside system."""
 
 from collections.abc import AsyncIterator
 from typing import Protocol
--- a/anvilcove/settings/daemon.py
+++ b/anvilcove/settings/daemon.py
@@ -1,6 +1,6 @@
 """Settings of an entry daemon."""
 
-from typing import Annotated, Literal
+from typing import Annotated, Literal, Protocol
 
 from msgspec import field
 
@@ -11,6 +11,18 @@
 Variant = Annotated[str, name('Registered variant of the policy.')]
 
 
+class HostSettings(Protocol):
+    """What decision policies need of the settings of a daemon."""
+
+    @property
+    def host(self) -> str:
+        """Return the name of the host."""
+
+    @property
+    def data_centre(self) -> str:
+        """Return the data centre of the host."""
+
+
 class AdapterSettings(Message):
     """Adapter of one outside system and the address that it talks to."""
 
--- a/anvilcove/settings/loader.py
+++ b/anvilcove/settings/loader.py
@@ -53,7 +53,7 @@
     """Return the names that no loaded module registered."""
     # Imported here: the registries import modules that import the settings.
     from anvilcove.decisions.registry import POLICIES
-    from anvilcove.platform.registry import ADAPTERS
+    from anvilcove.ports.registry import ADAPTERS
 
     policies = to_builtins(settings.policies)
     wanted = [
--- a/features/steps/classification_steps.py
+++ b/features/steps/classification_steps.py
@@ -10,9 +10,9 @@
 
 from anvilcove.demo.processes import free_port
 from anvilcove.messages.services import ServiceCall
-from anvilcove.platform import errors
-from anvilcove.platform.engines import HttpEngine
-from anvilcove.platform.services import HttpService
+from anvilcove.native.engines import HttpEngine
+from anvilcove.native.services import HttpService
+from anvilcove.ports import errors
 
 RAW_REFUSAL = b'HTTP/1.1 %d R\r\nContent-Length: %d\r\n\r\n%s'
 RAW_REDIRECT = (
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -10,7 +10,7 @@
 from anvilcove.decisions.quarantine import ContentQuarantine
 from anvilcove.decisions.types import CRASH, Allow, Isolate, Reject
 from anvilcove.messages.membership import ENGINE, EndpointMember
-from anvilcove.platform.errors import EndpointNotRun
+from anvilcove.ports.errors import EndpointNotRun
 from anvilcove.state.endpoints import EndpointState
 
 CONTENT = 'content-1'
--- a/features/steps/engine_steps.py
+++ b/features/steps/engine_steps.py
@@ -14,7 +14,7 @@
 )
 
 from anvilcove.messages.engines import EngineOrder, Generate
-from anvilcove.platform import errors
+from anvilcove.ports import errors
 from anvilcove.standins.platform import PlatformStandin
 
 
--- a/features/steps/in_process.py
+++ b/features/steps/in_process.py
@@ -15,7 +15,7 @@
     HostMember,
     Members,
 )
-from anvilcove.platform.errors import StoreAnswerLost
+from anvilcove.ports.errors import StoreAnswerLost
 from anvilcove.settings.daemon import (
     AdapterSettings,
     DaemonSettings,
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -17,7 +17,7 @@
 
 from anvilcove.demo.processes import free_port
 from anvilcove.demo.site import Site, SiteShape
-from anvilcove.platform.services import HttpService
+from anvilcove.native.services import HttpService
 from anvilcove.standins.network import Network, NetworkOptions, Relayed
 
 
--- a/features/steps/standin_steps.py
+++ b/features/steps/standin_steps.py
@@ -15,11 +15,11 @@
 from anvilcove.messages.membership import HostMember, Members
 from anvilcove.messages.services import ServiceCall
 from anvilcove.messages.table import Put, Transaction
-from anvilcove.platform import errors
-from anvilcove.platform.engines import HttpEngine
-from anvilcove.platform.membership import HttpMembership
-from anvilcove.platform.services import HttpService
-from anvilcove.platform.table import HttpTable
+from anvilcove.native.engines import HttpEngine
+from anvilcove.native.membership import HttpMembership
+from anvilcove.native.services import HttpService
+from anvilcove.native.table import HttpTable
+from anvilcove.ports import errors
 from anvilcove.settings.daemon import AdapterSettings
 from anvilcove.standins.batch import EngineOptions
 from anvilcove.standins.engine import EngineStandin
