--- a/anvilcove/cli/main.py
+++ b/anvilcove/cli/main.py
@@ -11,6 +11,7 @@
 # stays below its memory budget.
 MODULE_BY_PROGRAM = {
     'serve': 'anvilcove.cli.serve',
+    'node': 'anvilcove.cli.node',
     'classes': 'anvilcove.cli.classes',
     'status': 'anvilcove.cli.status',
     'drain': 'anvilcove.cli.drain',
--- /dev/null
+++ b/anvilcove/cli/node.py
@@ -0,0 +1,27 @@
+"""Run a daemon on the users' platform."""
+
+import asyncio
+import random
+import sys
+
+from anvilcove.cli.registry import program
+from anvilcove.node.app import NodeDaemon
+from anvilcove.platform.family import PlatformAdapters
+from anvilcove.platform.settings import load_node_settings, settings_path
+from anvilcove.settings.loader import SettingsError
+
+
+@program('node', "Run a daemon on the users' platform: anvilcove node")
+def node(arguments: list[str]) -> int:
+    """Run the daemon until it is stopped."""
+    if arguments:
+        print('usage: anvilcove node', file=sys.stderr)
+        return 2
+    try:
+        settings = load_node_settings(settings_path())
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return 2
+    adapters = PlatformAdapters(settings, random.Random())
+    asyncio.run(NodeDaemon(settings, adapters).run())
+    return 0
--- /dev/null
+++ b/anvilcove/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control state of one daemon: desired state, endpoints, peers, leases."""
--- /dev/null
+++ b/anvilcove/control/leases.py
@@ -0,0 +1,206 @@
+"""Lease in the store for work that one daemon does at a time."""
+
+import random
+
+from loguru import logger
+from msgspec import DecodeError, Struct, ValidationError, msgpack
+
+from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
+from anvilcove.ports.store import (
+    RowCheck,
+    RowId,
+    RowTransaction,
+    RowWrite,
+    StoredRow,
+    StorePort,
+)
+from anvilcove.state.clock import Clock
+from anvilcove.state.leases import LeaseWatch
+
+LEASES_TABLE = 'leases'
+RENEW_S = 0.7
+# The holder acts this long after it started its last acknowledged renewal.
+ACTING_S = 2.0
+# Added to the time after which a lease is taken over, for clocks that run
+# at different rates and calls that are on their way.
+MARGIN_S = 0.3
+LOOK_S = 0.3
+
+
+class LeaseRow(Struct):
+    """Value of a lease; an empty holder means that it was given back."""
+
+    holder: str
+    nonce: str
+    fence: int
+    beat: int
+
+
+class Lease:
+    """One lease that this daemon wants.
+
+    `quiet_s` is the time that must pass between the last act of a holder and
+    the first one of its successor.
+    """
+
+    __slots__ = (
+        'name',
+        'row',
+        '_host',
+        '_nonce',
+        '_quiet_s',
+        '_store',
+        '_clock',
+        '_rng',
+        '_watch',
+        '_version',
+        '_acting_until_s',
+        '_released',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        nonce: str,
+        quiet_s: float,
+        store: StorePort,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Want the lease; `clock` must count suspension."""
+        self.name = name
+        self.row: LeaseRow | None = None
+        self._host = host
+        self._nonce = nonce
+        self._quiet_s = quiet_s
+        self._store = store
+        self._clock = clock
+        self._rng = rng
+        self._watch = LeaseWatch(ACTING_S + quiet_s + MARGIN_S)
+        self._version = 0
+        self._acting_until_s = float('-inf')
+        self._released = False
+
+    def fence(self) -> int | None:
+        """Return the generation number while this daemon may act."""
+        if self._clock.now() >= self._acting_until_s or self._released:
+            return None
+        return self.row.fence if self.row else None
+
+    async def run(self) -> None:
+        """Renew what is held, and take what is free, for ever."""
+        while not self._released:
+            held = self.fence() is not None
+            try:
+                if held:
+                    await self._renew()
+                else:
+                    await self._try_take()
+            except (StoreUnavailable, StoreAnswerLost) as error:
+                # No renewal of another holder could be seen either.
+                self._watch.restart()
+                logger.bind(lease=self.name, reason=str(error)).info(
+                    'lease not renewed'
+                )
+            pause_s = RENEW_S if held else LOOK_S + self._rng.uniform(0, 0.3)
+            await self._clock.sleep(pause_s)
+
+    async def release(self) -> None:
+        """Give the lease back; the successor still keeps the quiet time."""
+        held = self.fence() is not None
+        self._released = True
+        if not held or self.row is None:
+            return
+        free = LeaseRow('', '', self.row.fence, self.row.beat + 1)
+        try:
+            await self._write(free)
+        except (StoreUnavailable, StoreAnswerLost) as error:
+            logger.bind(lease=self.name, reason=str(error)).info(
+                'lease not given back'
+            )
+
+    async def _renew(self) -> None:
+        assert self.row is not None
+        row = self.row
+        renewed = LeaseRow(row.holder, row.nonce, row.fence, row.beat + 1)
+        if not await self._act_after(renewed):
+            self._lose('another daemon wrote the row')
+
+    async def _try_take(self) -> None:
+        if self.row is not None:
+            self._lose('not renewed in time')
+        page = await self._store.read_range(
+            LEASES_TABLE, '', self.name, self.name + '\0'
+        )
+        current = _decode(page.rows[0]) if page.rows else None
+        self._version = page.rows[0].version if page.rows else 0
+        if current is not None and current.nonce == self._nonce:
+            # A write of our own whose answer was lost: nobody else holds it.
+            self.row = current
+            await self._renew()
+            return
+        fence = 0
+        if current is not None:
+            fence = current.fence
+            mark = (current.fence, current.beat)
+            now = self._clock.now()
+            if not self._watch.expired(self.name, mark, now):
+                return
+        taken = LeaseRow(self._host, self._nonce, fence + 1, 0)
+        if await self._act_after(taken):
+            logger.bind(lease=self.name, fence=taken.fence).info('lease taken')
+
+    async def _act_after(self, row: LeaseRow) -> bool:
+        """Write the row and act from the start of that write on.
+
+        A write whose answer was lost may have been applied long ago, so it
+        never extends the time to act; the row is written again instead.
+        """
+        for _ in range(2):
+            started_s = self._clock.now()
+            conflict = await self._write(row)
+            if conflict is None:
+                self.row = row
+                self._acting_until_s = started_s + ACTING_S
+                return True
+            if conflict.nonce != self._nonce or conflict.fence != row.fence:
+                return False
+            row = LeaseRow(row.holder, row.nonce, row.fence, conflict.beat + 1)
+        return False
+
+    async def _write(self, row: LeaseRow) -> LeaseRow | None:
+        """Write the row; return the one that stands there instead."""
+        row_id = RowId(LEASES_TABLE, '', self.name)
+        outcome = await self._store.transact(
+            RowTransaction(
+                checks=[RowCheck(row_id, self._version)],
+                writes=[RowWrite(row_id, msgpack.encode(row))],
+            )
+        )
+        if outcome.applied:
+            self._version = outcome.version
+            return None
+        for conflict in outcome.conflicts:
+            found = _decode(conflict)
+            if found is not None:
+                self._version = conflict.version
+                return found
+        return LeaseRow('', '', 0, 0)
+
+    def _lose(self, reason: str) -> None:
+        self.row = None
+        self._acting_until_s = float('-inf')
+        logger.bind(lease=self.name, reason=reason).info('lease lost')
+
+
+def _decode(row: StoredRow) -> LeaseRow | None:
+    if row.value is None:
+        return None
+    try:
+        return msgpack.decode(row.value, type=LeaseRow)
+    except (DecodeError, ValidationError) as error:
+        logger.bind(row=row.id.key, reason=str(error)).warning(
+            'lease row skipped'
+        )
+        return None
--- /dev/null
+++ b/anvilcove/control/nodes.py
@@ -0,0 +1,192 @@
+"""Daemons of the service: how they announce themselves and find others."""
+
+import random
+
+from loguru import logger
+from msgspec import DecodeError, Struct, ValidationError, msgpack
+
+from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
+from anvilcove.ports.store import (
+    RowId,
+    RowTransaction,
+    RowWrite,
+    StoredRow,
+    StorePort,
+)
+from anvilcove.settings.node import NodeSettings
+from anvilcove.state.clock import Clock
+from anvilcove.state.leases import LeaseWatch
+
+NODES_TABLE = 'nodes'
+BEAT_S = 1.5
+RETRY_S = 0.3
+# A daemon whose row has stood still this long gets no new callers.
+SILENT_S = 4.5
+# Callers accept up to this many addresses in an answer.
+MAX_ADDRESSES = 64
+
+
+class NodeRow(Struct):
+    """What a daemon announces; `nonce` tells its starts apart."""
+
+    host: str
+    nonce: str
+    data_centre: str
+    region: str
+    callers: str
+    peers: str
+    beat: int
+    leaving: bool
+
+
+class NodeDirectory:
+    """The daemons that are alive, as this one knows them."""
+
+    __slots__ = ('by_host', 'nonce', '_settings', '_clock', '_watch', '_lost')
+
+    def __init__(
+        self, settings: NodeSettings, clock: Clock, nonce: str
+    ) -> None:
+        """Know no other daemon."""
+        self.by_host: dict[str, NodeRow] = {}
+        self.nonce = nonce
+        self._settings = settings
+        self._clock = clock
+        self._watch = LeaseWatch(SILENT_S)
+        self._lost: set[str] = set()
+
+    def on_rows(self, rows: list[StoredRow], whole: bool) -> None:
+        """Adopt announced rows."""
+        if whole:
+            self.by_host = {}
+        for row in rows:
+            node = _decode(row)
+            if node is None:
+                self.by_host.pop(row.id.key, None)
+            else:
+                self.by_host[node.host] = node
+
+    def store_was_away(self) -> None:
+        """Start every watch again: no beat could be seen meanwhile."""
+        self._watch.restart()
+
+    def alive(self) -> list[NodeRow]:
+        """Return the other daemons that beat and are not leaving."""
+        now = self._clock.now()
+        found = []
+        for node in self.by_host.values():
+            if node.host == self._settings.host:
+                continue
+            mark = (node.nonce, node.beat)
+            silent = self._watch.expired(node.host, mark, now)
+            self._note(node.host, silent)
+            if not silent and not node.leaving:
+                found.append(node)
+        return found
+
+    def replaced(self, host: str, nonce: str) -> bool:
+        """Tell whether a start of a daemon is known to be over."""
+        if host == self._settings.host:
+            return nonce != self.nonce
+        node = self.by_host.get(host)
+        return node is not None and node.nonce != nonce
+
+    def _note(self, host: str, silent: bool) -> None:
+        if silent == (host in self._lost):
+            return
+        if silent:
+            self._lost.add(host)
+        else:
+            self._lost.discard(host)
+        state = 'lost' if silent else 'regained'
+        logger.bind(peer=host, silent_s=SILENT_S).info(f'peer {state}')
+
+    def relays(self) -> list[str]:
+        """Return the addresses of peers that may relay store calls."""
+        known = [node.peers for node in self.alive()]
+        if known:
+            return known
+        return [
+            f'{ip}:{self._settings.peer_port}'
+            for ip in self._settings.seed_ips
+            if ip != self._settings.ip
+        ]
+
+    def caller_addresses(
+        self, region: str, own_ready: bool, rng: random.Random
+    ) -> list[str]:
+        """Return the addresses that callers should use."""
+        nodes = self.alive()
+        near = [n.callers for n in nodes if n.region == region] or [
+            n.callers for n in nodes
+        ]
+        if own_ready:
+            near.append(self._settings.listeners.callers)
+        if len(near) > MAX_ADDRESSES:
+            near = rng.sample(near, MAX_ADDRESSES)
+        return sorted(near)
+
+
+class Announcer:
+    """Write the row of this daemon."""
+
+    __slots__ = ('_row', '_store', '_clock')
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        nonce: str,
+        store: StorePort,
+        clock: Clock,
+    ) -> None:
+        """Announce nothing before `run`."""
+        self._row = NodeRow(
+            host=settings.host,
+            nonce=nonce,
+            data_centre=settings.data_centre,
+            region=settings.region,
+            callers=settings.listeners.callers,
+            peers=settings.listeners.peers,
+            beat=0,
+            leaving=False,
+        )
+        self._store = store
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Beat for ever."""
+        while True:
+            written = await self.beat()
+            await self._clock.sleep(BEAT_S if written else RETRY_S)
+
+    async def leave(self) -> None:
+        """Announce that this daemon takes no new callers."""
+        self._row.leaving = True
+        if not await self.beat():
+            await self.beat()
+
+    async def beat(self) -> bool:
+        """Write the row once; return whether it was acknowledged."""
+        self._row.beat += 1
+        row_id = RowId(NODES_TABLE, '', self._row.host)
+        value = msgpack.encode(self._row)
+        try:
+            await self._store.transact(
+                RowTransaction(writes=[RowWrite(row_id, value)])
+            )
+        except (StoreUnavailable, StoreAnswerLost) as error:
+            logger.bind(reason=str(error)).debug('beat not acknowledged')
+            return False
+        return True
+
+
+def _decode(row: StoredRow) -> NodeRow | None:
+    if row.value is None:
+        return None
+    try:
+        return msgpack.decode(row.value, type=NodeRow)
+    except (DecodeError, ValidationError) as error:
+        logger.bind(row=row.id.key, reason=str(error)).warning(
+            'daemon entry skipped'
+        )
+        return None
--- /dev/null
+++ b/anvilcove/control/relay.py
@@ -0,0 +1,188 @@
+"""Store calls that go through a peer while the store cannot be reached."""
+
+import random
+from collections.abc import Callable
+
+from aiohttp import ClientError, ClientSession, ClientTimeout, web
+from loguru import logger
+from msgspec import DecodeError, Struct, ValidationError, msgpack
+
+from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
+from anvilcove.ports.transport import StoreCall, StoreReply, StoreTransport
+from anvilcove.state.clock import Clock
+
+RELAY_PATH = '/relay'
+# Peers that one call tries. Each one that cannot reach the store answers at
+# once, so that a common outage costs little more than the call itself.
+RELAY_ATTEMPTS = 2
+# Time that a call may take beyond its own limit for the way to a peer.
+RELAY_MARGIN_S = 0.3
+CONNECT_TIMEOUT_S = 0.3
+# After a failure calls go through peers; one in this time tries directly.
+PROBE_PERIOD_S = 0.5
+NOTHING_DONE = 503
+ANSWER_LOST = 504
+
+
+class RelayedCall(Struct, array_like=True):
+    """A store call as peers exchange it."""
+
+    method: str
+    path: str
+    body: bytes
+    timeout_s: float
+    write: bool
+    create: bool
+
+
+class RelayedStore:
+    """Send calls directly, or through a peer while that fails."""
+
+    __slots__ = (
+        '_direct',
+        '_session',
+        '_clock',
+        '_rng',
+        '_peers',
+        '_failed',
+        '_probe_at_s',
+        'answered_at_s',
+        'away_since_s',
+    )
+
+    def __init__(
+        self,
+        direct: StoreTransport,
+        session: ClientSession,
+        clock: Clock,
+        rng: random.Random,
+        peers: Callable[[], list[str]],
+    ) -> None:
+        """Start with the store taken as reachable; `peers` lists ip:port."""
+        self._direct = direct
+        self._session = session
+        self._clock = clock
+        self._rng = rng
+        self._peers = peers
+        self._failed = False
+        self._probe_at_s = 0.0
+        # Last time that an answer came, directly or through a peer.
+        self.answered_at_s = clock.now()
+        # Since when nothing has been answered, None while answers come.
+        self.away_since_s: float | None = None
+
+    @property
+    def reachable(self) -> bool:
+        """Tell whether direct calls are answered."""
+        return not self._failed
+
+    async def send(self, call: StoreCall) -> StoreReply:
+        """Return the answer of the store."""
+        try:
+            reply = await self._send(call)
+        except (StoreUnavailable, StoreAnswerLost):
+            if self.away_since_s is None:
+                self.away_since_s = self._clock.now()
+            raise
+        self.answered_at_s = self._clock.now()
+        self.away_since_s = None
+        return reply
+
+    async def _send(self, call: StoreCall) -> StoreReply:
+        now = self._clock.now()
+        if self._failed and now < self._probe_at_s:
+            return await self._through_peers(call, None)
+        self._probe_at_s = now + PROBE_PERIOD_S
+        try:
+            reply = await self._direct.send(call)
+        except StoreUnavailable as error:
+            self._note(error)
+            return await self._through_peers(call, error)
+        except StoreAnswerLost as error:
+            self._note(error)
+            if call.write:
+                raise
+            return await self._through_peers(call, None)
+        self._note(None)
+        return reply
+
+    def _note(self, error: Exception | None) -> None:
+        failed = error is not None
+        if failed != self._failed:
+            self._failed = failed
+            state = 'lost' if failed else 'regained'
+            logger.bind(
+                dependency='store', reason=str(error) if error else ''
+            ).warning(f'dependency {state}')
+
+    async def _through_peers(
+        self, call: StoreCall, error: StoreUnavailable | None
+    ) -> StoreReply:
+        peers = self._peers()
+        chosen = self._rng.sample(peers, min(RELAY_ATTEMPTS, len(peers)))
+        for peer in chosen:
+            try:
+                return await self._relay(peer, call)
+            except StoreUnavailable as refusal:
+                error = refusal
+        raise error or StoreUnavailable('no peer to relay the call')
+
+    async def _relay(self, peer: str, call: StoreCall) -> StoreReply:
+        message = msgpack.encode(
+            RelayedCall(
+                call.method,
+                call.path,
+                call.body,
+                call.timeout_s,
+                call.write,
+                call.create,
+            )
+        )
+        try:
+            async with self._session.post(
+                f'http://{peer}{RELAY_PATH}',
+                data=message,
+                timeout=ClientTimeout(
+                    total=call.timeout_s + RELAY_MARGIN_S,
+                    sock_connect=CONNECT_TIMEOUT_S,
+                ),
+            ) as response:
+                body = await response.read()
+                if response.status == 200:
+                    return msgpack.decode(body, type=StoreReply)
+                if response.status == NOTHING_DONE:
+                    raise StoreUnavailable(f'peer {peer}: not reachable')
+                raise StoreAnswerLost(f'peer {peer}: no answer')
+        except (DecodeError, ValidationError) as error:
+            raise StoreAnswerLost(f'peer {peer}: {error}') from error
+        except (ClientError, TimeoutError, OSError) as error:
+            if call.write:
+                raise StoreAnswerLost(f'peer {peer}: {error!r}') from error
+            raise StoreUnavailable(f'peer {peer}: {error!r}') from error
+
+    async def serve(self, request: web.BaseRequest) -> web.Response:
+        """Answer a call of a peer by a direct call."""
+        try:
+            call = msgpack.decode(await request.read(), type=RelayedCall)
+        except (DecodeError, ValidationError) as error:
+            return web.Response(status=400, text=str(error))
+        if self._failed:
+            return web.Response(status=NOTHING_DONE)
+        try:
+            reply = await self._direct.send(
+                StoreCall(
+                    call.method,
+                    call.path,
+                    call.body,
+                    call.timeout_s,
+                    call.write,
+                    call.create,
+                )
+            )
+        except StoreUnavailable as error:
+            self._note(error)
+            return web.Response(status=NOTHING_DONE)
+        except StoreAnswerLost as error:
+            self._note(error)
+            return web.Response(status=ANSWER_LOST)
+        return web.Response(body=msgpack.encode(reply))
--- a/anvilcove/decisions/entries.py
+++ b/anvilcove/decisions/entries.py
@@ -6,7 +6,7 @@
 
 from anvilcove.decisions.registry import policy
 from anvilcove.messages.membership import LIVE, HostMember
-from anvilcove.settings.daemon import HostSettings
+from anvilcove.settings.daemon import DaemonSettings
 
 NAMED_HOSTS = 3
 # Own hosts named first; the last one is elsewhere, so that a caller survives
@@ -23,7 +23,7 @@
 
     __slots__ = ('_slot_s',)
 
-    def __init__(self, settings: HostSettings) -> None:
+    def __init__(self, settings: DaemonSettings) -> None:
         """Use the time to live of an answer as the slot."""
         self._slot_s = max(settings.timing.entry_ttl_ms / 1000, 1.0)
 
--- a/anvilcove/decisions/hedging.py
+++ b/anvilcove/decisions/hedging.py
@@ -68,3 +68,31 @@
             return False
         self._tokens -= 1.0
         return True
+
+
+# Share of the latency objective after which a second attempt still has a
+# chance to be on time.
+OBJECTIVE_SHARE = 0.5
+# Hedges that a daemon starts with: a host that has just started knows no
+# latencies yet and meets the same faults.
+FIRST_BUDGET = 5.0
+
+
+@policy('hedging', 'objective')
+class ObjectiveHedging(PercentileHedging):
+    """Hedge after the learned percentile, or a share of the objective."""
+
+    __slots__ = ()
+
+    def __init__(self, settings: HostSettings) -> None:
+        """Start with a budget but without knowledge."""
+        super().__init__(settings)
+        self._tokens = FIRST_BUDGET
+
+    def delay_for(self, class_name: str, objective_s: float) -> float | None:
+        """Return the delay before the second attempt, None for never."""
+        if self._tokens < 1.0 - 1e-9:
+            return None
+        bound_s = objective_s * OBJECTIVE_SHARE
+        learned_s = self.delay_s(class_name)
+        return bound_s if learned_s is None else min(learned_s, bound_s)
--- /dev/null
+++ b/anvilcove/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs: records, ownership, items, reward calls and reads."""
--- /dev/null
+++ b/anvilcove/jobs/item_run.py
@@ -0,0 +1,345 @@
+"""Run one item of a batch job to its result."""
+
+import asyncio
+import random
+from contextlib import aclosing
+
+from loguru import logger
+
+from anvilcove.control.desired import DesiredStateView, Route
+from anvilcove.control.endpoints import EndpointEntry
+from anvilcove.jobs.engine_slots import EngineNeed, EngineSlots
+from anvilcove.jobs.types import Item, ItemResult, JobSpec
+from anvilcove.ports.engines import (
+    EngineClient,
+    Generation,
+    GenerationEnd,
+    GenerationStart,
+    ItemFailed,
+    ItemRejected,
+    TokenEvent,
+)
+from anvilcove.ports.errors import EndpointError, EndpointNotRun
+from anvilcove.ports.servers import CallerRequest
+from anvilcove.proxy.forwarder import Forwarder
+from anvilcove.state.clock import Clock
+
+# An engine that sends nothing for this long is taken as lost. A load of a
+# version, which stops its runs, takes about a second.
+FIRST_EVENT_TIMEOUT_S = 2.5
+NEXT_EVENT_TIMEOUT_S = 1.5
+RETRY_S = 0.05
+LONGEST_RETRY_S = 0.5
+# Largest time that a reward call has at its service.
+REWARD_TIMEOUT_S = 3.0
+
+
+class StaleEngine(EndpointError):
+    """Raised when an engine answers with weights that are too old."""
+
+
+class ItemProgress:
+    """The text of an item so far and what its attempts came to."""
+
+    __slots__ = (
+        'item',
+        'texts',
+        'versions',
+        'attempts',
+        'failures',
+        'reward_failures',
+        'rewarding',
+    )
+
+    def __init__(self, item: Item) -> None:
+        """Start without text."""
+        self.item = item
+        self.texts: list[str] = []
+        self.versions: list[int] = []
+        self.attempts = 0
+        self.failures = 0
+        self.reward_failures = 0
+        self.rewarding = False
+
+    def add(self, event: TokenEvent) -> None:
+        """Append an event."""
+        self.texts.append(event.text)
+        if event.version not in self.versions:
+            self.versions.append(event.version)
+
+    def restart(self) -> None:
+        """Drop the text."""
+        self.texts.clear()
+        self.versions.clear()
+
+    def completed(self, score: str) -> ItemResult:
+        """Return the result of the whole text."""
+        return ItemResult(
+            item_id=self.item.item_id,
+            completed=True,
+            output='\n'.join(self.texts),
+            versions=list(self.versions),
+            score=score,
+        )
+
+
+class ItemRunner:
+    """Run the items of the batch jobs of this daemon."""
+
+    __slots__ = (
+        '_slots',
+        '_engines',
+        '_forwarder',
+        '_desired',
+        '_rewards',
+        '_clock',
+        '_rng',
+    )
+
+    def __init__(
+        self,
+        slots: EngineSlots,
+        engines: EngineClient,
+        forwarder: Forwarder,
+        desired: DesiredStateView,
+        rewards: asyncio.Semaphore,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Keep what items need; `rewards` bounds reward calls at once."""
+        self._slots = slots
+        self._engines = engines
+        self._forwarder = forwarder
+        self._desired = desired
+        self._rewards = rewards
+        self._clock = clock
+        self._rng = rng
+
+    async def run(
+        self,
+        spec: JobSpec,
+        progress: ItemProgress,
+        rank: tuple[float, ...],
+        end_s: float,
+    ) -> ItemResult:
+        """Return the result of an item; give up at `end_s`."""
+        item = progress.item
+        try:
+            async with asyncio.timeout(max(end_s - self._clock.now(), 0.0)):
+                result = await self._generate(spec, progress, rank, end_s)
+                if result is None:
+                    progress.rewarding = True
+                    result = await self._score(progress)
+        except TimeoutError:
+            result = ItemResult(item.item_id, completed=False)
+            logger.bind(
+                job=spec.job_id,
+                request=item.item_id,
+                attempts=progress.attempts,
+                events=len(progress.texts),
+            ).warning('item given up at the end of its time')
+        return result
+
+    async def _generate(
+        self,
+        spec: JobSpec,
+        progress: ItemProgress,
+        rank: tuple[float, ...],
+        end_s: float,
+    ) -> ItemResult | None:
+        """Complete the text; return a result only if that cannot be."""
+        pause_s = RETRY_S
+        while True:
+            route = self._route(spec)
+            if route is None:
+                await self._pause(LONGEST_RETRY_S)
+                continue
+            need = self._need(spec, progress.item, route)
+            entry = await self._slots.take(need, rank)
+            progress.attempts += 1
+            try:
+                await self._attempt(spec, progress, route, entry, end_s)
+            except ItemRejected:
+                return self._errored(spec, progress, 'rejected')
+            except ItemFailed:
+                progress.failures += 1
+                progress.restart()
+                if progress.failures >= route.max_attempts:
+                    return self._errored(spec, progress, 'failed each time')
+            except EndpointError as error:
+                self._note(spec, progress, entry, error)
+                await self._pause(pause_s)
+                pause_s = min(pause_s * 2, LONGEST_RETRY_S)
+            else:
+                self._slots.succeeded(entry.endpoint)
+                return None
+            finally:
+                self._slots.give_back(entry.endpoint)
+
+    async def _attempt(
+        self,
+        spec: JobSpec,
+        progress: ItemProgress,
+        route: Route,
+        entry: EndpointEntry,
+        end_s: float,
+    ) -> None:
+        """Run the rest of the text at one engine."""
+        if route.job is not None and route.job.single_version:
+            self._keep_single_version(progress, entry, spec.model)
+        generation = Generation(
+            item_id=progress.item.item_id,
+            host=spec.host,
+            path=progress.item.path,
+            headers=progress.item.headers,
+            body=progress.item.body,
+            deadline_s=end_s - self._clock.now(),
+            after=len(progress.texts),
+        )
+        stream = self._engines.generate(
+            entry.address, entry.instance, generation
+        )
+        timeout_s = FIRST_EVENT_TIMEOUT_S
+        at_s = self._clock.now()
+        async with aclosing(stream):  # type: ignore[type-var]
+            while True:
+                try:
+                    async with asyncio.timeout(timeout_s):
+                        event = await anext(stream)
+                except TimeoutError as error:
+                    raise EndpointError(
+                        f'no event for {timeout_s} s'
+                    ) from error
+                if isinstance(event, GenerationEnd):
+                    return
+                now = self._clock.now()
+                if isinstance(event, GenerationStart):
+                    self._check_start(spec, entry, event)
+                else:
+                    self._check_event(spec, route, progress, event)
+                    progress.add(event)
+                    if timeout_s == NEXT_EVENT_TIMEOUT_S:
+                        self._slots.event_took(entry.endpoint, now - at_s)
+                    timeout_s = NEXT_EVENT_TIMEOUT_S
+                at_s = now
+
+    def _check_start(
+        self, spec: JobSpec, entry: EndpointEntry, start: GenerationStart
+    ) -> None:
+        self._slots.started(
+            entry.endpoint, spec.model, start.version, start.load
+        )
+        if start.version < spec.min_version:
+            raise StaleEngine(f'engine holds version {start.version}')
+
+    def _check_event(
+        self,
+        spec: JobSpec,
+        route: Route,
+        progress: ItemProgress,
+        event: TokenEvent,
+    ) -> None:
+        if event.version < spec.min_version:
+            raise StaleEngine(f'event of version {event.version}')
+        single = route.job is not None and route.job.single_version
+        if (
+            single
+            and progress.versions
+            and event.version != (progress.versions[0])
+        ):
+            progress.restart()
+            raise StaleEngine('the version changed within the text')
+
+    def _keep_single_version(
+        self, progress: ItemProgress, entry: EndpointEntry, model: str
+    ) -> None:
+        version = entry.version_by_model.get(model, 0)
+        if progress.versions and progress.versions != [version]:
+            progress.restart()
+
+    async def _score(self, progress: ItemProgress) -> ItemResult:
+        """Send the reward call until its answer counts."""
+        reward = progress.item.reward
+        if reward is None:
+            return progress.completed('')
+        pause_s = RETRY_S
+        while True:
+            state = self._desired.current
+            route = state.find(reward.host, reward.path) if state else None
+            if route is not None:
+                async with self._rewards:
+                    now = self._clock.now()
+                    answer = await self._forwarder.forward(
+                        CallerRequest(
+                            request_id=reward.request_id,
+                            method='POST',
+                            host=reward.host,
+                            path=reward.path,
+                            headers=reward.headers,
+                            body=reward.body,
+                            received_s=now,
+                            deadline_at_s=now
+                            + min(route.timeout_s, REWARD_TIMEOUT_S),
+                        ),
+                        route,
+                    )
+                if 200 <= answer.status < 300 and answer.stamp:
+                    return progress.completed(answer.stamp)
+                progress.reward_failures += answer.server_failures
+                if progress.reward_failures >= route.max_attempts:
+                    logger.bind(request=progress.item.item_id).info(
+                        'item errored: its reward call failed each time'
+                    )
+                    return ItemResult(progress.item.item_id, completed=False)
+            await self._pause(pause_s)
+            pause_s = min(pause_s * 2, LONGEST_RETRY_S)
+
+    def _route(self, spec: JobSpec) -> Route | None:
+        state = self._desired.current
+        route = state.find(spec.host, spec.path) if state else None
+        return route if route is not None and route.job else None
+
+    def _need(self, spec: JobSpec, item: Item, route: Route) -> EngineNeed:
+        return EngineNeed(
+            service=route.targets[0].service,
+            model=item.model or spec.model,
+            min_version=spec.min_version,
+            group=f'{spec.job_id}/{item.group}',
+            excluded=set(),
+        )
+
+    def _note(
+        self,
+        spec: JobSpec,
+        progress: ItemProgress,
+        entry: EndpointEntry,
+        error: EndpointError,
+    ) -> None:
+        if isinstance(error, EndpointNotRun) and not error.unreachable:
+            self._slots.refused(entry.endpoint)
+        elif isinstance(error, StaleEngine):
+            self._slots.refused(entry.endpoint)
+        else:
+            self._slots.failed(entry.endpoint)
+        logger.bind(
+            job=spec.job_id,
+            request=progress.item.item_id,
+            endpoint=entry.endpoint,
+            attempt=progress.attempts,
+            events=len(progress.texts),
+            reason=str(error)[:160],
+        ).info('item attempt failed')
+
+    def _errored(
+        self, spec: JobSpec, progress: ItemProgress, reason: str
+    ) -> ItemResult:
+        logger.bind(
+            job=spec.job_id,
+            request=progress.item.item_id,
+            attempts=progress.attempts,
+            reason=reason,
+        ).info('item errored')
+        return ItemResult(progress.item.item_id, completed=False)
+
+    async def _pause(self, seconds: float) -> None:
+        await self._clock.sleep(seconds * self._rng.uniform(0.5, 1.5))
--- /dev/null
+++ b/anvilcove/jobs/owner.py
@@ -0,0 +1,260 @@
+"""Own batch jobs: accept them, take them over and hand them on."""
+
+import asyncio
+import random
+import secrets
+
+from loguru import logger
+from msgspec.structs import replace
+
+from anvilcove.control.desired import DesiredStateView
+from anvilcove.control.nodes import NodeDirectory
+from anvilcove.control.watch import TableWatch
+from anvilcove.jobs.board import JobBoard
+from anvilcove.jobs.item_run import ItemRunner
+from anvilcove.jobs.job_run import JobRun
+from anvilcove.jobs.records import CommitConflict, JobRecords
+from anvilcove.jobs.types import HeldJob, JobHead, JobSpec
+from anvilcove.node.metrics import NodeMetrics
+from anvilcove.ports.errors import (
+    ObjectNotFound,
+    StoreAnswerLost,
+    StoreUnavailable,
+)
+from anvilcove.settings.node import NodeSettings
+from anvilcove.state.clock import Clock
+
+LOOK_S = 0.25
+# What the watch knows must be this fresh before a job is taken over.
+FRESH_S = 1.5
+# Daemons that see the same abandoned job take it over one after the other.
+SPREAD_S = 0.4
+# Items may be given up this long after their submission if the operator's
+# declaration cannot be found.
+DEFAULT_LIFETIME_S = 40.0
+# Added to the lifetime of items, since the store's clock is known only
+# through its answers.
+LIFETIME_MARGIN_S = 1.0
+
+
+class NotAccepted(Exception):
+    """Raised when a job was not accepted; `uncertain` if it may be later."""
+
+    def __init__(self, reason: str, uncertain: bool) -> None:
+        """Keep whether a write may still be applied."""
+        super().__init__(reason)
+        self.uncertain = uncertain
+
+
+class JobOwner:
+    """Jobs that this daemon runs."""
+
+    __slots__ = (
+        '_settings',
+        '_nonce',
+        '_records',
+        '_board',
+        '_watch',
+        '_nodes',
+        '_desired',
+        '_runner',
+        '_metrics',
+        '_clock',
+        '_rng',
+        '_runs',
+        '_tasks',
+        '_closing',
+    )
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        nonce: str,
+        records: JobRecords,
+        board: JobBoard,
+        watch: TableWatch,
+        nodes: NodeDirectory,
+        desired: DesiredStateView,
+        runner: ItemRunner,
+        metrics: NodeMetrics,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Own nothing; `watch` is that of the jobs table."""
+        self._settings = settings
+        self._nonce = nonce
+        self._records = records
+        self._board = board
+        self._watch = watch
+        self._nodes = nodes
+        self._desired = desired
+        self._runner = runner
+        self._metrics = metrics
+        self._clock = clock
+        self._rng = rng
+        self._runs: dict[str, JobRun] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._closing = False
+
+    async def accept(self, spec: JobSpec, end_s: float) -> None:
+        """Keep a job for good and run it, or raise NotAccepted."""
+        head = JobHead(
+            job_id=spec.job_id,
+            owner='' if self._closing else self._settings.host,
+            nonce='' if self._closing else self._nonce,
+            beat=0,
+            commit_id=secrets.token_hex(8),
+            listed=0,
+            total=len(spec.items),
+            submitted_ms=self._watch.store_now_ms(),
+            host=spec.host,
+            path=spec.path,
+        )
+        held = await self._create(spec, head, end_s)
+        self._board.adopt(held)
+        own = held.head.commit_id == head.commit_id
+        logger.bind(
+            job=spec.job_id,
+            step=spec.step,
+            model=spec.model,
+            min_version=spec.min_version,
+            items=len(spec.items),
+            first=own,
+        ).info('job accepted')
+        self._metrics.job_event('accepted' if own else 'repeated')
+        if own and head.owner:
+            self._begin(spec, held, [])
+
+    async def run(self) -> None:
+        """Take over abandoned jobs and stop ended ones, for ever."""
+        while True:
+            await self._clock.sleep(LOOK_S)
+            self._stop_ended()
+            if self._closing or self._watch.age_s() > FRESH_S:
+                continue
+            for held in self._board.abandoned():
+                await self._consider(held)
+            await self._reclaim()
+
+    async def close(self) -> None:
+        """Hand every job over."""
+        self._closing = True
+        await asyncio.gather(
+            *(run.hand_over() for run in list(self._runs.values()))
+        )
+
+    async def _create(
+        self, spec: JobSpec, head: JobHead, end_s: float
+    ) -> HeldJob:
+        uncertain = False
+        while True:
+            try:
+                return await self._records.create(spec, head)
+            except StoreUnavailable as error:
+                reason = str(error)
+            except StoreAnswerLost as error:
+                uncertain = True
+                reason = str(error)
+            if self._clock.now() >= end_s:
+                raise NotAccepted(reason, uncertain)
+            await self._clock.sleep(self._rng.uniform(0.05, 0.15))
+
+    async def _reclaim(self) -> None:
+        """Take the jobs of an earlier start of this daemon at once."""
+        for held in list(self._board.by_id.values()):
+            head = held.head
+            if head.finished or head.job_id in self._board.ended:
+                continue
+            earlier = head.owner == self._settings.host and (
+                head.nonce != self._nonce
+            )
+            if earlier:
+                await self._take_over(held, 'an earlier start owned it')
+
+    async def _consider(self, held: HeldJob) -> None:
+        job_id = held.head.job_id
+        if job_id in self._runs:
+            return
+        await self._clock.sleep(self._rng.uniform(0.0, SPREAD_S))
+        current = self._board.by_id.get(job_id)
+        if current is not None and current.version == held.version:
+            await self._take_over(
+                held, 'given back' if not held.head.owner else 'stood still'
+            )
+
+    async def _take_over(self, held: HeldJob, reason: str) -> None:
+        head = replace(
+            held.head,
+            owner=self._settings.host,
+            nonce=self._nonce,
+            beat=held.head.beat + 1,
+            commit_id=secrets.token_hex(8),
+        )
+        try:
+            taken = await self._records.commit(held, head, [])
+            self._board.adopt(taken)
+            logger.bind(
+                job=head.job_id,
+                reason=reason,
+                owner=held.head.owner,
+                listed=head.listed,
+                total=head.total,
+            ).info('job taken over')
+            self._metrics.job_event('taken over')
+            await self._resume(taken)
+        except CommitConflict as conflict:
+            if conflict.current is not None:
+                self._board.adopt(conflict.current)
+        except (StoreUnavailable, StoreAnswerLost, ObjectNotFound) as error:
+            logger.bind(job=head.job_id, reason=str(error)).info(
+                'job not taken over'
+            )
+
+    async def _resume(self, held: HeldJob) -> None:
+        spec = await self._records.load(held.head.job_id)
+        listed = await self._records.results(held.head.job_id, 0)
+        self._begin(spec, held, [result.item_id for result in listed])
+
+    def _begin(self, spec: JobSpec, held: HeldJob, listed: list[str]) -> None:
+        run = JobRun(
+            spec,
+            held,
+            listed,
+            self._items_end_s(held.head),
+            self._records,
+            self._runner,
+            self._metrics,
+            self._clock,
+        )
+        self._runs[spec.job_id] = run
+        task = asyncio.create_task(self._run(run))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run(self, run: JobRun) -> None:
+        job_id = run.spec.job_id
+        try:
+            await run.run()
+        except Exception:
+            logger.bind(job=job_id).exception('job run ended by an error')
+        finally:
+            self._runs.pop(job_id, None)
+            self._board.adopt(run.held)
+
+    def _items_end_s(self, head: JobHead) -> float:
+        state = self._desired.current
+        route = state.find(head.host, head.path) if state else None
+        lifetime_s = DEFAULT_LIFETIME_S
+        if route is not None and route.job is not None:
+            lifetime_s = route.job.item_lifetime_s
+        age_s = (self._watch.store_now_ms() - head.submitted_ms) / 1000
+        left_s = lifetime_s + LIFETIME_MARGIN_S - max(age_s, 0.0)
+        return self._clock.now() + left_s
+
+    def _stop_ended(self) -> None:
+        for job_id, run in list(self._runs.items()):
+            if job_id in self._board.ended:
+                logger.bind(job=job_id, listed=run.held.head.listed).info(
+                    'job ended'
+                )
+                run.stop()
--- /dev/null
+++ b/anvilcove/jobs/reader.py
@@ -0,0 +1,191 @@
+"""Answer reads of batch jobs."""
+
+from collections import OrderedDict
+
+from msgspec import Struct
+
+from anvilcove.control.watch import TableWatch
+from anvilcove.jobs.board import JobBoard
+from anvilcove.jobs.records import JobRecords
+from anvilcove.jobs.types import ItemResult, JobSpec
+from anvilcove.ports.errors import (
+    ObjectNotFound,
+    StoreAnswerLost,
+    StoreUnavailable,
+)
+from anvilcove.state.clock import Clock
+
+# Results and submissions that are kept in memory.
+CACHED_RESULT_BYTES = 12_000_000
+CACHED_SPEC_BYTES = 6_000_000
+# Results of one answer.
+ANSWER_BYTES = 900_000
+# What the watch says of a job is taken as current up to this age.
+FRESH_S = 0.9
+
+
+class ResultPage(Struct):
+    """Results of a job from a position on."""
+
+    total: int
+    results: list[ItemResult]
+
+
+class NotSure(Exception):
+    """Raised when the store would have to tell and does not answer."""
+
+
+class JobUnknown(Exception):
+    """Raised for a job or item that certainly does not exist."""
+
+
+class JobReader:
+    """Read results and submissions of jobs, whoever owns them."""
+
+    __slots__ = (
+        '_records',
+        '_board',
+        '_watch',
+        '_clock',
+        '_results',
+        '_result_bytes',
+        '_specs',
+        '_spec_bytes',
+    )
+
+    def __init__(
+        self,
+        records: JobRecords,
+        board: JobBoard,
+        watch: TableWatch,
+        clock: Clock,
+    ) -> None:
+        """Start with nothing cached; `watch` is that of the jobs table."""
+        self._records = records
+        self._board = board
+        self._watch = watch
+        self._clock = clock
+        self._results: OrderedDict[str, list[ItemResult]] = OrderedDict()
+        self._result_bytes = 0
+        self._specs: OrderedDict[str, JobSpec] = OrderedDict()
+        self._spec_bytes = 0
+
+    async def page(
+        self, job_id: str, position: int, wait_s: float
+    ) -> ResultPage:
+        """Return results, or raise JobUnknown or NotSure."""
+        total = await self._total(job_id)
+        end_s = self._clock.now() + wait_s
+        while True:
+            known = await self._known(job_id, position)
+            results = _fitting(known[position:])
+            left_s = end_s - self._clock.now()
+            if results or left_s <= 0 or len(known) >= total:
+                outputs = await self._with_outputs(results)
+                return ResultPage(total, outputs)
+            if job_id in self._board.ended:
+                return ResultPage(total, [])
+            await self._board.changed(job_id, left_s)
+
+    async def body(self, job_id: str, item_id: str) -> bytes:
+        """Return the body of an item, or raise JobUnknown or NotSure."""
+        await self._total(job_id)
+        spec = self._specs.get(job_id)
+        if spec is None:
+            spec = await self._load(job_id)
+        for item in spec.items:
+            if item.item_id == item_id:
+                return item.body
+        raise JobUnknown(item_id)
+
+    async def end(self, job_id: str) -> None:
+        """End a job, or raise JobUnknown or NotSure."""
+        await self._total(job_id)
+        if job_id in self._board.ended:
+            return
+        try:
+            await self._records.end(job_id)
+        except (StoreUnavailable, StoreAnswerLost) as error:
+            raise NotSure(str(error)) from error
+        self._board.end(job_id)
+
+    async def _total(self, job_id: str) -> int:
+        held = self._board.by_id.get(job_id)
+        if held is not None:
+            return held.head.total
+        try:
+            found, ended = await self._records.find(job_id)
+        except (StoreUnavailable, StoreAnswerLost) as error:
+            raise NotSure(str(error)) from error
+        if found is None:
+            raise JobUnknown(job_id)
+        self._board.adopt(found)
+        if ended:
+            self._board.end(job_id)
+        return found.head.total
+
+    async def _known(self, job_id: str, position: int) -> list[ItemResult]:
+        """Return the listed results, read from the store if need be."""
+        known = self._results.get(job_id, [])
+        held = self._board.by_id.get(job_id)
+        fresh = self._watch.age_s() <= FRESH_S
+        listed = held.head.listed if held is not None else 0
+        if len(known) > position or (fresh and listed <= len(known)):
+            return known
+        try:
+            more = await self._records.results(job_id, len(known))
+        except (StoreUnavailable, StoreAnswerLost) as error:
+            raise NotSure(str(error)) from error
+        return self._cache_results(job_id, len(known), more)
+
+    def _cache_results(
+        self, job_id: str, start: int, more: list[ItemResult]
+    ) -> list[ItemResult]:
+        known = self._results.setdefault(job_id, [])
+        self._results.move_to_end(job_id)
+        # Another read of the same job may have added them meanwhile.
+        added = more[len(known) - start :]
+        known += added
+        self._result_bytes += sum(len(r.output) + 200 for r in added)
+        while self._result_bytes > CACHED_RESULT_BYTES and (
+            len(self._results) > 1
+        ):
+            _, dropped = self._results.popitem(last=False)
+            self._result_bytes -= sum(len(r.output) + 200 for r in dropped)
+        return known
+
+    async def _load(self, job_id: str) -> JobSpec:
+        try:
+            spec = await self._records.load(job_id)
+        except ObjectNotFound as error:
+            raise JobUnknown(job_id) from error
+        except (StoreUnavailable, StoreAnswerLost) as error:
+            raise NotSure(str(error)) from error
+        self._specs[job_id] = spec
+        self._spec_bytes += _size(spec)
+        while self._spec_bytes > CACHED_SPEC_BYTES and len(self._specs) > 1:
+            _, dropped = self._specs.popitem(last=False)
+            self._spec_bytes -= _size(dropped)
+        return spec
+
+    async def _with_outputs(
+        self, results: list[ItemResult]
+    ) -> list[ItemResult]:
+        try:
+            return [await self._records.with_output(r) for r in results]
+        except (StoreUnavailable, StoreAnswerLost, ObjectNotFound) as error:
+            raise NotSure(str(error)) from error
+
+
+def _fitting(results: list[ItemResult]) -> list[ItemResult]:
+    """Return the first results that fit into one answer, at least one."""
+    size = 0
+    for count, result in enumerate(results):
+        size += len(result.output) + 500
+        if count and size > ANSWER_BYTES:
+            return results[:count]
+    return results
+
+
+def _size(spec: JobSpec) -> int:
+    return sum(len(item.body) + 500 for item in spec.items)
--- /dev/null
+++ b/anvilcove/node/__init__.py
@@ -0,0 +1,1 @@
+"""Assembly of the daemon that runs on the users' platform."""
--- /dev/null
+++ b/anvilcove/node/metrics.py
@@ -0,0 +1,99 @@
+"""Counters and histograms of a daemon on the users' platform."""
+
+import resource
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+LATENCY_BUCKETS_S = [0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0]
+
+
+class NodeMetrics:
+    """What the parts of a daemon count."""
+
+    __slots__ = ('registry', '_counters', '_gauges', '_latency')
+
+    def __init__(self) -> None:
+        """Start all counters at zero."""
+        self.registry = Registry()
+        self._counters: dict[str, Counter] = {}
+        self._gauges: dict[str, Gauge] = {}
+        self._latency = Histogram(
+            'anvilcove_request_duration_seconds',
+            'Time from arrival to the answer.',
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+
+    def request_finished(
+        self, route: str, status: int, latency_s: float, on_time: bool
+    ) -> None:
+        """Count a request that was answered."""
+        self._count(
+            'requests_total',
+            'Requests by route and status.',
+            {'route': route, 'status': str(status)},
+        )
+        if on_time:
+            self._count(
+                'requests_on_time_total',
+                'Requests answered within their objective.',
+                {'route': route},
+            )
+        self._latency.observe({'route': route}, latency_s)
+
+    def attempt_failed(self, service: str, outcome: str) -> None:
+        """Count a failed attempt at an endpoint."""
+        self._count(
+            'attempts_failed_total',
+            'Failed attempts by service and outcome.',
+            {'service': service, 'outcome': outcome},
+        )
+
+    def job_event(self, event: str) -> None:
+        """Count an event of a batch job."""
+        self._count('job_events_total', 'Job events.', {'event': event})
+
+    def item_listed(self, completed: bool, attempts: int) -> None:
+        """Count an item that got its result."""
+        state = 'completed' if completed else 'errored'
+        self._count('items_total', 'Listed items by state.', {'state': state})
+        if attempts > 1:
+            self._count(
+                'item_retries_total', 'Item attempts after the first.', {}
+            )
+
+    def gauge(
+        self, name: str, meaning: str, labels: dict[str, str], value: float
+    ) -> None:
+        """Set a gauge."""
+        if name not in self._gauges:
+            self._gauges[name] = Gauge(
+                f'anvilcove_{name}', meaning, registry=self.registry
+            )
+        self._gauges[name].set(labels, value)
+
+    def render(self) -> bytes:
+        """Return all metrics as text."""
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        self.gauge(
+            'processor_seconds',
+            'Processor time of the process.',
+            {},
+            usage.ru_utime + usage.ru_stime,
+        )
+        self.gauge(
+            'resident_memory_bytes',
+            'Largest resident memory of the process.',
+            {},
+            usage.ru_maxrss * 1024,
+        )
+        text: bytes = render(self.registry, [])[0]
+        return text
+
+    def _count(self, name: str, meaning: str, labels: dict[str, str]) -> None:
+        if name not in self._counters:
+            self._counters[name] = Counter(
+                f'anvilcove_{name}', meaning, registry=self.registry
+            )
+        self._counters[name].inc(labels)
--- /dev/null
+++ b/anvilcove/node/service.py
@@ -0,0 +1,112 @@
+"""What callers and trainers may ask of a daemon."""
+
+import random
+
+from loguru import logger
+from msgspec import Struct
+
+from anvilcove.control.desired import JOB, DesiredStateView, Route
+from anvilcove.control.nodes import NodeDirectory
+from anvilcove.jobs.owner import JobOwner, NotAccepted
+from anvilcove.jobs.reader import JobReader
+from anvilcove.jobs.types import JobSpec
+from anvilcove.ports.servers import CallerAnswer, CallerRequest
+from anvilcove.proxy.forwarder import Forwarder
+from anvilcove.proxy.outcomes import bad_gateway, not_found, refusal
+from anvilcove.state.clock import Clock
+
+# A submission is answered within this share of its objective, as far as the
+# store allows; its trainer then asks another daemon.
+ACCEPT_SHARE = 2.5
+
+
+class NodeState(Struct):
+    """Whether the daemon is stopping."""
+
+    stopping: bool = False
+
+
+class NodeService:
+    """The ways into the daemon, free of any protocol."""
+
+    __slots__ = (
+        'state',
+        'jobs',
+        '_desired',
+        '_nodes',
+        '_forwarder',
+        '_owner',
+        '_clock',
+        '_rng',
+    )
+
+    def __init__(
+        self,
+        state: NodeState,
+        desired: DesiredStateView,
+        nodes: NodeDirectory,
+        forwarder: Forwarder,
+        owner: JobOwner,
+        jobs: JobReader,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Keep the parts."""
+        self.state = state
+        self.jobs = jobs
+        self._desired = desired
+        self._nodes = nodes
+        self._forwarder = forwarder
+        self._owner = owner
+        self._clock = clock
+        self._rng = rng
+
+    def now(self) -> float:
+        """Return the time on the daemon's clock."""
+        return self._clock.now()
+
+    def ready(self) -> bool:
+        """Tell whether new callers may come."""
+        return self._desired.current is not None and not self.state.stopping
+
+    def addresses(self, region: str) -> list[str]:
+        """Return the addresses that callers should use."""
+        return self._nodes.caller_addresses(region, self.ready(), self._rng)
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Return the route of a request."""
+        state = self._desired.current
+        return state.find(host, path) if state is not None else None
+
+    def informed(self) -> bool:
+        """Tell whether a desired state is known."""
+        return self._desired.current is not None
+
+    def max_body_bytes(self) -> int:
+        """Return the largest body that callers may send."""
+        state = self._desired.current
+        return state.limits.max_body_bytes if state else 1 << 20
+
+    async def forward(
+        self, request: CallerRequest, route: Route
+    ) -> CallerAnswer:
+        """Return the answer to a request of a service's route."""
+        return await self._forwarder.forward(request, route)
+
+    async def submit(self, spec: JobSpec, route: Route) -> CallerAnswer:
+        """Return whether a batch job was accepted."""
+        if route.kind != JOB:
+            return not_found()
+        end_s = self._clock.now() + route.objective_s * ACCEPT_SHARE
+        try:
+            await self._owner.accept(spec, end_s)
+        except NotAccepted as error:
+            logger.bind(
+                job=spec.job_id,
+                reason=str(error),
+                uncertain=error.uncertain,
+            ).warning('job not accepted')
+            if error.uncertain:
+                return bad_gateway()
+            return refusal(route.objective_s, self._rng)
+        return CallerAnswer(status=202)
--- /dev/null
+++ b/anvilcove/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter of the users' platform: the only place that knows its names."""
--- /dev/null
+++ b/anvilcove/platform/jobs.py
@@ -0,0 +1,124 @@
+"""Decode submissions of trainers and encode results."""
+
+from base64 import b64decode
+from typing import Any
+
+from msgspec import DecodeError, ValidationError, json
+
+from anvilcove.jobs.reader import ResultPage
+from anvilcove.jobs.types import Item, JobSpec, RewardCall
+from anvilcove.platform.names import ATTEMPT_ID
+
+COMPLETED = 'completed'
+ERRORED = 'errored'
+LENGTH_HINT = 'Length-Hint'
+MODEL = 'Model'
+# Identifiers become keys and names of objects in the store.
+MAX_ID_LENGTH = 120
+
+
+class JobFormatError(Exception):
+    """Raised for a submission that cannot be understood."""
+
+
+def decode_job(job_id: str, host: str, path: str, body: bytes) -> JobSpec:
+    """Decode a submission, or raise JobFormatError."""
+    try:
+        data = json.decode(body)
+    except (DecodeError, ValidationError, RecursionError) as error:
+        raise JobFormatError(f'not JSON: {error}') from error
+    try:
+        items = [_item(item) for item in data['requests']]
+        spec = JobSpec(
+            job_id=checked_id(job_id),
+            host=host,
+            path=path,
+            step=int(data.get('step', 0)),
+            model=str(data.get('model', '')),
+            min_version=int(data.get('min-version', 0)),
+            target_groups=int(data.get('target-groups', 0)),
+            items=items,
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise JobFormatError(f'a field is wrong: {error!r}') from error
+    if len({item.item_id for item in items}) != len(items):
+        raise JobFormatError('an item is listed twice')
+    return spec
+
+
+def encode_page(page: ResultPage, after: int) -> bytes:
+    """Encode results of a job from a position on."""
+    return json.encode(
+        {
+            'total': page.total,
+            'next': after + len(page.results),
+            'results': [
+                {
+                    'id': result.item_id,
+                    'state': COMPLETED,
+                    'output': result.output,
+                    'versions': result.versions,
+                    'score': result.score,
+                }
+                if result.completed
+                else {'id': result.item_id, 'state': ERRORED}
+                for result in page.results
+            ],
+        }
+    )
+
+
+def checked_id(text: Any) -> str:
+    """Return an identifier that may be part of a key, or raise ValueError."""
+    if (
+        not isinstance(text, str)
+        or not 0 < len(text) <= MAX_ID_LENGTH
+        or not all(c.isascii() and (c.isalnum() or c in '-_') for c in text)
+    ):
+        raise ValueError(f'identifier {str(text)[:40]!r}')
+    return text
+
+
+def _item(data: dict[str, Any]) -> Item:
+    headers = {str(k): str(v) for k, v in data.get('headers', {}).items()}
+    # The reward call has the name of an address, but holds a whole request.
+    reward = data.get('scorer-url')
+    return Item(
+        item_id=checked_id(data['id']),
+        path=_path(data['path']),
+        headers=headers,
+        body=_body(data),
+        tokens=int(data.get('token-count', 0)),
+        group=str(data.get('group-id', '')),
+        reward=_reward(reward) if reward else None,
+        model=headers.get(MODEL, ''),
+        length_hint=_length_hint(headers),
+    )
+
+
+def _reward(data: dict[str, Any]) -> RewardCall:
+    request_id, host = checked_id(data['id']), str(data['host']).lower()
+    return RewardCall(
+        request_id=request_id,
+        host=host,
+        path=_path(data['path']),
+        headers=[('Host', host), (ATTEMPT_ID, request_id)],
+        body=_body(data),
+    )
+
+
+def _body(data: dict[str, Any]) -> bytes:
+    return b64decode(data.get('body') or '', validate=True)
+
+
+def _path(path: Any) -> str:
+    if not isinstance(path, str) or not path.startswith('/'):
+        raise ValueError('a path is missing')
+    if any(c <= ' ' or c > '~' for c in path):
+        raise ValueError('a path has characters that need an escape')
+    return path
+
+
+def _length_hint(headers: dict[str, str]) -> int:
+    text = headers.get(LENGTH_HINT, '')
+    return int(text) if text.isdigit() and len(text) < 9 else 0
--- /dev/null
+++ b/anvilcove/platform/listeners.py
@@ -0,0 +1,275 @@
+"""HTTP listeners towards requesters and the platform."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import parse_qs
+
+from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
+from loguru import logger
+from msgspec import json
+from multidict import CIMultiDict
+
+from anvilcove.control.desired import JOB
+from anvilcove.jobs.reader import JobUnknown, NotSure
+from anvilcove.node.service import NodeService
+from anvilcove.platform.jobs import (
+    JobFormatError,
+    checked_id,
+    decode_job,
+    encode_page,
+)
+from anvilcove.platform.names import (
+    ATTEMPT_ID,
+    DEADLINE_MS,
+    HOP_BY_HOP,
+    RETRY_AFTER,
+    WAIT_MS,
+)
+from anvilcove.ports.servers import CallerAnswer, CallerRequest
+from anvilcove.proxy.outcomes import not_found, refusal
+
+LOOKUP_PATH = '/-/lookup'
+READY_PATH = '/-/readyz'
+RESULTS_PREFIX = '/-/lots/'
+BODY_PREFIX = '/-/items/'
+
+# Callers keep an answer of the lookup for this long.
+LOOKUP_TTL_S = 2
+# Time that a caller without a deadline is given.
+DEFAULT_DEADLINE_S = 30.0
+# Callers keep connections idle for up to four fifths of the operator's limit;
+# this is above any limit in use, so that no request meets a closing one.
+KEEPALIVE_TIMEOUT_S = 75.0
+MAX_HEADER_BYTES = 65_536
+MAX_WAIT_S = 1.0
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class CallerListener:
+    """Requests, batch jobs and their reads."""
+
+    __slots__ = ('_service', '_rng', 'in_flight')
+
+    def __init__(self, service: NodeService, rng: random.Random) -> None:
+        """Serve nothing before the listener is started."""
+        self._service = service
+        self._rng = rng
+        self.in_flight = 0
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request of a caller."""
+        self.in_flight += 1
+        try:
+            response = await self._respond(request)
+        finally:
+            self.in_flight -= 1
+        if self._service.state.stopping:
+            response.force_close()
+        return response
+
+    async def _respond(self, request: web.BaseRequest) -> web.StreamResponse:
+        received_s = self._service.now()
+        path, _, query = request.raw_path.partition('?')
+        if path.startswith('/-/'):
+            return await self._job_call(request, path, query)
+        if not self._service.informed():
+            return self._to_response(request, refusal(0.5, self._rng))
+        host = request.headers.get('Host', '').lower()
+        route = self._service.route(host, path)
+        if route is None:
+            await request.read()
+            logger.bind(
+                request=request.headers.get(ATTEMPT_ID, ''), path=path[:80]
+            ).info('no route')
+            return self._to_response(request, not_found())
+        body = await _read_body(request)
+        if route.kind == JOB:
+            return await self._submit(request, host, path, body)
+        answer = await self._service.forward(
+            CallerRequest(
+                request_id=request.headers.get(ATTEMPT_ID, ''),
+                method=request.method,
+                host=host,
+                path=request.raw_path,
+                headers=_forwarded(request),
+                body=body,
+                received_s=received_s,
+                deadline_at_s=received_s + _deadline_s(request),
+            ),
+            route,
+        )
+        return self._to_response(request, answer)
+
+    async def _submit(
+        self, request: web.BaseRequest, host: str, path: str, body: bytes
+    ) -> web.StreamResponse:
+        route = self._service.route(host, path)
+        assert route is not None
+        if request.method != 'POST':
+            return web.Response(status=405)
+        job_id = request.headers.get(ATTEMPT_ID, '')
+        try:
+            spec = decode_job(job_id, host, path, body)
+        except JobFormatError as error:
+            logger.bind(job=job_id[:120], reason=str(error)[:200]).warning(
+                'submission rejected'
+            )
+            return web.Response(status=400, text=str(error))
+        # The write goes on if the trainer leaves: it may have been applied.
+        answer = await asyncio.shield(self._service.submit(spec, route))
+        return self._to_response(request, answer)
+
+    async def _job_call(
+        self, request: web.BaseRequest, path: str, query: str
+    ) -> web.StreamResponse:
+        try:
+            if path.startswith(RESULTS_PREFIX):
+                job_id = checked_id(path.removeprefix(RESULTS_PREFIX))
+                if request.method == 'GET':
+                    return await self._results(request, job_id, query)
+                if request.method == 'DELETE':
+                    await asyncio.shield(self._service.jobs.end(job_id))
+                    return web.Response(status=200)
+            elif path.startswith(BODY_PREFIX) and request.method == 'GET':
+                job_id = checked_id(path.removeprefix(BODY_PREFIX))
+                item_id = checked_id(_one(query, 'id'))
+                body = await self._service.jobs.body(job_id, item_id)
+                return web.Response(body=body)
+        except JobUnknown as error:
+            logger.bind(job=path[:160], reason=str(error)).info('no such job')
+            return web.Response(status=404)
+        except NotSure as error:
+            logger.bind(job=path[:160], reason=str(error)).info(
+                'job cannot be read now'
+            )
+            return self._to_response(request, refusal(1.0, self._rng))
+        except ValueError:
+            return web.Response(status=404)
+        return web.Response(status=404)
+
+    async def _results(
+        self, request: web.BaseRequest, job_id: str, query: str
+    ) -> web.StreamResponse:
+        after_text = _one(query, 'after') or '0'
+        if not after_text.isdigit():
+            return web.Response(status=400)
+        wait_text = request.headers.get(WAIT_MS, '0')
+        wait_s = int(wait_text) / 1000 if wait_text.isdigit() else 0.0
+        page = await self._service.jobs.page(
+            job_id, int(after_text), min(wait_s, MAX_WAIT_S)
+        )
+        return web.Response(
+            body=encode_page(page, int(after_text)),
+            content_type='application/json',
+        )
+
+    def _to_response(
+        self, request: web.BaseRequest, answer: CallerAnswer
+    ) -> web.Response:
+        headers: CIMultiDict[str] = CIMultiDict(answer.headers)
+        if answer.retry_after_s is not None:
+            headers[RETRY_AFTER] = f'{answer.retry_after_s:.3f}'
+        if ATTEMPT_ID not in headers and ATTEMPT_ID in request.headers:
+            headers[ATTEMPT_ID] = request.headers[ATTEMPT_ID]
+        return web.Response(
+            status=answer.status, headers=headers, body=answer.body
+        )
+
+
+def lookup_handler(service: NodeService) -> Handler:
+    """Return the handler of callers that ask where to connect."""
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        path, _, query = request.raw_path.partition('?')
+        if path != LOOKUP_PATH:
+            return web.Response(status=404)
+        addresses = service.addresses(_one(query, 'region'))
+        if not addresses:
+            return web.Response(status=503)
+        return web.Response(
+            body=json.encode({'addresses': addresses, 'ttl-s': LOOKUP_TTL_S}),
+            content_type='application/json',
+        )
+
+    return handle
+
+
+def ready_handler(service: NodeService) -> Handler:
+    """Return the handler of the platform's readiness checks."""
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        ready = request.path == READY_PATH and service.ready()
+        return web.Response(status=200 if ready else 503)
+
+    return handle
+
+
+async def start_listener(
+    address: str, handler: Handler, max_body_bytes: Callable[[], int]
+) -> web.ServerRunner:
+    """Listen on ip:port and return what `stop_listener` takes."""
+
+    def make_request(*arguments: Any) -> web.BaseRequest:
+        message, payload, protocol, writer, task = arguments
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            asyncio.get_running_loop(),
+            client_max_size=max_body_bytes(),
+        )
+
+    server = web.Server(
+        handler,
+        request_factory=make_request,
+        handler_cancellation=True,
+        keepalive_timeout=KEEPALIVE_TIMEOUT_S,
+        access_log=None,
+        max_line_size=MAX_HEADER_BYTES,
+        max_field_size=MAX_HEADER_BYTES,
+    )
+    runner = web.ServerRunner(server)
+    await runner.setup()
+    ip, _, port = address.rpartition(':')
+    await web.TCPSite(runner, ip, int(port), backlog=1024).start()
+    return runner
+
+
+def _forwarded(request: web.BaseRequest) -> list[tuple[str, str]]:
+    """Return the headers that concern more than one connection."""
+    named = {
+        name.strip().lower()
+        for name in request.headers.get('Connection', '').split(',')
+    }
+    return [
+        (name, value)
+        for name, value in request.headers.items()
+        if name.lower() not in HOP_BY_HOP and name.lower() not in named
+    ]
+
+
+async def _read_body(request: web.BaseRequest) -> bytes:
+    if 'Expect' in request.headers and request.transport is not None:
+        request.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+    try:
+        return await request.read()
+    except HttpProcessingError as error:
+        raise web.HTTPBadRequest from error
+
+
+def _deadline_s(request: web.BaseRequest) -> float:
+    text = request.headers.get(DEADLINE_MS, '')
+    if text.isdigit() and len(text) < 10:
+        return int(text) / 1000
+    return DEFAULT_DEADLINE_S
+
+
+def _one(query: str, name: str) -> str:
+    values = parse_qs(query).get(name, [''])
+    return values[0]
--- /dev/null
+++ b/anvilcove/platform/names.py
@@ -0,0 +1,30 @@
+"""Headers that the platform defines, and headers of one connection only."""
+
+ATTEMPT_ID = 'Attempt-Id'
+DEADLINE_MS = 'Deadline-Ms'
+EXPECT_INSTANCE = 'Expect-Instance'
+INSTANCE_ID = 'Instance-Id'
+NOT_EXECUTED = 'Not-Executed'
+SERVER_STAMP = 'Server-Stamp'
+SERVER_LOAD = 'Server-Load'
+WEIGHT_VERSIONS = 'Weight-Versions'
+LAST_EVENT_ID = 'Last-Event-Id'
+URGENCY = 'Urgency'
+WAIT_MS = 'Wait-Ms'
+RETRY_AFTER = 'Retry-After'
+
+HOP_BY_HOP = frozenset(
+    {
+        'connection',
+        'keep-alive',
+        'proxy-connection',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'expect',
+        'content-length',
+    }
+)
--- /dev/null
+++ b/anvilcove/platform/rows.py
@@ -0,0 +1,223 @@
+"""Decode the rows that the operator, the trainers and the endpoints write."""
+
+from typing import Any
+
+from loguru import logger
+from msgspec import DecodeError, ValidationError, json
+
+from anvilcove.control.desired import (
+    DEFAULT_IDLE_TIMEOUT_S,
+    DEFAULT_MAX_BODY_BYTES,
+    DEFAULT_MAX_HEADER_BYTES,
+    JOB,
+    SAFE,
+    STREAM,
+    UNSAFE,
+    CallerLimits,
+    DesiredState,
+    EngineTraits,
+    JobTargets,
+    Route,
+    Service,
+    Target,
+)
+from anvilcove.control.endpoints import EndpointEntry
+from anvilcove.ports.store import StoredRow
+
+OPERATOR_TABLE = 'op'
+ENDPOINT_TABLE = 'servers'
+CONFIG_KEY = 'config'
+VERSION_PREFIX = 'version/'
+
+KIND_BY_TYPE = {
+    'safe': SAFE,
+    'unsafe': UNSAFE,
+    'streaming': STREAM,
+    'rollout': JOB,
+}
+# Values of `state`; an entry with another one names no usable endpoint.
+READY_STATE = 'ready'
+DRAINING_STATE = 'draining'
+
+DEFAULT_TIMEOUT_MS = 10_000
+DEFAULT_OBJECTIVE_MS = 1_000
+DEFAULT_PRIORITY = 5
+DEFAULT_RESULT_OBJECTIVE_MS = 7_500
+DEFAULT_ITEM_LIFETIME_S = 40
+
+
+class RowError(Exception):
+    """Raised for a row that cannot be understood."""
+
+
+def decode_desired_state(value: bytes) -> DesiredState:
+    """Decode the operator's newest desired state."""
+    data = _load(value)
+    try:
+        return DesiredState(
+            version=int(data['version']),
+            routes=tuple(_route(route) for route in data.get('routes', [])),
+            services_by_name={
+                str(service['name']): _service(service)
+                for service in data.get('services', [])
+            },
+            limits=_limits(data.get('limits', {})),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise RowError(f'desired state: {error!r}') from error
+
+
+def decode_named_version(value: bytes) -> tuple[str, int]:
+    """Decode the version of a model that its trainer named."""
+    data = _load(value)
+    model, version = data.get('model'), data.get('version')
+    if not isinstance(model, str) or not _whole(version):
+        raise RowError('named version: a field is missing')
+    assert isinstance(version, int)
+    return model, version
+
+
+def decode_endpoint(row: StoredRow) -> EndpointEntry | None:
+    """Decode what an endpoint says of itself; None names no endpoint."""
+    if row.value is None:
+        return None
+    try:
+        return _endpoint(row.id.key, _load(row.value))
+    except RowError as error:
+        logger.bind(row=row.id.key, reason=str(error)).warning(
+            'endpoint entry skipped'
+        )
+        return None
+
+
+def _endpoint(key: str, data: dict[str, Any]) -> EndpointEntry:
+    state = data.get('state')
+    if state not in (READY_STATE, DRAINING_STATE):
+        raise RowError(f'state {str(state)[:40]!r} is not known')
+    started = data.get('born', 0)
+    slots = data.get('batch-size', 1)
+    # `sequence` counts these announcements here, not the orders as in the
+    # reports, so it is left out.
+    if not (_whole(started) and _whole(slots)):
+        raise RowError('a number is missing or of another type')
+    return EndpointEntry(
+        instance=key,
+        started_ms=started,
+        service=_text(data, 'service'),
+        address=_address(_text(data, 'address')),
+        data_centre=_text(data, 'zone'),
+        draining=state == DRAINING_STATE,
+        slots=max(slots, 1),
+        version_by_model=decode_models(data.get('models', [])),
+    )
+
+
+def decode_models(models: Any) -> dict[str, int]:
+    """Decode the versions that an endpoint holds, by model."""
+    if not isinstance(models, list):
+        raise RowError('models is not a list')
+    found: dict[str, int] = {}
+    for model in models:
+        if not isinstance(model, dict):
+            raise RowError('a model is not an object')
+        version = model.get('version')
+        if not _whole(version):
+            raise RowError('the version of a model is not a number')
+        assert isinstance(version, int)
+        found[_text(model, 'name')] = version
+    return found
+
+
+def _load(value: bytes) -> dict[str, Any]:
+    try:
+        data = json.decode(value)
+    except (
+        DecodeError,
+        ValidationError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as error:
+        raise RowError(f'not JSON: {error}') from error
+    if not isinstance(data, dict):
+        raise RowError('not a JSON object')
+    return data
+
+
+def _whole(value: object) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _text(data: dict[str, Any], name: str) -> str:
+    value = data.get(name)
+    if not isinstance(value, str) or not value:
+        raise RowError(f'{name} is not a text')
+    return value
+
+
+def _address(address: str) -> str:
+    ip, _, port = address.rpartition(':')
+    if not ip or not port.isdigit() or not 0 < int(port) < 65_536:
+        raise RowError(f'address {address[:60]!r} is not ip:port')
+    return address
+
+
+def _route(data: dict[str, Any]) -> Route:
+    kind = KIND_BY_TYPE.get(str(data['type']), UNSAFE)
+    objective_ms = data.get('latency-goal-ms', DEFAULT_OBJECTIVE_MS)
+    return Route(
+        name=str(data['name']),
+        host=str(data['host']).lower(),
+        prefix=str(data['prefix']),
+        kind=kind,
+        timeout_s=float(data.get('timeout-ms', DEFAULT_TIMEOUT_MS)) / 1000,
+        objective_s=float(objective_ms) / 1000,
+        priority=int(data.get('priority', DEFAULT_PRIORITY)),
+        targets=_targets(data),
+        max_attempts=max(int(data.get('max-attempts', 1)), 1),
+        resumable=bool(data.get('resumable', False)),
+        job=_job_targets(data) if kind == JOB else None,
+    )
+
+
+def _targets(data: dict[str, Any]) -> tuple[Target, ...]:
+    if data.get('backends'):
+        return tuple(
+            Target(str(target['service']), float(target.get('weight', 1)))
+            for target in data['backends']
+        )
+    return (Target(str(data['service'])),)
+
+
+def _job_targets(data: dict[str, Any]) -> JobTargets:
+    objective_ms = data.get('result-goal-ms', DEFAULT_RESULT_OBJECTIVE_MS)
+    return JobTargets(
+        result_objective_s=float(objective_ms) / 1000,
+        item_lifetime_s=float(data.get('item-ttl-s', DEFAULT_ITEM_LIFETIME_S)),
+        single_version=bool(data.get('single-version', False)),
+    )
+
+
+def _service(data: dict[str, Any]) -> Service:
+    engine = data.get('engine')
+    traits = None
+    if isinstance(engine, dict):
+        traits = EngineTraits(
+            slots=int(engine.get('batch-size', 1)),
+            models=tuple(str(m['name']) for m in engine.get('models', [])),
+        )
+    return Service(
+        name=str(data['name']),
+        max_connections=int(data.get('max-conns', 100)),
+        engine=traits,
+    )
+
+
+def _limits(data: dict[str, Any]) -> CallerLimits:
+    idle_ms = data.get('idle-timeout-ms', DEFAULT_IDLE_TIMEOUT_S * 1000)
+    return CallerLimits(
+        max_header_bytes=int(
+            data.get('max-header-bytes', DEFAULT_MAX_HEADER_BYTES)
+        ),
+        max_body_bytes=int(data.get('max-body-bytes', DEFAULT_MAX_BODY_BYTES)),
+        idle_timeout_s=float(idle_ms) / 1000,
+    )
--- /dev/null
+++ b/anvilcove/platform/servers.py
@@ -0,0 +1,81 @@
+"""Client of the platform's plain servers."""
+
+from aiohttp import ClientPayloadError, ClientResponse, ClientSession
+from multidict import CIMultiDict
+
+from anvilcove.platform.exchange import (
+    check_framing,
+    exchange,
+    server_load,
+)
+from anvilcove.platform.names import (
+    DEADLINE_MS,
+    EXPECT_INSTANCE,
+    HOP_BY_HOP,
+    SERVER_STAMP,
+)
+from anvilcove.ports.errors import AnswerMismatch
+from anvilcove.ports.servers import CallerRequest, Headers, ServerAnswer
+
+
+class PlatformServers:
+    """Requests to servers over HTTP."""
+
+    __slots__ = ('_session',)
+
+    def __init__(self, session: ClientSession) -> None:
+        """Keep the session whose connections are used."""
+        self._session = session
+
+    async def send(
+        self,
+        address: str,
+        instance: str,
+        request: CallerRequest,
+        time_left_s: float,
+    ) -> ServerAnswer:
+        """Return a whole answer, or raise an EndpointError."""
+        headers = forwarded_headers(request, instance, time_left_s)
+        async with exchange(
+            self._session,
+            request.method,
+            address,
+            request.path,
+            headers,
+            request.body,
+            request.request_id,
+        ) as response:
+            check_framing(response)
+            try:
+                body = await response.read()
+            except ClientPayloadError as error:
+                raise AnswerMismatch(f'{address}: {error}') from error
+            stamp = response.headers.get(SERVER_STAMP, '')
+            if 200 <= response.status < 300 and not stamp:
+                raise AnswerMismatch(f'{address}: success without a stamp')
+            return ServerAnswer(
+                status=response.status,
+                headers=end_to_end_headers(response),
+                body=body,
+                stamp=stamp,
+                load=server_load(response),
+            )
+
+
+def forwarded_headers(
+    request: CallerRequest, instance: str, time_left_s: float
+) -> CIMultiDict[str]:
+    """Return the headers that a server gets of a request."""
+    headers: CIMultiDict[str] = CIMultiDict(request.headers)
+    headers[DEADLINE_MS] = str(max(int(time_left_s * 1000), 1))
+    headers[EXPECT_INSTANCE] = instance
+    return headers
+
+
+def end_to_end_headers(response: ClientResponse) -> Headers:
+    """Return the headers of an answer that its caller gets."""
+    return [
+        (name, value)
+        for name, value in response.headers.items()
+        if name.lower() not in HOP_BY_HOP
+    ]
--- /dev/null
+++ b/anvilcove/platform/settings.py
@@ -0,0 +1,83 @@
+"""Decode the settings file that the platform writes."""
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from anvilcove.settings.loader import SettingsError
+from anvilcove.settings.node import (
+    NodeBounds,
+    NodeListeners,
+    NodeSettings,
+    StoreSettings,
+)
+
+PATH_VARIABLE = 'ANVILCOVE_BOOT'
+
+
+def settings_path() -> Path:
+    """Return the path of the settings file of this process."""
+    path = os.environ.get(PATH_VARIABLE, '')
+    if not path:
+        raise SettingsError([f'{PATH_VARIABLE} is not set'])
+    return Path(path)
+
+
+def load_node_settings(path: Path) -> NodeSettings:
+    """Read the settings, or raise SettingsError."""
+    try:
+        data = tomllib.loads(path.read_text())
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise SettingsError([f'{path}: {error}']) from error
+    try:
+        return _to_settings(data)
+    except (KeyError, TypeError, ValueError, IndexError) as error:
+        raise SettingsError([f'{path}: {error!r}']) from error
+
+
+def _to_settings(data: dict[str, Any]) -> NodeSettings:
+    listen = data['listen']
+    internal = [int(port) for port in data.get('internal-ports', [])]
+    return NodeSettings(
+        host=str(data['node-name']),
+        data_centre=str(data['zone']),
+        region=str(data.get('region', '')),
+        ip=str(data['ip']),
+        listeners=NodeListeners(
+            callers=str(listen['frontend']),
+            ready=str(listen['ready']),
+            lookup=str(listen['registry']),
+            peers=f'{data["ip"]}:{internal[0]}',
+        ),
+        store=_store(data['platform']),
+        bounds=_bounds(data.get('bounds', {})),
+        seed_ips=[
+            str(seed).rpartition(':')[0] for seed in data.get('seed-nodes', [])
+        ],
+        peer_port=internal[0],
+        memory_mb=int(data.get('limits', {}).get('memory-mb', 0)),
+        metrics_port=internal[1],
+    )
+
+
+def _store(platform: dict[str, Any]) -> StoreSettings:
+    defaults = StoreSettings('')
+    return StoreSettings(
+        address=str(platform['address']),
+        row_bytes=int(platform.get('row-bytes', defaults.row_bytes)),
+        cross_part=bool(platform.get('cross-shard', defaults.cross_part)),
+        object_bytes=int(platform.get('blob-bytes', defaults.object_bytes)),
+    )
+
+
+def _bounds(bounds: dict[str, Any]) -> NodeBounds:
+    defaults = NodeBounds()
+    return NodeBounds(
+        grace_s=float(bounds.get('grace-s', defaults.grace_s)),
+        lease_s=float(bounds.get('lease-ms', defaults.lease_s * 1000)) / 1000,
+        drain_s=float(bounds.get('drain-ms', defaults.drain_s * 1000)) / 1000,
+        lookup_ttl_s=float(bounds.get('ttl_max_s', defaults.lookup_ttl_s)),
+        cancel_s=float(bounds.get('cancel-ms', defaults.cancel_s * 1000))
+        / 1000,
+    )
--- /dev/null
+++ b/anvilcove/platform/store.py
@@ -0,0 +1,218 @@
+"""Client of the platform's store."""
+
+from base64 import b64decode, b64encode
+from typing import Any
+from urllib.parse import quote, urlencode
+
+from msgspec import DecodeError, ValidationError, json
+
+from anvilcove.ports.errors import (
+    ObjectNotFound,
+    StoreAnswerLost,
+    StoreUnavailable,
+)
+from anvilcove.ports.store import (
+    HistoryLost,
+    ObjectExists,
+    RowId,
+    RowPage,
+    RowTransaction,
+    StoredRow,
+    TransactionOutcome,
+)
+from anvilcove.ports.transport import StoreCall, StoreReply, StoreTransport
+
+# Time limits of single calls. The store answers within some milliseconds; a
+# slow one takes fifty times as long.
+READ_TIMEOUT_S = 1.5
+WRITE_TIMEOUT_S = 1.5
+OBJECT_TIMEOUT_S = 3.0
+# Time that an answer may take beyond the time that a watch asked to wait.
+WATCH_MARGIN_S = 0.8
+
+
+class PlatformStore:
+    """Rows and objects of the platform's store."""
+
+    __slots__ = ('_transport',)
+
+    def __init__(self, transport: StoreTransport) -> None:
+        """Keep the transport that carries the calls."""
+        self._transport = transport
+
+    async def transact(self, change: RowTransaction) -> TransactionOutcome:
+        """Apply a transaction."""
+        body = json.encode(
+            {
+                'expected': [
+                    {**_id(check.id), 'row-version': check.version}
+                    for check in change.checks
+                ],
+                'write': [
+                    {
+                        **_id(write.id),
+                        'value': b64encode(write.value).decode(),
+                    }
+                    for write in change.writes
+                ],
+                'remove': [_id(row) for row in change.removals],
+            }
+        )
+        reply = await self._transport.send(
+            StoreCall('POST', '/-/rows-tx', body, WRITE_TIMEOUT_S, write=True)
+        )
+        if reply.status not in (200, 412):
+            raise _unexpected('rows-tx', reply.status)
+        data = _object(reply)
+        return TransactionOutcome(
+            applied=reply.status == 200,
+            version=_number(data, 'row-version'),
+            store_ms=float(_number(data, 'now-ms')),
+            conflicts=_rows(data),
+        )
+
+    async def read_range(
+        self, table: str, part: str, start: str = '', end: str = ''
+    ) -> RowPage:
+        """Read the rows from `start` up to, without, `end`."""
+        rows: list[StoredRow] = []
+        first: RowPage | None = None
+        while True:
+            query = {'table': table, 'part': part}
+            query |= {'from': start} if start else {}
+            query |= {'to': end} if end else {}
+            data = await self._get('rows-get', query, READ_TIMEOUT_S)
+            page = _page(data)
+            first = first or page
+            rows += page.rows
+            if not data.get('has-more') or not page.rows:
+                # Changes since the first page are delivered again.
+                return RowPage(rows, first.version, first.store_ms)
+            start = page.rows[-1].id.key + '\0'
+
+    async def changes(self, table: str, after: int, wait_s: float) -> RowPage:
+        """Wait for changes after a version, or raise HistoryLost."""
+        query = {
+            'table': table,
+            'after': str(after),
+            'wait-ms': str(int(wait_s * 1000)),
+        }
+        data = await self._get('rows-feed', query, wait_s + WATCH_MARGIN_S)
+        return _page(data)
+
+    async def put_object(self, name: str, data: bytes) -> None:
+        """Write an object or raise ObjectExists."""
+        reply = await self._transport.send(
+            StoreCall(
+                'PUT',
+                f'/-/blob-put/{quote(name, safe="")}',
+                data,
+                OBJECT_TIMEOUT_S,
+                write=True,
+                create=True,
+            )
+        )
+        if reply.status == 412:
+            raise ObjectExists(name)
+        if reply.status == 507:
+            raise StoreUnavailable('the object store is full')
+        if reply.status not in (200, 201, 204):
+            raise _unexpected('blob-put', reply.status)
+
+    async def get_object(self, name: str) -> bytes:
+        """Read an object or raise ObjectNotFound."""
+        reply = await self._transport.send(
+            StoreCall(
+                'GET',
+                f'/-/blob-get/{quote(name, safe="")}',
+                b'',
+                OBJECT_TIMEOUT_S,
+            )
+        )
+        if reply.status == 404:
+            raise ObjectNotFound(name)
+        if reply.status != 200:
+            raise StoreUnavailable(f'blob-get: status {reply.status}')
+        return reply.body
+
+    async def drop_object(self, name: str) -> None:
+        """Remove an object."""
+        await self._transport.send(
+            StoreCall(
+                'DELETE',
+                f'/-/blob-drop/{quote(name, safe="")}',
+                b'',
+                OBJECT_TIMEOUT_S,
+                write=True,
+            )
+        )
+
+    async def _get(
+        self, call: str, query: dict[str, str], timeout_s: float
+    ) -> dict[str, Any]:
+        reply = await self._transport.send(
+            StoreCall('GET', f'/-/{call}?{urlencode(query)}', b'', timeout_s)
+        )
+        if reply.status == 410:
+            raise HistoryLost(call)
+        if reply.status != 200:
+            raise StoreUnavailable(f'{call}: status {reply.status}')
+        return _object(reply)
+
+
+def _unexpected(call: str, status: int) -> StoreUnavailable | StoreAnswerLost:
+    """Return the error of a status; a rejected call did nothing."""
+    if 400 <= status < 500:
+        return StoreUnavailable(f'{call}: status {status}')
+    return StoreAnswerLost(f'{call}: status {status}')
+
+
+def _id(row: RowId) -> dict[str, str]:
+    return {'table': row.table, 'part': row.part, 'key': row.key}
+
+
+def _object(reply: StoreReply) -> dict[str, Any]:
+    try:
+        data = json.decode(reply.body)
+    except (DecodeError, ValidationError, UnicodeDecodeError) as error:
+        raise StoreAnswerLost(f'answer is not JSON: {error}') from error
+    if not isinstance(data, dict):
+        raise StoreAnswerLost('answer is not a JSON object')
+    return data
+
+
+def _number(data: dict[str, Any], name: str) -> int:
+    value = data.get(name, 0)
+    return int(value) if isinstance(value, int | float) else 0
+
+
+def _page(data: dict[str, Any]) -> RowPage:
+    return RowPage(
+        rows=_rows(data),
+        version=_number(data, 'row-version'),
+        store_ms=float(_number(data, 'now-ms')),
+    )
+
+
+def _rows(data: dict[str, Any]) -> list[StoredRow]:
+    rows = data.get('rows', [])
+    found = [_row(row) for row in rows if isinstance(row, dict)]
+    return [row for row in found if row is not None]
+
+
+def _row(row: dict[str, Any]) -> StoredRow | None:
+    key = row.get('key')
+    if not isinstance(key, str):
+        return None
+    text = row.get('value')
+    value: bytes | None = None
+    if isinstance(text, str) and not row.get('deleted'):
+        try:
+            value = b64decode(text)
+        except ValueError:
+            value = b''
+    return StoredRow(
+        id=RowId(str(row.get('table', '')), str(row.get('part', '')), key),
+        value=value,
+        version=_number(row, 'row-version'),
+    )
--- /dev/null
+++ b/anvilcove/platform/transport.py
@@ -0,0 +1,53 @@
+"""Direct connection to the platform's store."""
+
+import asyncio
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp.client_exceptions import (
+    ClientConnectorError,
+    ConnectionTimeoutError,
+)
+
+from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
+from anvilcove.ports.transport import StoreCall, StoreReply
+
+CONNECT_TIMEOUT_S = 0.5
+NOTHING_DONE = (429, 503)
+
+
+class DirectTransport:
+    """Send calls to the store over HTTP."""
+
+    __slots__ = ('_base', '_session')
+
+    def __init__(self, address: str, session: ClientSession) -> None:
+        """Keep the address; no call is made."""
+        self._base = f'http://{address}'
+        self._session = session
+
+    async def send(self, call: StoreCall) -> StoreReply:
+        """Return the answer of the store."""
+        headers = {'If-None-Match': '*'} if call.create else {}
+        if call.body and not call.create:
+            headers['Content-Type'] = 'application/json'
+        try:
+            async with asyncio.timeout(call.timeout_s):
+                async with self._session.request(
+                    call.method,
+                    self._base + call.path,
+                    data=call.body or None,
+                    headers=headers,
+                    allow_redirects=False,
+                    timeout=ClientTimeout(
+                        total=None, sock_connect=CONNECT_TIMEOUT_S
+                    ),
+                ) as response:
+                    body = await response.read()
+                    status = response.status
+        except (ClientConnectorError, ConnectionTimeoutError) as error:
+            raise StoreUnavailable(f'{call.path}: {error}') from error
+        except (ClientError, TimeoutError, OSError) as error:
+            raise StoreAnswerLost(f'{call.path}: {error!r}') from error
+        if status in NOTHING_DONE:
+            raise StoreUnavailable(f'{call.path}: status {status}')
+        return StoreReply(status, body)
--- /dev/null
+++ b/anvilcove/proxy/forwarder.py
@@ -0,0 +1,364 @@
+"""Forward a request to a service and choose among its answers."""
+
+import asyncio
+import random
+
+from loguru import logger
+from xxhash import xxh3_64_intdigest
+
+from anvilcove.control.desired import Route
+from anvilcove.decisions.hedging import ObjectiveHedging
+from anvilcove.decisions.types import (
+    CANCELLED,
+    CRASH,
+    ERROR,
+    INTERACTIVE,
+    OK,
+    OVERLOADED,
+    RouteRequest,
+)
+from anvilcove.node.metrics import NodeMetrics
+from anvilcove.ports.errors import (
+    EndpointCrashed,
+    EndpointError,
+    EndpointNotRun,
+)
+from anvilcove.ports.servers import (
+    CallerAnswer,
+    CallerRequest,
+    ServerAnswer,
+    ServerClient,
+)
+from anvilcove.proxy.outcomes import bad_gateway, refusal, timed_out
+from anvilcove.proxy.pools import EndpointPools
+from anvilcove.settings.daemon import HostSettings
+from anvilcove.state.clock import Clock
+from anvilcove.state.endpoints import EndpointState
+
+# Sends of one request that ended with "not run" and don't count as attempts.
+MAX_REFUSED_SENDS = 4
+# Share of the objective that a request may wait for room before it is
+# refused; a later refusal leaves its caller too little time elsewhere.
+WAIT_SHARE = 0.2
+MIN_WAIT_S = 0.02
+HASH_RANGE = 2**64
+
+
+class Attempt:
+    """One send of a request to one endpoint."""
+
+    __slots__ = ('state', 'task', 'started_s')
+
+    def __init__(
+        self,
+        state: EndpointState,
+        task: 'asyncio.Task[ServerAnswer]',
+        started_s: float,
+    ) -> None:
+        """Keep the slot and the running send."""
+        self.state = state
+        self.task = task
+        self.started_s = started_s
+
+
+class Progress:
+    """What one request has come to."""
+
+    __slots__ = (
+        'request',
+        'route',
+        'service',
+        'tried',
+        'runs',
+        'refused',
+        'maybe_run',
+        'failure',
+        'server_failures',
+        'running',
+        'hedge_at_s',
+    )
+
+    def __init__(
+        self, request: CallerRequest, route: Route, service: str
+    ) -> None:
+        """Start without an attempt."""
+        self.request = request
+        self.route = route
+        self.service = service
+        self.tried: set[str] = set()
+        self.runs = 0
+        self.refused = 0
+        self.maybe_run = False
+        self.failure: ServerAnswer | None = None
+        self.server_failures = 0
+        self.running: list[Attempt] = []
+        self.hedge_at_s = float('inf')
+
+    def may_send(self) -> bool:
+        """Tell whether another send is allowed."""
+        if self.refused >= MAX_REFUSED_SENDS:
+            return False
+        if self.maybe_run and not self.route.repeatable:
+            return False
+        if self.running and not self.route.repeatable:
+            return False
+        return self.runs + len(self.running) < self.route.max_attempts
+
+
+class Forwarder:
+    """Send requests to endpoints of their route's service."""
+
+    __slots__ = (
+        '_pools',
+        '_servers',
+        '_hedging',
+        '_clock',
+        '_rng',
+        '_metrics',
+    )
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        pools: EndpointPools,
+        servers: ServerClient,
+        clock: Clock,
+        rng: random.Random,
+        metrics: NodeMetrics,
+    ) -> None:
+        """Keep the pools and the client."""
+        self._pools = pools
+        self._servers = servers
+        self._hedging = ObjectiveHedging(settings)
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+
+    async def forward(
+        self, request: CallerRequest, route: Route
+    ) -> CallerAnswer:
+        """Return the answer of a server, or the daemon's own."""
+        service = choose_service(route, request.request_id)
+        progress = Progress(request, route, service)
+        end_s = min(
+            request.deadline_at_s, request.received_s + route.timeout_s
+        )
+        try:
+            answer = await self._run(progress, end_s)
+        finally:
+            for attempt in progress.running:
+                self._abandon(attempt, route)
+        self._record(progress, answer)
+        return answer
+
+    async def _run(self, progress: Progress, end_s: float) -> CallerAnswer:
+        await self._start(progress, self._first_wait_s(progress, end_s))
+        while True:
+            now = self._clock.now()
+            if now >= end_s:
+                return self._give_up(progress, late=True)
+            if not progress.running:
+                if not progress.may_send():
+                    return self._give_up(progress)
+                wait_s = self._first_wait_s(progress, end_s)
+                if not await self._start(progress, wait_s):
+                    return self._give_up(progress)
+                continue
+            await asyncio.wait(
+                [attempt.task for attempt in progress.running],
+                timeout=max(min(end_s, progress.hedge_at_s) - now, 0.0),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            answer = self._collect(progress)
+            if answer is not None:
+                return answer
+            await self._hedge(progress)
+
+    async def _hedge(self, progress: Progress) -> None:
+        if self._clock.now() < progress.hedge_at_s or not progress.running:
+            return
+        progress.hedge_at_s = float('inf')
+        if not progress.may_send():
+            return
+        # The budget bounds hedges of answers that may still be on time; an
+        # endpoint that has missed the objective is not waited for alone.
+        late_at_s = progress.running[-1].started_s + progress.route.objective_s
+        if self._clock.now() >= late_at_s or self._hedging.spend():
+            await self._start(progress, 0.0)
+        else:
+            progress.hedge_at_s = late_at_s
+
+    async def _start(self, progress: Progress, wait_s: float) -> bool:
+        """Send the request to one more endpoint, if there is room."""
+        request, route = progress.request, progress.route
+        state = await self._pools.wait(
+            RouteRequest(
+                request_id=request.request_id,
+                class_name=route.name,
+                kind=INTERACTIVE,
+                pool=progress.service,
+                excluded=progress.tried,
+                deadline_at_s=request.deadline_at_s,
+            ),
+            route.priority,
+            wait_s,
+        )
+        if state is None:
+            return False
+        entry = self._pools.registry.entry_by_endpoint.get(state.endpoint)
+        if entry is None:
+            self._pools.release(state)
+            return False
+        now = self._clock.now()
+        progress.tried.add(state.endpoint)
+        task = asyncio.create_task(
+            self._servers.send(
+                entry.address,
+                entry.instance,
+                request,
+                request.deadline_at_s - now,
+            )
+        )
+        progress.running.append(Attempt(state, task, now))
+        if route.repeatable:
+            delay_s = self._hedging.delay_for(route.name, route.objective_s)
+            progress.hedge_at_s = now + (delay_s or route.objective_s)
+        return True
+
+    def _collect(self, progress: Progress) -> CallerAnswer | None:
+        """Take finished attempts; return an answer that is final."""
+        final: CallerAnswer | None = None
+        for attempt in list(progress.running):
+            if not attempt.task.done():
+                continue
+            progress.running.remove(attempt)
+            answer = self._finish(progress, attempt)
+            if answer is not None and final is None:
+                final = answer
+        return final
+
+    def _finish(
+        self, progress: Progress, attempt: Attempt
+    ) -> CallerAnswer | None:
+        route = progress.route
+        latency_s = self._clock.now() - attempt.started_s
+        error = attempt.task.exception()
+        if isinstance(error, EndpointError):
+            self._failed(progress, attempt, error, latency_s)
+            return None
+        if error is not None:
+            raise error
+        answer = attempt.task.result()
+        progress.runs += 1
+        progress.maybe_run = True
+        good = answer.status < 500
+        self._pools.finish(
+            attempt.state,
+            OK if good else ERROR,
+            latency_s,
+            route.name,
+            INTERACTIVE,
+            answer.load,
+        )
+        if good:
+            self._hedging.finished(route.name, latency_s)
+            return CallerAnswer(
+                answer.status, answer.headers, answer.body, stamp=answer.stamp
+            )
+        progress.failure = answer
+        progress.server_failures += 1
+        return None
+
+    def _failed(
+        self,
+        progress: Progress,
+        attempt: Attempt,
+        error: EndpointError,
+        latency_s: float,
+    ) -> None:
+        outcome = ERROR
+        if isinstance(error, EndpointNotRun):
+            progress.refused += 1
+            outcome = OVERLOADED if error.overloaded else ERROR
+            if error.unreachable:
+                outcome = CRASH
+        else:
+            progress.runs += 1
+            progress.maybe_run = True
+            outcome = CRASH if isinstance(error, EndpointCrashed) else ERROR
+        self._pools.finish(
+            attempt.state, outcome, latency_s, progress.route.name, INTERACTIVE
+        )
+        self._metrics.attempt_failed(progress.service, outcome)
+        logger.bind(
+            request=progress.request.request_id,
+            endpoint=attempt.state.endpoint,
+            outcome=outcome,
+            after_ms=round(latency_s * 1000),
+            reason=str(error)[:160],
+        ).info('attempt failed')
+
+    def _abandon(self, attempt: Attempt, route: Route) -> None:
+        """Stop a send whose answer is no longer needed."""
+        attempt.task.cancel()
+        if attempt.task.done() and not attempt.task.cancelled():
+            # Retrieved so that the loop does not report it as unhandled.
+            attempt.task.exception()
+        self._pools.finish(
+            attempt.state,
+            CANCELLED,
+            self._clock.now() - attempt.started_s,
+            route.name,
+            INTERACTIVE,
+        )
+
+    def _give_up(self, progress: Progress, late: bool = False) -> CallerAnswer:
+        failure = progress.failure
+        if failure is not None:
+            return CallerAnswer(
+                failure.status,
+                failure.headers,
+                failure.body,
+                server_failures=progress.server_failures,
+            )
+        if progress.maybe_run or progress.running:
+            return timed_out() if late else bad_gateway()
+        return refusal(progress.route.objective_s, self._rng)
+
+    def _first_wait_s(self, progress: Progress, end_s: float) -> float:
+        """Return how long the request may wait for room at an endpoint."""
+        if self._pools.size(progress.service) == 0:
+            return 0.0
+        wait_s = max(progress.route.objective_s * WAIT_SHARE, MIN_WAIT_S)
+        return min(wait_s, max(end_s - self._clock.now(), 0.0))
+
+    def _record(self, progress: Progress, answer: CallerAnswer) -> None:
+        request, route = progress.request, progress.route
+        latency_s = self._clock.now() - request.received_s
+        on_time = answer.status < 400 and latency_s <= route.objective_s
+        self._metrics.request_finished(
+            route.name, answer.status, latency_s, on_time
+        )
+        logger.bind(
+            request=request.request_id,
+            route=route.name,
+            service=progress.service,
+            tried=sorted(progress.tried),
+            refused=progress.refused,
+            status=answer.status,
+            latency_ms=round(latency_s * 1000),
+            left_ms=round((request.deadline_at_s - self._clock.now()) * 1000),
+        ).info('request answered')
+
+
+def choose_service(route: Route, request_id: str) -> str:
+    """Return the service of a request; repeats go the same way."""
+    if len(route.targets) == 1:
+        return route.targets[0].service
+    total = sum(max(target.weight, 0.0) for target in route.targets)
+    position = xxh3_64_intdigest(request_id.encode()) / HASH_RANGE * total
+    for target in route.targets:
+        position -= max(target.weight, 0.0)
+        if position < 0:
+            return target.service
+    return route.targets[-1].service
--- /dev/null
+++ b/anvilcove/proxy/pools.py
@@ -0,0 +1,151 @@
+"""Slots at the endpoints, given out by the decision policies."""
+
+import asyncio
+import random
+
+from loguru import logger
+
+from anvilcove.commands.pool_queue import PoolQueue
+from anvilcove.control.endpoints import EndpointRegistry
+from anvilcove.decisions.ejection import OutlierEjection
+from anvilcove.decisions.limits import GradientLimit, queue_ratio
+from anvilcove.decisions.routing import LeastExpectedWait
+from anvilcove.decisions.types import (
+    AttemptResult,
+    NoRoute,
+    RouteRequest,
+)
+from anvilcove.messages.engines import LoadReport
+from anvilcove.ports.engines import EngineLoad
+from anvilcove.settings.daemon import HostSettings
+from anvilcove.state.clock import Clock
+from anvilcove.state.endpoints import EndpointState
+
+
+class EndpointPools:
+    """Choose endpoints for requests and let requests wait for room."""
+
+    __slots__ = (
+        'registry',
+        '_clock',
+        '_rng',
+        '_routing',
+        '_limits',
+        '_ejection',
+        '_queue_by_pool',
+    )
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        registry: EndpointRegistry,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Build the policies; `registry` is kept by its owner."""
+        self.registry = registry
+        self._clock = clock
+        self._rng = rng
+        self._routing = LeastExpectedWait(settings)
+        self._limits = GradientLimit(settings)
+        self._ejection = OutlierEjection(settings)
+        self._queue_by_pool: dict[str, PoolQueue[EndpointState]] = {}
+
+    def take(self, request: RouteRequest) -> EndpointState | None:
+        """Take a slot at once; `finish` must follow."""
+        choice = self._routing.choose(
+            self._clock.now(), request, self.registry.view, self._rng
+        )
+        if isinstance(choice, NoRoute):
+            return None
+        state = self.registry.view.by_id[choice.endpoint]
+        state.in_flight += 1
+        return state
+
+    async def wait(
+        self, request: RouteRequest, priority: int, wait_s: float
+    ) -> EndpointState | None:
+        """Take a slot within a time; `finish` must follow."""
+        state = self.take(request)
+        if state is not None or wait_s <= 0:
+            return state
+        queue = self._queue_by_pool.setdefault(request.pool, PoolQueue())
+        waiter = queue.add(request, priority)
+        try:
+            async with asyncio.timeout(wait_s):
+                return await asyncio.shield(waiter.future)
+        except TimeoutError:
+            future = waiter.future
+            return future.result() if future.done() else None
+        except asyncio.CancelledError:
+            if waiter.future.done() and not waiter.future.cancelled():
+                self.release(waiter.future.result())
+            raise
+        finally:
+            queue.remove(waiter)
+
+    def size(self, pool: str) -> int:
+        """Return the number of endpoints of a pool that take work."""
+        return sum(
+            not state.leaving for state in self.registry.view.in_pool(pool)
+        )
+
+    def release(self, state: EndpointState) -> None:
+        """Give a slot back that was not used."""
+        state.in_flight -= 1
+        self._serve(state.pool)
+
+    def finish(
+        self,
+        state: EndpointState,
+        outcome: str,
+        latency_s: float,
+        class_name: str,
+        kind: str,
+        load: EngineLoad | None = None,
+    ) -> None:
+        """Give a slot back and learn from what came of it."""
+        now = self._clock.now()
+        if load is not None:
+            self.registry.view.set_report(
+                state,
+                LoadReport(
+                    endpoint=state.endpoint,
+                    running=load.running,
+                    queued=load.waiting,
+                    capacity=load.slots,
+                ),
+                now,
+            )
+        result = AttemptResult(
+            endpoint=state.endpoint,
+            outcome=outcome,
+            latency_s=latency_s,
+            in_flight=state.in_flight,
+            class_name=class_name,
+            queue_ratio=queue_ratio(state),
+        )
+        state.in_flight -= 1
+        self._limits.finished(now, result)
+        state.limit = self._limits.limit(state.endpoint)
+        pool = self.registry.view.ids_by_pool.get(state.pool, [])
+        until_s = self._ejection.finished(now, result, pool)
+        if until_s > now and state.ejected_until_s != until_s:
+            state.ejected_until_s = until_s
+            logger.bind(
+                endpoint=state.endpoint, outcome=outcome, for_s=until_s - now
+            ).info('endpoint ejected')
+        self._routing.finished(now, result, state.pool, kind)
+        self._serve(state.pool)
+
+    def _serve(self, pool: str) -> None:
+        queue = self._queue_by_pool.get(pool)
+        while queue is not None:
+            waiter = queue.first()
+            if waiter is None:
+                return
+            state = self.take(waiter.request)
+            if state is None:
+                return
+            queue.pop()
+            waiter.future.set_result(state)
--- a/anvilcove/state/clock.py
+++ b/anvilcove/state/clock.py
@@ -30,6 +30,20 @@
         await asyncio.sleep(seconds)
 
 
+class SuspendAwareClock(SystemClock):
+    """Clock that also counts the time while the host was suspended.
+
+    Whoever acts on a lease uses it: the monotonic clock of a host that was
+    suspended would still show the lease as held.
+    """
+
+    __slots__ = ()
+
+    def now(self) -> float:
+        """Return seconds since the host started, suspension included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def until_tick_s(now: float, period_s: float, phase: float) -> float:
     """Return the seconds until the next tick of a period.
 
