--- a/anvilcove/control/nodes.py
+++ b/anvilcove/control/nodes.py
@@ -84,13 +84,6 @@
                 found.append(node)
         return found
 
-    def replaced(self, host: str, nonce: str) -> bool:
-        """Tell whether a start of a daemon is known to be over."""
-        if host == self._settings.host:
-            return nonce != self.nonce
-        node = self.by_host.get(host)
-        return node is not None and node.nonce != nonce
-
     def _note(self, host: str, silent: bool) -> None:
         if silent == (host in self._lost):
             return
--- a/anvilcove/control/relay.py
+++ b/anvilcove/control/relay.py
@@ -43,7 +43,7 @@
         '_session',
         '_clock',
         '_rng',
-        '_peers',
+        'peers',
         '_failed',
         '_probe_at_s',
         'answered_at_s',
@@ -56,14 +56,14 @@
         session: ClientSession,
         clock: Clock,
         rng: random.Random,
-        peers: Callable[[], list[str]],
     ) -> None:
-        """Start with the store taken as reachable; `peers` lists ip:port."""
+        """Start with the store taken as reachable, and without peers."""
         self._direct = direct
         self._session = session
         self._clock = clock
         self._rng = rng
-        self._peers = peers
+        # Lists the addresses of peers, ip:port.
+        self.peers: Callable[[], list[str]] = list
         self._failed = False
         self._probe_at_s = 0.0
         # Last time that an answer came, directly or through a peer.
@@ -118,7 +118,7 @@
     async def _through_peers(
         self, call: StoreCall, error: StoreUnavailable | None
     ) -> StoreReply:
-        peers = self._peers()
+        peers = self.peers()
         chosen = self._rng.sample(peers, min(RELAY_ATTEMPTS, len(peers)))
         for peer in chosen:
             try:
--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -8,7 +8,6 @@
 from msgspec.structs import replace
 
 from anvilcove.control.desired import DesiredStateView
-from anvilcove.control.nodes import NodeDirectory
 from anvilcove.control.watch import TableWatch
 from anvilcove.jobs.board import JobBoard
 from anvilcove.jobs.item_run import ItemRunner
@@ -55,7 +54,6 @@
         '_records',
         '_board',
         '_watch',
-        '_nodes',
         '_desired',
         '_runner',
         '_metrics',
@@ -73,7 +71,6 @@
         records: JobRecords,
         board: JobBoard,
         watch: TableWatch,
-        nodes: NodeDirectory,
         desired: DesiredStateView,
         runner: ItemRunner,
         metrics: NodeMetrics,
@@ -86,7 +83,6 @@
         self._records = records
         self._board = board
         self._watch = watch
-        self._nodes = nodes
         self._desired = desired
         self._runner = runner
         self._metrics = metrics
--- a/anvilcove/platform/family.py
+++ b/anvilcove/platform/family.py
@@ -66,33 +66,13 @@
             await runner.cleanup()
 
 
-class PlatformAdapters:
-    """Adapters of the users' platform."""
-
-    __slots__ = ('operator_table', 'endpoint_table', '_store_address', '_rng')
-
-    def __init__(self, settings: NodeSettings, rng: random.Random) -> None:
-        """Keep where the store is."""
-        self.operator_table = OPERATOR_TABLE
-        self.endpoint_table = ENDPOINT_TABLE
-        self._store_address = settings.store.address
-        self._rng = rng
-
-    def transport(self, session: ClientSession) -> StoreTransport:
-        """Return the direct way to the store."""
-        return DirectTransport(self._store_address, session)
+class PlatformRows:
+    """Rows of the operator, the trainers and the endpoints."""
 
-    def store(self, transport: StoreTransport) -> PlatformStore:
-        """Return the client of the store."""
-        return PlatformStore(transport)
-
-    def servers(self, session: ClientSession) -> PlatformServers:
-        """Return the client of the services."""
-        return PlatformServers(session)
+    __slots__ = ()
 
-    def engines(self, session: ClientSession) -> PlatformEngines:
-        """Return the client of the engines."""
-        return PlatformEngines(session)
+    operator_table = OPERATOR_TABLE
+    endpoint_table = ENDPOINT_TABLE
 
     def apply_operator_rows(
         self, rows: list[StoredRow], desired: DesiredStateView, now: float
@@ -124,6 +104,34 @@
         else:
             registry.change(decoded, now, hold)
 
+
+class PlatformAdapters:
+    """Adapters of the users' platform."""
+
+    __slots__ = ('rows', '_store_address', '_rng')
+
+    def __init__(self, settings: NodeSettings, rng: random.Random) -> None:
+        """Keep where the store is."""
+        self.rows = PlatformRows()
+        self._store_address = settings.store.address
+        self._rng = rng
+
+    def transport(self, session: ClientSession) -> StoreTransport:
+        """Return the direct way to the store."""
+        return DirectTransport(self._store_address, session)
+
+    def store(self, transport: StoreTransport) -> PlatformStore:
+        """Return the client of the store."""
+        return PlatformStore(transport)
+
+    def servers(self, session: ClientSession) -> PlatformServers:
+        """Return the client of the services."""
+        return PlatformServers(session)
+
+    def engines(self, session: ClientSession) -> PlatformEngines:
+        """Return the client of the engines."""
+        return PlatformEngines(session)
+
     async def listen(
         self, settings: NodeSettings, service: NodeService
     ) -> PlatformListeners:
--- /dev/null
+++ b/anvilcove/standins/memory_engines.py
@@ -0,0 +1,173 @@
+"""Engines and services in memory behind their ports, with faults."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from anvilcove.ports.engines import (
+    BUSY,
+    CARRIED_OUT,
+    HOLDS,
+    EngineReport,
+    Generation,
+    GenerationEnd,
+    GenerationEvent,
+    GenerationStart,
+    ItemFailed,
+    ItemRejected,
+    TokenEvent,
+    VersionOrder,
+)
+from anvilcove.ports.errors import (
+    EndpointCrashed,
+    EndpointFailed,
+    EndpointNotRun,
+)
+from anvilcove.ports.servers import CallerRequest, ServerAnswer
+
+EVENT_S = 0.04
+LOAD_S = 0.9
+WORK_S = 0.03
+SILENCE_S = 3600.0
+
+
+class MemoryEngine:
+    """One engine; `events` is the length of every generation."""
+
+    def __init__(self, address: str, slots: int = 12) -> None:
+        """Start with version 1 of every model."""
+        self.address = address
+        self.slots = slots
+        self.events = 6
+        self.version = 1
+        self.order_count = 0
+        self.loading = False
+        self.running = 0
+        self.pace = 1.0
+        self.dark = False
+        # Generations break off after this many events, once each.
+        self.break_after: dict[str, int] = {}
+        self.broken: set[str] = set()
+        self.failing: dict[str, int] = {}
+        self.rejected: set[str] = set()
+        self.late_orders: float = 0.0
+        self.runs: list[tuple[str, int]] = []
+        self.orders: list[tuple[float, VersionOrder]] = []
+
+    def take_order(self, order: VersionOrder) -> str:
+        """Start to load a version."""
+        if self.loading or order.order_count != self.order_count:
+            return BUSY
+        if order.version <= self.version:
+            return HOLDS
+        self.order_count += 1
+        self.loading = True
+        asyncio.get_running_loop().call_later(
+            LOAD_S, self._loaded, order.version
+        )
+        return CARRIED_OUT
+
+    def _loaded(self, version: int) -> None:
+        self.version = version
+        self.loading = False
+
+
+class MemoryEngines:
+    """Client of the engines of a test, by address."""
+
+    def __init__(self, engines: list[MemoryEngine]) -> None:
+        """Keep the engines."""
+        self.by_address = {engine.address: engine for engine in engines}
+
+    async def generate(
+        self, address: str, instance: str, generation: Generation
+    ) -> AsyncIterator[GenerationEvent]:
+        """Stream a generation with the faults of its engine."""
+        engine = self.by_address[address]
+        if engine.dark:
+            await asyncio.sleep(SILENCE_S)
+        item = generation.item_id
+        if engine.loading or engine.running >= engine.slots:
+            raise EndpointNotRun('refused', overloaded=True)
+        if item in engine.rejected:
+            raise ItemRejected(item)
+        engine.runs.append((item, generation.after))
+        if engine.failing.get(item, 0):
+            engine.failing[item] -= 1
+            raise ItemFailed(item)
+        engine.running += 1
+        try:
+            yield GenerationStart(engine.version)
+            for number in range(generation.after + 1, engine.events + 1):
+                await asyncio.sleep(EVENT_S * engine.pace)
+                cut = engine.break_after.get(item)
+                if (
+                    cut is not None
+                    and number > cut
+                    and (item not in engine.broken)
+                ):
+                    engine.broken.add(item)
+                    raise EndpointCrashed('broken off by the test')
+                yield TokenEvent(number, f'{item}:{number}', engine.version)
+            yield GenerationEnd(engine.events)
+        finally:
+            engine.running -= 1
+
+    async def order(
+        self, address: str, instance: str, order: VersionOrder
+    ) -> str:
+        """Give an order, which may be carried out late without an answer."""
+        engine = self.by_address[address]
+        loop = asyncio.get_running_loop()
+        engine.orders.append((loop.time(), order))
+        if engine.late_orders:
+            loop.call_later(engine.late_orders, engine.take_order, order)
+            await asyncio.sleep(SILENCE_S)
+        return engine.take_order(order)
+
+    async def report(self, address: str) -> EngineReport:
+        """Tell what an engine holds."""
+        engine = self.by_address[address]
+        if engine.dark:
+            raise EndpointFailed('dark')
+        return EngineReport(
+            {'m': engine.version}, engine.loading, engine.order_count
+        )
+
+
+class MemoryServers:
+    """Client of plain services; every request gets a stamp."""
+
+    def __init__(self) -> None:
+        """Start with healthy services."""
+        self.work_s = WORK_S
+        self.silent: set[str] = set()
+        self.failing: dict[str, int] = {}
+        self.refusing: set[str] = set()
+        self.work_by_address: dict[str, float] = {}
+        self.runs: list[tuple[str, str]] = []
+        self.cancelled = 0
+
+    async def send(
+        self,
+        address: str,
+        instance: str,
+        request: CallerRequest,
+        time_left_s: float,
+    ) -> ServerAnswer:
+        """Answer with a stamp that names the request."""
+        if address in self.refusing:
+            raise EndpointNotRun('refused', overloaded=True)
+        self.runs.append((address, request.request_id))
+        try:
+            if address in self.silent:
+                await asyncio.sleep(SILENCE_S)
+            await asyncio.sleep(self.work_by_address.get(address, self.work_s))
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        left = self.failing.get(request.request_id, 0)
+        if left:
+            self.failing[request.request_id] = left - 1
+            return ServerAnswer(500, [], b'', stamp='failed')
+        stamp = f'stamp-{request.request_id}'
+        return ServerAnswer(200, [], request.body, stamp=stamp)
