Check batch jobs and version orders on virtual time

Cause: recovery of jobs and the lease of version orders had no test. Change: 18 scenarios over stand-ins in memory: owner killed, stopped as planned and cut from the store, lost and late commits, broken texts, dark engines, rewards that fail, ends, old weights; two holders, suspension, late orders.

--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -59,8 +59,8 @@
         '_metrics',
         '_clock',
         '_rng',
-        '_runs',
-        '_tasks',
+        'runs',
+        'tasks',
         '_closing',
     )
 
@@ -88,8 +88,8 @@
         self._metrics = metrics
         self._clock = clock
         self._rng = rng
-        self._runs: dict[str, JobRun] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self.runs: dict[str, JobRun] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
         self._closing = False
 
     async def accept(self, spec: JobSpec, end_s: float) -> None:
@@ -136,7 +136,7 @@
         """Hand every job over."""
         self._closing = True
         await asyncio.gather(
-            *(run.hand_over() for run in list(self._runs.values()))
+            *(run.hand_over() for run in list(self.runs.values()))
         )
 
     async def _create(
@@ -169,7 +169,7 @@
 
     async def _consider(self, held: HeldJob) -> None:
         job_id = held.head.job_id
-        if job_id in self._runs:
+        if job_id in self.runs:
             return
         await self._clock.sleep(self._rng.uniform(0.0, SPREAD_S))
         current = self._board.by_id.get(job_id)
@@ -222,10 +222,10 @@
             self._metrics,
             self._clock,
         )
-        self._runs[spec.job_id] = run
+        self.runs[spec.job_id] = run
         task = asyncio.create_task(self._run(run))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
 
     async def _run(self, run: JobRun) -> None:
         job_id = run.spec.job_id
@@ -234,7 +234,7 @@
         except Exception:
             logger.bind(job=job_id).exception('job run ended by an error')
         finally:
-            self._runs.pop(job_id, None)
+            self.runs.pop(job_id, None)
             self._board.adopt(run.held)
 
     def _items_end_s(self, head: JobHead) -> float:
@@ -248,7 +248,7 @@
         return self._clock.now() + left_s
 
     def _stop_ended(self) -> None:
-        for job_id, run in list(self._runs.items()):
+        for job_id, run in list(self.runs.items()):
             if job_id in self._board.ended:
                 logger.bind(job=job_id, listed=run.held.head.listed).info(
                     'job ended'
--- a/anvilcove/standins/memory_store.py
+++ b/anvilcove/standins/memory_store.py
@@ -40,8 +40,9 @@
 class MemoryStore:
     """Rows, their changes and objects, shared by the daemons of a test."""
 
-    def __init__(self) -> None:
-        """Start empty."""
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Start empty; the store's clock is that of the loop."""
+        self._loop = loop
         self.faults = StoreFaults()
         self.rows: dict[RowId, tuple[bytes, int]] = {}
         self.history: list[StoredRow] = []
@@ -57,7 +58,7 @@
         if self.faults.lose(change):
             if self.faults.apply_lost:
                 if self.faults.delay_s:
-                    asyncio.get_running_loop().call_later(
+                    self._loop.call_later(
                         self.faults.delay_s, self.apply, change
                     )
                 else:
@@ -87,14 +88,14 @@
         await self._reach()
         if after < self.oldest_kept:
             raise HistoryLost(table)
-        end_s = asyncio.get_running_loop().time() + wait_s
+        end_s = self._loop.time() + wait_s
         while True:
             rows = [
                 row
                 for row in self.history
                 if row.id.table == table and row.version > after
             ]
-            left_s = end_s - asyncio.get_running_loop().time()
+            left_s = end_s - self._loop.time()
             if rows or left_s <= 0:
                 await self._reach()
                 return RowPage(rows, self.version, self.store_ms())
@@ -148,7 +149,7 @@
 
     def store_ms(self) -> float:
         """Return the store's clock."""
-        return asyncio.get_running_loop().time() * 1000
+        return self._loop.time() * 1000
 
     async def _reach(self) -> None:
         await asyncio.sleep(ANSWER_S)
--- a/anvilcove/standins/virtual_loop.py
+++ b/anvilcove/standins/virtual_loop.py
@@ -35,15 +35,16 @@
 
 
 class LoopClock:
-    """Clock of the running loop; `ahead_s` is time lost in a pause."""
+    """Clock of a loop; `ahead_s` is time lost in a pause."""
 
-    def __init__(self) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         """Start with the loop's time."""
+        self._loop = loop
         self.ahead_s = 0.0
 
     def now(self) -> float:
         """Return the loop's time in seconds."""
-        return asyncio.get_running_loop().time() + self.ahead_s
+        return self._loop.time() + self.ahead_s
 
     async def sleep(self, seconds: float) -> None:
         """Wait for a number of seconds."""
--- /dev/null
+++ b/features/batch_jobs.feature
@@ -0,0 +1,115 @@
+Feature: Batch jobs end whole, once and at fixed positions
+  Daemons over a store, engines and services in memory, on virtual time.
+
+  Scenario: A job is run to its end and read at any daemon
+    Guards against results that differ between daemons.
+    Given a platform with 4 engines and daemons a, b and c
+    When daemon a accepts job j1 with 16 items
+    And 3 s go by
+    Then every daemon lists 16 completed results of job j1 in the same order
+
+  Scenario: The same submission at two daemons is one job
+    Guards against a job that is run twice because its answer was lost.
+    Given a platform with 4 engines and daemons a, b and c
+    When daemon a accepts job j1 with 16 items
+    And daemon b accepts job j1 with 16 items
+    And 3 s go by
+    Then every daemon lists 16 completed results of job j1 in the same order
+    And no item of job j1 ran twice
+
+  Scenario: The owner dies and another daemon goes on
+    Guards against listed results that change and items that are lost.
+    Given a platform with 2 engines and daemons a, b and c
+    When daemon a accepts job j1 with 64 items
+    And 0.7 s go by
+    Then daemon b lists some results of job j1
+    When daemon a is killed
+    And 8 s go by
+    Then the results that were read stand where they stood
+    And every daemon lists 64 completed results of job j1 in the same order
+
+  Scenario: The owner is stopped as planned and hands its job over
+    Guards against a job that waits for a lease although its owner left.
+    Given a platform with 2 engines and daemons a, b and c
+    When daemon a accepts job j1 with 64 items
+    And 0.5 s go by
+    And daemon a is asked to stop
+    And 3.5 s go by
+    Then every daemon lists 64 completed results of job j1 in the same order
+
+  Scenario: The answer of a commit is lost and it is applied late
+    Guards against a result at two positions.
+    Given a platform with 4 engines and daemons a, b and c
+    And the answers of all commits with results are lost for 3 s and applied after 2 s
+    When daemon a accepts job j1 with 16 items
+    And 9 s go by
+    Then every daemon lists 16 completed results of job j1 in the same order
+
+  Scenario: The store is away while items are running
+    Guards against items that are given up or listed before they are kept.
+    Given a platform with 4 engines and daemons a, b and c
+    When daemon a accepts job j1 with 16 items
+    And 0.1 s go by
+    And the store is away for 5 s
+    And 3 s go by
+    Then every daemon lists 16 completed results of job j1 in the same order
+
+  Scenario: A daemon that cannot read the store never says that a job is unknown
+    Guards against a 404 for a job that exists.
+    Given a platform with 4 engines and daemons a, b and c
+    And the store is away
+    When daemon b is asked for job j9
+    Then daemon b is not sure about job j9
+
+  Scenario: A text that breaks off goes on at another engine
+    Guards against events that are missing or stand twice.
+    Given a platform with 4 engines and daemons a, b and c
+    And item 3 of job j1 breaks off after 2 events
+    When daemon a accepts job j1 with 16 items
+    And 4 s go by
+    Then every daemon lists 16 completed results of job j1 in the same order
+    And item 3 of job j1 was resumed after event 2
+
+  Scenario: An engine goes dark and its items run elsewhere
+    Guards against a step that waits for a dead engine.
+    Given a platform with 3 engines and daemons a, b and c
+    And engine 0 is dark
+    When daemon a accepts job j1 with 16 items
+    And 6 s go by
+    Then every daemon lists 16 completed results of job j1 in the same order
+
+  Scenario: Items are errored only for a reason that the users accept
+    Guards against results that are errored too early and items that are
+    sent for ever.
+    Given a platform with 4 engines and daemons a, b and c
+    And item 2 of job j1 is rejected by every engine
+    And item 5 of job j1 fails 3 times
+    And item 6 of job j1 fails 2 times
+    When daemon a accepts job j1 with 16 items
+    And 6 s go by
+    Then items 2 and 5 of job j1 are errored and the others completed
+
+  Scenario: A reward call that fails at first is sent again
+    Guards against an item that is errored although its reward could be had.
+    Given a platform with 4 engines and daemons a, b and c
+    And the reward call of item 4 of job j1 fails 2 times
+    When daemon a accepts job j1 with 16 items
+    And 4 s go by
+    Then every daemon lists 16 completed results of job j1 in the same order
+
+  Scenario: The trainer ends a job and its items stop
+    Guards against engines that work for a job that has ended.
+    Given a platform with 1 engines and daemons a, b and c
+    When daemon a accepts job j1 with 64 items
+    And 0.4 s go by
+    And daemon b ends job j1
+    And 1.5 s go by
+    Then no engine is running anything
+
+  Scenario: No text is older than its job allows
+    Guards against samples of weights below the oldest version allowed.
+    Given a platform with 4 engines and daemons a, b and c
+    When version 2 is named
+    And daemon a accepts job j1 with 32 items from version 2 on
+    And 6 s go by with announcements
+    Then every result of job j1 was made by version 2
--- /dev/null
+++ b/features/steps/batch_job_steps.py
@@ -0,0 +1,378 @@
+"""Steps about batch jobs and version orders on virtual time."""
+
+import asyncio
+
+from behave import given, then, use_step_matcher, when
+from memory_site import MemorySite, job_spec
+
+from anvilcove.jobs.reader import JobUnknown, NotSure
+from anvilcove.jobs.records import RESULTS_TABLE
+
+use_step_matcher('parse')
+
+
+@given('a platform with {count:d} engines and daemons a, b and c')
+def platform(context, count):
+    """Start a site and let its daemons read the store."""
+    context.memory = MemorySite(engines=count)
+    context.add_cleanup(context.memory.close)
+    context.read = {}
+    context.loading = 0
+    for seed, name in enumerate('abc'):
+        context.memory.start(name, seed=seed + 1)
+    context.memory.pass_time(1.0)
+
+
+@when('daemon {name} accepts job {job} with {count:d} items')
+def accept(context, name, job, count):
+    """Submit a job."""
+    daemon = context.memory.daemons[name]
+    spec = job_spec(job, count)
+    context.memory.run(daemon.owner.accept(spec, end_s=1e9))
+
+
+@when(
+    'daemon {name} accepts job {job} with {count:d} items from version '
+    '{version:d} on'
+)
+def accept_version(context, name, job, count, version):
+    """Submit a job that needs new weights."""
+    daemon = context.memory.daemons[name]
+    spec = job_spec(job, count, min_version=version)
+    context.memory.run(daemon.owner.accept(spec, end_s=1e9))
+
+
+@when('{seconds:g} s go by')
+def pass_time(context, seconds):
+    """Let time pass."""
+    context.memory.pass_time(seconds)
+
+
+@when('{seconds:g} s go by with announcements')
+def pass_announcing(context, seconds):
+    """Let time pass while engines announce what they hold."""
+    site = context.memory
+    for _ in range(round(seconds / 0.1)):
+        site.pass_time(0.1)
+        site.announce_versions()
+        loading = sum(engine.loading for engine in site.engines)
+        context.loading = max(context.loading, loading)
+
+
+@when('daemon {name} is killed')
+def kill(context, name):
+    """End a daemon without any farewell."""
+    context.memory.kill(name)
+    context.memory.daemons.pop(name)
+
+
+@when('daemon {name} is asked to stop')
+def stop(context, name):
+    """Stop a daemon as planned."""
+    site = context.memory
+    site.run(site.daemons[name].hand_over())
+
+
+def read_all(context, name, job):
+    """Return all results of a job that a daemon lists."""
+    site = context.memory
+    reader = site.daemons[name].reader
+    results = []
+    while True:
+        page = site.run(reader.page(job, len(results), 0.0))
+        results += page.results
+        if not page.results:
+            return page.total, results
+
+
+@then('daemon {name} lists some results of job {job}')
+def some_results(context, name, job):
+    """Read part of a job and remember it."""
+    _, results = read_all(context, name, job)
+    assert results
+    context.read[job] = results
+
+
+@then('the results that were read stand where they stood')
+def same_results(context):
+    """Compare the beginnings of the lists."""
+    for job, results in context.read.items():
+        for name in context.memory.daemons:
+            _, now = read_all(context, name, job)
+            assert now[: len(results)] == results
+
+
+@then(
+    'every daemon lists {count:d} completed results of job {job} in the '
+    'same order'
+)
+def whole_job(context, count, job):
+    """Check that a job is whole at every daemon."""
+    lists = []
+    for name in context.memory.daemons:
+        total, results = read_all(context, name, job)
+        assert total == count, total
+        lists.append(results)
+    first = lists[0]
+    assert all(results == first for results in lists)
+    assert len(first) == count, (len(first), count)
+    items = {result.item_id for result in first}
+    assert len(items) == count
+    events = context.memory.engines[0].events
+    for result in first:
+        assert result.completed, result
+        expected = [f'{result.item_id}:{n}' for n in range(1, events + 1)]
+        assert result.output.split('\n') == expected, result.output
+        assert result.score.startswith('stamp-'), result
+    rows = [
+        row
+        for row in context.memory.store.rows
+        if row.table == RESULTS_TABLE and row.key.startswith(f'{job}/')
+    ]
+    assert rows
+
+
+@then('no item of job {job} ran twice')
+def ran_once(context, job):
+    """Check that both submissions made one run."""
+    runs = [run for e in context.memory.engines for run in e.runs]
+    items = [item for item, _ in runs if item.startswith(f'{job}-')]
+    assert len(items) == len(set(items))
+
+
+@given(
+    'the answers of all commits with results are lost for {seconds:d} s and '
+    'applied after {delay:d} s'
+)
+def lose_commits(context, seconds, delay):
+    """Lose answers of commits for a while."""
+    site = context.memory
+    end_s = site.loop.time() + seconds
+    site.store.faults.delay_s = float(delay)
+    site.store.faults.lose = lambda change: (
+        site.loop.time() < end_s
+        and any(write.id.table == RESULTS_TABLE for write in change.writes)
+    )
+
+
+@given('the store is away')
+def store_away(context):
+    """Take the store away for good."""
+    context.memory.store.faults.away = True
+
+
+@when('the store is away for {seconds:d} s')
+def store_away_for(context, seconds):
+    """Take the store away for a while."""
+    context.memory.store.faults.away = True
+    context.memory.pass_time(seconds)
+    context.memory.store.faults.away = False
+
+
+@when('daemon {name} is asked for job {job}')
+def ask(context, name, job):
+    """Read a job and keep how that ended."""
+    site = context.memory
+    try:
+        site.run(site.daemons[name].reader.page(job, 0, 0.0))
+        context.answer = 'page'
+    except (JobUnknown, NotSure) as error:
+        context.answer = type(error).__name__
+
+
+@then('daemon {name} is not sure about job {job}')
+def not_sure(context, name, job):
+    """Check that the daemon did not claim to know."""
+    assert context.answer == 'NotSure', context.answer
+
+
+@given('item {number:d} of job {job} breaks off after {events:d} events')
+def break_off(context, number, job, events):
+    """Break a generation off once, at whichever engine runs it."""
+    broken = set()
+    for engine in context.memory.engines:
+        engine.break_after[f'{job}-{number}'] = events
+        engine.broken = broken
+
+
+@then('item {number:d} of job {job} was resumed after event {event:d}')
+def resumed(context, number, job, event):
+    """Check that the engine was asked for the rest."""
+    runs = [run for e in context.memory.engines for run in e.runs]
+    assert (f'{job}-{number}', event) in runs, runs
+
+
+@given('engine {number:d} is dark')
+def dark(context, number):
+    """Let an engine answer nothing."""
+    context.memory.engines[number].dark = True
+
+
+@given('item {number:d} of job {job} is rejected by every engine')
+def rejected(context, number, job):
+    """Let engines say that an item can never be done."""
+    for engine in context.memory.engines:
+        engine.rejected.add(f'{job}-{number}')
+
+
+@given('item {number:d} of job {job} fails {count:d} times')
+def failing(context, number, job, count):
+    """Let the first runs of an item fail, wherever they are."""
+    shared = context.memory.engines[0].failing
+    shared[f'{job}-{number}'] = count
+    for engine in context.memory.engines:
+        engine.failing = shared
+
+
+@then(
+    'items {one:d} and {two:d} of job {job} are errored and the others completed'
+)
+def errored(context, one, two, job):
+    """Check which items got no text."""
+    _, results = read_all(context, 'a', job)
+    found = {r.item_id for r in results if not r.completed}
+    assert found == {f'{job}-{one}', f'{job}-{two}'}, found
+    assert len(results) == 16, len(results)
+
+
+@given(
+    'the reward call of item {number:d} of job {job} fails {count:d} times'
+)
+def failing_reward(context, number, job, count):
+    """Let the first runs of a reward call fail."""
+    context.memory.servers.failing[f'{job}-r{number}'] = count
+
+
+@when('daemon {name} ends job {job}')
+def end_job(context, name, job):
+    """End a job as its trainer does."""
+    site = context.memory
+    site.run(site.daemons[name].reader.end(job))
+
+
+@then('no engine is running anything')
+def idle(context):
+    """Check that all generations were stopped."""
+    running = [engine.running for engine in context.memory.engines]
+    assert not any(running), running
+
+
+@when('version {version:d} is named')
+def name_version(context, version):
+    """Name a version as its trainer does."""
+    context.memory.name_version(version)
+
+
+@then('every result of job {job} was made by version {version:d}')
+def made_by(context, job, version):
+    """Check the versions of the results."""
+    _, results = read_all(context, 'b', job)
+    assert len(results) == 32, len(results)
+    assert all(result.versions == [version] for result in results)
+
+
+@then('every engine holds version {version:d} after {count:d} order each')
+def holds(context, version, count):
+    """Check versions and accepted orders."""
+    for engine in context.memory.engines:
+        assert engine.version == version, engine.version
+        assert engine.order_count == count, engine.order_count
+
+
+@then('at most {count:d} engines were loading at once')
+def loading(context, count):
+    """Check the largest number of loading engines that was seen."""
+    assert 0 < context.loading <= count, context.loading
+
+
+def holder(context):
+    """Return the name of the daemon that may give orders."""
+    daemons = context.memory.daemons
+    names = [n for n, d in daemons.items() if d.lease.fence() is not None]
+    assert len(names) == 1, names
+    return names[0]
+
+
+@when('the holder of the orders is killed')
+def kill_holder(context):
+    """End the daemon that gives orders."""
+    name = holder(context)
+    context.memory.kill(name)
+    context.memory.daemons.pop(name)
+
+
+@then(
+    'orders of different holders are {seconds:d} s apart and their fences rise'
+)
+def apart(context, seconds):
+    """Check the times and fences of all orders."""
+    orders = sorted(
+        (at_s, order.holder, order.fence)
+        for engine in context.memory.engines
+        for at_s, order in engine.orders
+    )
+    assert len({holder for _, holder, _ in orders}) == 2, orders
+    for before, after in zip(orders, orders[1:], strict=False):
+        assert after[2] >= before[2], (before, after)
+        if before[1] != after[1]:
+            assert after[0] - before[0] >= seconds, (before, after)
+            assert after[2] > before[2], (before, after)
+
+
+@when('the holder of the orders is suspended for {seconds:d} s')
+def suspend(context, seconds):
+    """Let the clock that counts suspension jump."""
+    context.suspended = holder(context)
+    context.memory.clocks[context.suspended].ahead_s += seconds
+
+
+@then('it may not give orders')
+def no_orders(context):
+    """Check the lease before the daemon has looked at the store."""
+    daemon = context.memory.daemons[context.suspended]
+    assert daemon.lease.fence() is None
+
+
+@given(
+    'engine {number:d} answers no order and carries it out after {delay:d} s'
+)
+def late_orders(context, number, delay):
+    """Delay the orders to an engine."""
+    context.memory.engines[number].late_orders = float(delay)
+
+
+@when('engine {number:d} answers orders again')
+def prompt_orders(context, number):
+    """Let an engine answer at once again."""
+    context.memory.engines[number].late_orders = 0.0
+
+
+@then('every engine holds version {version:d} and never went back')
+def never_back(context, version):
+    """Check the final versions; engines refuse to go back by the count."""
+    for engine in context.memory.engines:
+        assert engine.version == version, (engine.address, engine.version)
+
+
+@when('the answers of all renewals are lost for {seconds:d} s')
+def lose_renewals(context, seconds):
+    """Lose answers of lease writes and note until when orders could go."""
+    site = context.memory
+    start_s = site.loop.time()
+    end_s = start_s + seconds
+    site.store.faults.lose = lambda change: (
+        site.loop.time() < end_s
+        and any(write.id.table == 'leases' for write in change.writes)
+    )
+    name = holder(context)
+    context.acted_s = 0.0
+    while site.loop.time() < end_s:
+        site.run(asyncio.sleep(0.05))
+        if site.daemons[name].lease.fence() is not None:
+            context.acted_s = site.loop.time() - start_s
+
+
+@then('orders could be given for at most {seconds:d} s after the last renewal')
+def acted(context, seconds):
+    """Compare with the time for which a renewal holds."""
+    assert context.acted_s <= seconds, context.acted_s
--- /dev/null
+++ b/features/steps/memory_site.py
@@ -0,0 +1,278 @@
+"""Daemons in one process over stand-ins in memory, on virtual time."""
+
+import asyncio
+import random
+
+import msgspec
+from loguru import logger
+
+from anvilcove.control.desired import (
+    JOB,
+    SAFE,
+    DesiredState,
+    JobTargets,
+    Route,
+    Service,
+    Target,
+)
+from anvilcove.control.endpoints import EndpointEntry
+from anvilcove.jobs.types import Item, JobSpec, RewardCall
+from anvilcove.node.parts import NodeParts, Outside
+from anvilcove.ports.store import RowId, RowTransaction, RowWrite
+from anvilcove.settings.node import (
+    NodeBounds,
+    NodeListeners,
+    NodeSettings,
+    StoreSettings,
+)
+from anvilcove.standins.memory_engines import (
+    MemoryEngine,
+    MemoryEngines,
+    MemoryServers,
+)
+from anvilcove.standins.memory_store import MemoryStore
+from anvilcove.standins.virtual_loop import LoopClock, VirtualLoop
+
+HOST = 'h.example'
+MODEL = 'm'
+SHOP, REWARDS, JOBS = '/shop/', '/reward/', '/job/'
+
+
+class MemoryRows:
+    """Rows of the operator and the endpoints as plain structures."""
+
+    operator_table = 'op'
+    endpoint_table = 'servers'
+
+    def apply_operator_rows(self, rows, desired, now):
+        """Put a desired state or a named version in force."""
+        for row in rows:
+            if row.id.key == 'config':
+                desired.adopt(
+                    msgspec.msgpack.decode(row.value, type=DesiredState), now
+                )
+            else:
+                desired.name_version(MODEL, int(row.value))
+
+    def apply_endpoint_rows(self, rows, whole, registry, now, hold):
+        """Adopt entries of endpoints."""
+        entries = {
+            row.id.key: None
+            if row.value is None
+            else msgspec.msgpack.decode(row.value, type=EndpointEntry)
+            for row in rows
+        }
+        if whole:
+            registry.replace_all(entries, now, hold)
+        else:
+            registry.change(entries, now, hold)
+
+
+class MemorySite:
+    """A store, engines, services and the daemons in front of them."""
+
+    def __init__(self, engines=4, servers=3, slots=12):
+        """Build everything on a loop of its own; nothing runs yet."""
+        logger.remove()
+        self.loop = VirtualLoop()
+        asyncio.set_event_loop(self.loop)
+        self.store = MemoryStore(self.loop)
+        self.engines = [
+            MemoryEngine(f'10.0.0.{i}:80', slots) for i in range(engines)
+        ]
+        self.engine_client = MemoryEngines(self.engines)
+        self.servers = MemoryServers()
+        self.server_addresses = [f'10.1.0.{i}:80' for i in range(servers)]
+        self.daemons = {}
+        self.clocks = {}
+        self.tasks = {}
+        self.write_operator()
+        for engine in self.engines:
+            self.write_engine(engine)
+        for address in self.server_addresses:
+            self.write_server(address)
+
+    def run(self, work):
+        """Run a coroutine to its end."""
+        return self.loop.run_until_complete(work)
+
+    def pass_time(self, seconds):
+        """Let virtual time pass."""
+        self.run(asyncio.sleep(seconds))
+
+    def close(self):
+        """Stop every daemon."""
+        for name in list(self.tasks):
+            self.kill(name)
+        pending = asyncio.all_tasks(self.loop)
+        for task in pending:
+            task.cancel()
+        if pending:
+            self.run(asyncio.wait(pending))
+        self.loop.close()
+
+    def start(self, name, seed=1, nonce=None):
+        """Start a daemon, anew if it ran before."""
+        clock = LoopClock(self.loop)
+        self.clocks[name] = clock
+        daemon = NodeParts(
+            settings_of(name),
+            nonce or f'{name}-{seed}',
+            Outside(
+                store=self.store,
+                servers=self.servers,
+                engines=self.engine_client,
+                rows=MemoryRows(),
+                clock=LoopClock(self.loop),
+                lease_clock=clock,
+                rng=random.Random(seed),
+            ),
+        )
+        self.daemons[name] = daemon
+        self.tasks[name] = [
+            self.loop.create_task(work) for work in daemon.loops()
+        ]
+        return daemon
+
+    def kill(self, name):
+        """End a daemon without any farewell."""
+        for task in self.tasks.pop(name):
+            task.cancel()
+        for run in list(self.daemons[name].owner.runs.values()):
+            run.stop()
+        for task in list(self.daemons[name].owner.tasks):
+            task.cancel()
+
+    def put(self, table, key, value):
+        """Write a row in another writer's name."""
+        row = RowWrite(RowId(table, '', key), value)
+        return self.store.apply(RowTransaction(writes=[row]))
+
+    def remove(self, table, key):
+        """Remove a row in another writer's name."""
+        self.store.apply(RowTransaction(removals=[RowId(table, '', key)]))
+
+    def write_operator(self, version=1, **changes):
+        """Write a desired state; `changes` are fields of the job route."""
+        job = {
+            'result_objective_s': 7.5,
+            'item_lifetime_s': 40.0,
+            **changes,
+        }
+        state = DesiredState(
+            version=version,
+            routes=(
+                route('shop', SHOP, SAFE, 'app', 0.2, 2.0, 2),
+                route('reward', REWARDS, SAFE, 'app', 0.5, 2.0, 4),
+                route(
+                    'job', JOBS, JOB, 'llm', 0.4, 10.0, 3, JobTargets(**job)
+                ),
+            ),
+            services_by_name={
+                'app': Service('app', 100),
+                'llm': Service('llm', 100),
+            },
+        )
+        self.put('op', 'config', msgspec.msgpack.encode(state))
+
+    def name_version(self, version):
+        """Name a version as its trainer does."""
+        self.put('op', 'version', str(version).encode())
+
+    def write_engine(self, engine, draining=False):
+        """Announce an engine."""
+        entry = EndpointEntry(
+            instance=f'i-{engine.address}',
+            started_ms=0,
+            service='llm',
+            address=engine.address,
+            data_centre='dc',
+            draining=draining,
+            slots=engine.slots,
+            version_by_model={MODEL: engine.version},
+        )
+        self.put('servers', engine.address, msgspec.msgpack.encode(entry))
+
+    def write_server(self, address, draining=False, started_ms=0):
+        """Announce a plain service."""
+        entry = EndpointEntry(
+            instance=f'i-{address}',
+            started_ms=started_ms,
+            service='app',
+            address=address,
+            data_centre='dc',
+            draining=draining,
+            slots=6,
+        )
+        self.put('servers', address, msgspec.msgpack.encode(entry))
+
+    def announce_versions(self):
+        """Announce what every engine holds, as their heartbeats do."""
+        for engine in self.engines:
+            self.write_engine(engine)
+
+
+def route(
+    name, prefix, kind, service, objective_s, timeout_s, attempts, job=None
+):
+    """Return a route."""
+    return Route(
+        name=name,
+        host=HOST,
+        prefix=prefix,
+        kind=kind,
+        timeout_s=timeout_s,
+        objective_s=objective_s,
+        priority=1,
+        targets=(Target(service),),
+        max_attempts=attempts,
+        job=job,
+    )
+
+
+def settings_of(name):
+    """Return the settings of a daemon."""
+    return NodeSettings(
+        host=name,
+        data_centre='dc',
+        region='r',
+        ip=f'10.2.0.{len(name)}',
+        listeners=NodeListeners(
+            callers=f'{name}:1', ready='', lookup='', peers=f'{name}:2'
+        ),
+        store=StoreSettings('store'),
+        bounds=NodeBounds(),
+        peer_port=2,
+    )
+
+
+def job_spec(job_id, items=16, group=8, min_version=1):
+    """Return a batch job with reward calls."""
+    return JobSpec(
+        job_id=job_id,
+        host=HOST,
+        path=JOBS + job_id,
+        step=0,
+        model=MODEL,
+        min_version=min_version,
+        target_groups=items // group,
+        items=[
+            Item(
+                item_id=f'{job_id}-{i}',
+                path=f'{JOBS}{i}',
+                headers={},
+                body=f'body {i}'.encode(),
+                tokens=10,
+                group=f'g{i // group}',
+                reward=RewardCall(
+                    request_id=f'{job_id}-r{i}',
+                    host=HOST,
+                    path=REWARDS,
+                    headers=[],
+                    body=b'',
+                ),
+                model=MODEL,
+            )
+            for i in range(items)
+        ],
+    )
--- /dev/null
+++ b/features/version_orders.feature
@@ -0,0 +1,47 @@
+Feature: Engines follow the versions that trainers name
+  Daemons over a store and engines in memory, on virtual time.
+
+  Scenario: All engines load a named version, some at a time
+    Guards against engines that load all at once or never.
+    Given a platform with 6 engines and daemons a, b and c
+    When version 2 is named
+    And 5 s go by with announcements
+    Then every engine holds version 2 after 1 order each
+    And at most 2 engines were loading at once
+
+  Scenario: Orders come from one holder at a time
+    Guards against two holders that give orders within the lease time.
+    Given a platform with 6 engines and daemons a, b and c
+    When 2 s go by with announcements
+    And version 2 is named
+    And 0.3 s go by with announcements
+    And the holder of the orders is killed
+    And 12 s go by with announcements
+    Then every engine holds version 2 after 1 order each
+    And orders of different holders are 3 s apart and their fences rise
+
+  Scenario: A holder that was suspended gives no order
+    Guards against a holder that wakes up and does not know that its lease
+    has lapsed.
+    Given a platform with 6 engines and daemons a, b and c
+    When 2 s go by with announcements
+    And the holder of the orders is suspended for 10 s
+    Then it may not give orders
+
+  Scenario: An order is carried out late, after newer ones
+    Guards against an engine that goes back to an old version.
+    Given a platform with 2 engines and daemons a, b and c
+    And engine 0 answers no order and carries it out after 5 s
+    When version 2 is named
+    And 3 s go by with announcements
+    And engine 0 answers orders again
+    And version 3 is named
+    And 8 s go by with announcements
+    Then every engine holds version 3 and never went back
+
+  Scenario: The answer of a renewal is lost for good
+    Guards against a lease that is extended by a write of the past.
+    Given a platform with 2 engines and daemons a, b and c
+    When 2 s go by with announcements
+    And the answers of all renewals are lost for 6 s
+    Then orders could be given for at most 2 s after the last renewal
