Stop naming daemons that died and endpoints that answer nothing

A silent endpoint was overtaken by hedges again and again and never counted as failing. Entries held after an outage were expired only by the process, not by the parts. Ruled out: a longer time to live of the answers, as the wrong names came from fresh ones. Change: beats are noted as they arrive, and silence counts up to the last answer of the store; an overtaken attempt counts as an error; the parts expire held entries.

--- a/anvilcove/control/nodes.py
+++ b/anvilcove/control/nodes.py
@@ -1,6 +1,7 @@
 """Daemons of the service: how they announce themselves and find others."""
 
 import random
+from collections.abc import Callable
 
 from loguru import logger
 from msgspec import DecodeError, Struct, ValidationError, msgpack
@@ -18,10 +19,10 @@
 from anvilcove.state.leases import LeaseWatch
 
 NODES_TABLE = 'nodes'
-BEAT_S = 1.5
+BEAT_S = 1.0
 RETRY_S = 0.3
 # A daemon whose row has stood still this long gets no new callers.
-SILENT_S = 4.5
+SILENT_S = 3.2
 # Callers accept up to this many addresses in an answer.
 MAX_ADDRESSES = 64
 
@@ -42,7 +43,14 @@
 class NodeDirectory:
     """The daemons that are alive, as this one knows them."""
 
-    __slots__ = ('by_host', 'nonce', '_settings', '_clock', '_watch', '_lost')
+    __slots__ = (
+        'by_host',
+        'nonce',
+        'known_at',
+        '_settings',
+        '_watch',
+        '_lost',
+    )
 
     def __init__(
         self, settings: NodeSettings, clock: Clock, nonce: str
@@ -51,7 +59,8 @@
         self.by_host: dict[str, NodeRow] = {}
         self.nonce = nonce
         self._settings = settings
-        self._clock = clock
+        # Returns up to when the rows are known.
+        self.known_at: Callable[[], float] = clock.now
         self._watch = LeaseWatch(SILENT_S)
         self._lost: set[str] = set()
 
@@ -65,14 +74,23 @@
                 self.by_host.pop(row.id.key, None)
             else:
                 self.by_host[node.host] = node
+        self._note_beats()
 
     def store_was_away(self) -> None:
         """Start every watch again: no beat could be seen meanwhile."""
         self._watch.restart()
+        self._note_beats()
+
+    def _note_beats(self) -> None:
+        """Let the time of every daemon count from what it wrote last."""
+        now = self.known_at()
+        for node in self.by_host.values():
+            self._watch.expired(node.host, (node.nonce, node.beat), now)
 
     def alive(self) -> list[NodeRow]:
         """Return the other daemons that beat and are not leaving."""
-        now = self._clock.now()
+        # Silence counts only up to the last answer of the store.
+        now = self.known_at()
         found = []
         for node in self.by_host.values():
             if node.host == self._settings.host:
--- a/anvilcove/node/app.py
+++ b/anvilcove/node/app.py
@@ -120,7 +120,6 @@
     async def _housekeeping(self, logs: LogWriter) -> None:
         while True:
             await self._clock.sleep(HOUSEKEEPING_S)
-            self.parts.registry.expire(self._clock.now())
             logs.flush()
             if logs.left_out:
                 left_out, logs.left_out = logs.left_out, 0
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -36,6 +36,7 @@
 # After the store was away, entries that are missing are held back until the
 # whole table has been read again.
 LAPSE_S = 0.5
+EXPIRE_S = 0.2
 ORDERS_LEASE = 'versions'
 
 
@@ -73,6 +74,8 @@
         self.nodes = NodeDirectory(settings, outside.clock, nonce)
         self.board = JobBoard(outside.clock)
         self.watches = self._build_watches()
+        nodes_watch = self.watches['nodes']
+        self.nodes.known_at = lambda: nodes_watch.answered_at_s
         self._build_requests()
         self._build_jobs()
         self._build_control()
@@ -96,6 +99,7 @@
             self.roller.run(),
             self.slots.run(),
             self.owner.run(),
+            self._expire_endpoints(),
         ]
 
     async def hand_over(self) -> None:
@@ -209,6 +213,11 @@
             outside.clock,
         )
 
+    async def _expire_endpoints(self) -> None:
+        while True:
+            await self._clock.sleep(EXPIRE_S)
+            self.registry.expire(self._clock.now())
+
     def _on_operator_rows(self, rows: list[StoredRow], whole: bool) -> None:
         self._outside.rows.apply_operator_rows(
             rows, self.desired, self._clock.now()
--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -41,6 +41,9 @@
 # refused; a later refusal leaves its caller too little time elsewhere.
 WAIT_SHARE = 0.2
 MIN_WAIT_S = 0.02
+# A hedge starts after half of the objective; an endpoint that has not
+# answered by then and is overtaken counts as failing.
+SLOW_SHARE = 0.5
 HASH_RANGE = 2**64
 
 
@@ -143,11 +146,13 @@
         end_s = min(
             request.deadline_at_s, request.received_s + route.timeout_s
         )
+        answered = False
         try:
             answer = await self._run(progress, end_s)
+            answered = True
         finally:
             for attempt in progress.running:
-                self._abandon(attempt, route)
+                self._abandon(attempt, route, answered)
         self._record(progress, answer)
         return answer
 
@@ -298,16 +303,22 @@
             reason=str(error)[:160],
         ).info('attempt failed')
 
-    def _abandon(self, attempt: Attempt, route: Route) -> None:
-        """Stop a send whose answer is no longer needed."""
+    def _abandon(self, attempt: Attempt, route: Route, answered: bool) -> None:
+        """Stop a send whose answer is no longer needed.
+
+        An endpoint that has missed the objective while another answered, or
+        until the time was up, counts as failing.
+        """
+        took_s = self._clock.now() - attempt.started_s
+        slow = answered and took_s > route.objective_s * SLOW_SHARE
         attempt.task.cancel()
         if attempt.task.done() and not attempt.task.cancelled():
             # Retrieved so that the loop does not report it as unhandled.
             attempt.task.exception()
         self._pools.finish(
             attempt.state,
-            CANCELLED,
-            self._clock.now() - attempt.started_s,
+            ERROR if slow else CANCELLED,
+            took_s,
             route.name,
             INTERACTIVE,
         )
--- a/anvilcove/standins/memory_store.py
+++ b/anvilcove/standins/memory_store.py
@@ -86,10 +86,10 @@
     async def changes(self, table: str, after: int, wait_s: float) -> RowPage:
         """Wait for changes after a version, or raise HistoryLost."""
         await self._reach()
-        if after < self.oldest_kept:
-            raise HistoryLost(table)
         end_s = self._loop.time() + wait_s
         while True:
+            if after < self.oldest_kept:
+                raise HistoryLost(table)
             rows = [
                 row
                 for row in self.history
--- /dev/null
+++ b/features/forwarding.feature
@@ -0,0 +1,79 @@
+Feature: A request gets the whole answer of one endpoint, or a true refusal
+  A daemon over services in memory, on virtual time.
+
+  Scenario: A silent endpoint does not make a repeatable request late
+    Guards against answers that wait for an endpoint that lost them.
+    Given a platform with 1 engines and daemons a, b and c
+    And service 0 takes requests and never answers
+    When 30 repeatable requests arrive at daemon a
+    Then all of them are answered within 0.2 s
+    And no request ran at more than 2 services
+
+  Scenario: A request that may run once is sent once
+    Guards against a posting that is repeated after a lost answer.
+    Given a platform with 1 engines and daemons a, b and c
+    And the shop takes requests that may run only once
+    And every service takes requests and never answers
+    When 3 requests with 1 s left arrive at daemon a
+    Then all of them end with status 504
+    And no request ran at more than 1 services
+
+  Scenario: A refused request goes to another endpoint
+    Guards against refusals while other endpoints have room.
+    Given a platform with 1 engines and daemons a, b and c
+    And service 0 refuses everything as not run
+    When 10 repeatable requests arrive at daemon a
+    Then all of them are answered within 0.2 s
+
+  Scenario: Nothing can serve a request
+    Guards against requests that are held although nothing will serve them.
+    Given a platform with 1 engines and daemons a, b and c
+    And every service refuses everything as not run
+    When 3 requests with 1 s left arrive at daemon a
+    Then all of them end with status 503 within 0.1 s and a time to come back
+    And no request ran at more than 0 services
+
+  Scenario: No endpoint is known
+    Guards against requests that wait for a pool without endpoints.
+    Given a platform with 1 engines and daemons a, b and c
+    And every service has left
+    When 3 requests with 1 s left arrive at daemon a
+    Then all of them end with status 503 within 0.1 s and a time to come back
+
+  Scenario: The caller leaves
+    Guards against endpoints that work for callers who have left.
+    Given a platform with 1 engines and daemons a, b and c
+    And every service takes requests and never answers
+    When a caller of daemon a leaves after 0.05 s
+    Then no service works for it 0.1 s later
+
+  Scenario: An endpoint says that it leaves
+    Guards against new work for an endpoint that is leaving.
+    Given a platform with 1 engines and daemons a, b and c
+    When service 0 announces that it leaves
+    And 1.5 s go by
+    And 20 repeatable requests arrive at daemon a
+    Then service 0 got none of them
+
+  Scenario: Entries lapse while the store is away
+    Guards against a pool that is empty because nobody could renew an entry.
+    Given a platform with 1 engines and daemons a, b and c
+    When the store is away for 5 s and every entry lapses
+    And 0.5 s go by
+    And 10 repeatable requests arrive at daemon a
+    Then all of them are answered within 0.2 s
+
+  Scenario: Entries that do not come back are gone
+    Guards against requests to endpoints that ended during an outage.
+    Given a platform with 1 engines and daemons a, b and c
+    When the store is away for 5 s and every entry lapses
+    And 4 s go by
+    And 3 requests with 1 s left arrive at daemon a
+    Then all of them end with status 503 within 0.1 s and a time to come back
+
+  Scenario: The store forgets its history
+    Guards against a daemon that keeps an old desired state.
+    Given a platform with 1 engines and daemons a, b and c
+    When the store forgets its history as desired state 7 is written
+    And 1 s go by
+    Then every daemon has desired state 7 in force
--- a/features/steps/batch_job_steps.py
+++ b/features/steps/batch_job_steps.py
@@ -235,9 +235,7 @@
     assert len(results) == 16, len(results)
 
 
-@given(
-    'the reward call of item {number:d} of job {job} fails {count:d} times'
-)
+@given('the reward call of item {number:d} of job {job} fails {count:d} times')
 def failing_reward(context, number, job, count):
     """Let the first runs of a reward call fail."""
     context.memory.servers.failing[f'{job}-r{number}'] = count
--- a/features/steps/memory_site.py
+++ b/features/steps/memory_site.py
@@ -152,7 +152,7 @@
         """Remove a row in another writer's name."""
         self.store.apply(RowTransaction(removals=[RowId(table, '', key)]))
 
-    def write_operator(self, version=1, **changes):
+    def write_operator(self, version=1, shop_kind=SAFE, **changes):
         """Write a desired state; `changes` are fields of the job route."""
         job = {
             'result_objective_s': 7.5,
@@ -162,7 +162,7 @@
         state = DesiredState(
             version=version,
             routes=(
-                route('shop', SHOP, SAFE, 'app', 0.2, 2.0, 2),
+                route('shop', SHOP, shop_kind, 'app', 0.2, 2.0, 2),
                 route('reward', REWARDS, SAFE, 'app', 0.5, 2.0, 4),
                 route(
                     'job', JOBS, JOB, 'llm', 0.4, 10.0, 3, JobTargets(**job)
