--- a/anvilcove/node/app.py
+++ b/anvilcove/node/app.py
@@ -107,7 +107,7 @@
             return web.Response(status=404)
 
         server = web.Server(handle, access_log=None)
-        self._peers = web.ServerRunner(server)
+        self._peers = web.ServerRunner(server, shutdown_timeout=POLL_S)
         await self._peers.setup()
         for port in {self.settings.peer_port, self.settings.metrics_port}:
             await web.TCPSite(self._peers, self.settings.ip, port).start()
--- a/anvilcove/platform/listeners.py
+++ b/anvilcove/platform/listeners.py
@@ -45,6 +45,8 @@
 KEEPALIVE_TIMEOUT_S = 75.0
 MAX_HEADER_BYTES = 65_536
 MAX_WAIT_S = 1.0
+# Time for connections that are still open when the daemon closes.
+SHUTDOWN_S = 0.3
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -234,7 +236,7 @@
         max_line_size=MAX_HEADER_BYTES,
         max_field_size=MAX_HEADER_BYTES,
     )
-    runner = web.ServerRunner(server)
+    runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_S)
     await runner.setup()
     ip, _, port = address.rpartition(':')
     await web.TCPSite(runner, ip, int(port), backlog=1024).start()
--- a/features/steps/batch_job_steps.py
+++ b/features/steps/batch_job_steps.py
@@ -225,7 +225,8 @@
 
 
 @then(
-    'items {one:d} and {two:d} of job {job} are errored and the others completed'
+    'items {one:d} and {two:d} of job {job} are errored and the others '
+    'completed'
 )
 def errored(context, one, two, job):
     """Check which items got no text."""
