Run the batch jobs of a service at one daemon and keep connections

Each accepting daemon opened its own to every engine, and requests were spread over all endpoints of a service. Ruled out: a longer keep-alive, as servers announce 10 s and more than half of the connections were used once within that time. Change: jobs are given to the daemon with the highest rendezvous hash for their service; the accepting one takes over after 0.8 s if that does not begin. Routing prefers endpoints with an idle connection. Conclusion: two scenarios guard the owner and its loss.

--- a/anvilcove/control/nodes.py
+++ b/anvilcove/control/nodes.py
@@ -6,6 +6,7 @@
 from loguru import logger
 from msgspec import DecodeError, Struct, ValidationError, msgpack
 
+from anvilcove.decisions.home import home_of
 from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
 from anvilcove.ports.store import (
     RowId,
@@ -38,6 +39,8 @@
     peers: str
     beat: int
     leaving: bool
+    # Whether the daemon reaches the store without the help of peers.
+    reachable: bool
 
 
 class NodeDirectory:
@@ -123,6 +126,15 @@
             if ip != self._settings.ip
         ]
 
+    def home(self, service: str, own_able: bool) -> NodeRow | None:
+        """Return the daemon that runs a service's jobs, None for this one."""
+        by_host = {node.host: node for node in self.alive() if node.reachable}
+        hosts = list(by_host)
+        if own_able or not hosts:
+            hosts.append(self._settings.host)
+        chosen = home_of(service, hosts)
+        return by_host.get(chosen or '')
+
     def caller_addresses(
         self, region: str, own_ready: bool, rng: random.Random
     ) -> list[str]:
@@ -141,7 +153,7 @@
 class Announcer:
     """Write the row of this daemon."""
 
-    __slots__ = ('_row', '_store', '_clock')
+    __slots__ = ('_row', '_store', '_clock', '_reachable')
 
     def __init__(
         self,
@@ -149,6 +161,7 @@
         nonce: str,
         store: StorePort,
         clock: Clock,
+        reachable: Callable[[], bool],
     ) -> None:
         """Announce nothing before `run`."""
         self._row = NodeRow(
@@ -160,7 +173,9 @@
             peers=settings.listeners.peers,
             beat=0,
             leaving=False,
+            reachable=True,
         )
+        self._reachable = reachable
         self._store = store
         self._clock = clock
 
@@ -179,6 +194,7 @@
     async def beat(self) -> bool:
         """Write the row once; return whether it was acknowledged."""
         self._row.beat += 1
+        self._row.reachable = self._reachable()
         row_id = RowId(NODES_TABLE, '', self._row.host)
         value = msgpack.encode(self._row)
         try:
--- a/anvilcove/decisions/routing.py
+++ b/anvilcove/decisions/routing.py
@@ -45,6 +45,9 @@
 # Advantage of the own data centre; below the 15% by which the busiest server
 # may exceed the mean.
 LOCAL_WEIGHT = 0.05
+# Endpoints limit and charge for new connections; one with an open one is
+# preferred as if it had this much less of its room in use.
+CONNECTION_WEIGHT = 0.3
 # Random part of a score; decides between equal endpoints only.
 NOISE = 0.02
 # Other work stays off the endpoint that drains for an isolated request.
@@ -281,6 +284,8 @@
         score = candidate.level * (1.0 + busy + level)
         if state.data_centre == self._data_centre:
             score -= LOCAL_WEIGHT
+        if state.has_connection(now):
+            score -= CONNECTION_WEIGHT
         return score
 
     def _reported_load(self, now: float, state: EndpointState) -> float:
--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -9,6 +9,7 @@
 from anvilcove.control.desired import DesiredStateView, Route
 from anvilcove.control.endpoints import EndpointEntry
 from anvilcove.jobs.engine_slots import EngineNeed, EngineSlots
+from anvilcove.jobs.reward_gate import RewardGate
 from anvilcove.jobs.types import Item, ItemResult, JobSpec
 from anvilcove.ports.engines import (
     EngineClient,
@@ -102,7 +103,7 @@
         engines: EngineClient,
         forwarder: Forwarder,
         desired: DesiredStateView,
-        rewards: asyncio.Semaphore,
+        rewards: RewardGate,
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -267,7 +268,7 @@
             state = self._desired.current
             route = state.find(reward.host, reward.path) if state else None
             if route is not None:
-                async with self._rewards:
+                async with self._rewards.enter(route.targets[0].service):
                     now = self._clock.now()
                     answer = await self._forwarder.forward(
                         CallerRequest(
--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -3,11 +3,14 @@
 import asyncio
 import random
 import secrets
+from collections.abc import Coroutine
+from typing import Any
 
 from loguru import logger
 from msgspec.structs import replace
 
 from anvilcove.control.desired import DesiredStateView
+from anvilcove.control.nodes import NodeDirectory
 from anvilcove.control.watch import TableWatch
 from anvilcove.jobs.board import JobBoard
 from anvilcove.jobs.item_run import ItemRunner
@@ -23,7 +26,10 @@
 from anvilcove.settings.node import NodeSettings
 from anvilcove.state.clock import Clock
 
-LOOK_S = 0.25
+LOOK_S = 0.1
+# A job that its home has not begun after this time is taken over by the
+# daemon that accepted it.
+BEGIN_S = 0.8
 # What the watch knows must be this fresh before a job is taken over.
 FRESH_S = 1.5
 # Daemons that see the same abandoned job take it over one after the other.
@@ -54,6 +60,7 @@
         '_records',
         '_board',
         '_watch',
+        '_nodes',
         '_desired',
         '_runner',
         '_metrics',
@@ -71,6 +78,7 @@
         records: JobRecords,
         board: JobBoard,
         watch: TableWatch,
+        nodes: NodeDirectory,
         desired: DesiredStateView,
         runner: ItemRunner,
         metrics: NodeMetrics,
@@ -83,6 +91,7 @@
         self._records = records
         self._board = board
         self._watch = watch
+        self._nodes = nodes
         self._desired = desired
         self._runner = runner
         self._metrics = metrics
@@ -94,10 +103,11 @@
 
     async def accept(self, spec: JobSpec, end_s: float) -> None:
         """Keep a job for good and run it, or raise NotAccepted."""
+        owner, nonce = self._home(spec)
         head = JobHead(
             job_id=spec.job_id,
-            owner='' if self._closing else self._settings.host,
-            nonce='' if self._closing else self._nonce,
+            owner=owner,
+            nonce=nonce,
             beat=0,
             commit_id=secrets.token_hex(8),
             listed=0,
@@ -116,10 +126,13 @@
             min_version=spec.min_version,
             items=len(spec.items),
             first=own,
+            owner=held.head.owner,
         ).info('job accepted')
         self._metrics.job_event('accepted' if own else 'repeated')
-        if own and head.owner:
+        if own and nonce == self._nonce:
             self._begin(spec, held, [])
+        elif own:
+            self._spawn(self._guard(held))
 
     async def run(self) -> None:
         """Take over abandoned jobs and stop ended ones, for ever."""
@@ -128,9 +141,9 @@
             self._stop_ended()
             if self._closing or self._watch.age_s() > FRESH_S:
                 continue
+            await self._take_own()
             for held in self._board.abandoned():
                 await self._consider(held)
-            await self._reclaim()
 
     async def close(self) -> None:
         """Hand every job over."""
@@ -139,6 +152,26 @@
             *(run.hand_over() for run in list(self.runs.values()))
         )
 
+    def _home(self, spec: JobSpec) -> tuple[str, str]:
+        """Return host and nonce of the daemon that should run a job."""
+        state = self._desired.current
+        route = state.find(spec.host, spec.path) if state else None
+        service = route.targets[0].service if route else ''
+        home = self._nodes.home(service, own_able=not self._closing)
+        if home is not None:
+            return home.host, home.nonce
+        return self._settings.host, self._nonce
+
+    async def _guard(self, held: HeldJob) -> None:
+        """Take a job over if the daemon that should run it does not begin."""
+        job_id = held.head.job_id
+        await self._board.changed(job_id, BEGIN_S)
+        current = self._board.by_id.get(job_id)
+        if current is None or current.version != held.version:
+            return
+        if not self._closing and job_id not in self._board.ended:
+            await self._take_over(held, 'its home did not begin')
+
     async def _create(
         self, spec: JobSpec, head: JobHead, end_s: float
     ) -> HeldJob:
@@ -155,17 +188,17 @@
                 raise NotAccepted(reason, uncertain)
             await self._clock.sleep(self._rng.uniform(0.05, 0.15))
 
-    async def _reclaim(self) -> None:
-        """Take the jobs of an earlier start of this daemon at once."""
+    async def _take_own(self) -> None:
+        """Begin jobs that name this daemon, also an earlier start of it."""
         for held in list(self._board.by_id.values()):
             head = held.head
+            if head.owner != self._settings.host or head.job_id in self.runs:
+                continue
             if head.finished or head.job_id in self._board.ended:
                 continue
-            earlier = head.owner == self._settings.host and (
-                head.nonce != self._nonce
-            )
-            if earlier:
-                await self._take_over(held, 'an earlier start owned it')
+            same = head.nonce == self._nonce
+            reason = 'assigned' if same else 'an earlier start owned it'
+            await self._take_over(held, reason)
 
     async def _consider(self, held: HeldJob) -> None:
         job_id = held.head.job_id
@@ -223,7 +256,10 @@
             self._clock,
         )
         self.runs[spec.job_id] = run
-        task = asyncio.create_task(self._run(run))
+        self._spawn(self._run(run))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
--- a/anvilcove/node/app.py
+++ b/anvilcove/node/app.py
@@ -24,9 +24,9 @@
 CLOSE_S = 1.2
 POLL_S = 0.05
 HOUSEKEEPING_S = 0.2
-# Idle connections to endpoints are kept below the time after which most
-# servers close them.
-KEEPALIVE_S = 12.0
+# Idle connections to endpoints are given up before the servers close them,
+# which announce 10 s.
+KEEPALIVE_S = 9.0
 
 
 class NodeDaemon:
@@ -83,6 +83,7 @@
             clock=clock,
             lease_clock=SuspendAwareClock(),
             rng=self._rng,
+            reachable=lambda: self.relay.reachable,
         )
         self.parts = NodeParts(self.settings, self._nonce, outside)
         self.relay.peers = self.parts.nodes.relays
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from msgspec import Struct
@@ -19,6 +19,7 @@
 from anvilcove.jobs.owner import JobOwner
 from anvilcove.jobs.reader import JobReader
 from anvilcove.jobs.records import JOBS_TABLE, PARTS, JobRecords
+from anvilcove.jobs.reward_gate import RewardGate
 from anvilcove.node.metrics import NodeMetrics
 from anvilcove.node.service import NodeService, NodeState
 from anvilcove.ports.engines import EngineClient
@@ -30,9 +31,6 @@
 from anvilcove.settings.node import NodeSettings
 from anvilcove.state.clock import Clock
 
-# Reward calls of this daemon at once. Their service also answers people, who
-# wait for slots behind them.
-REWARD_CALLS = 12
 # After the store was away, entries that are missing are held back until the
 # whole table has been read again.
 LAPSE_S = 0.5
@@ -53,6 +51,8 @@
     clock: Clock
     lease_clock: Clock
     rng: random.Random
+    # Tells whether direct calls to the store are answered.
+    reachable: Callable[[], bool] = lambda: True
 
 
 class NodeParts:
@@ -172,7 +172,7 @@
             outside.engines,
             self.forwarder,
             self.desired,
-            asyncio.Semaphore(REWARD_CALLS),
+            RewardGate(self.registry),
             outside.clock,
             outside.rng,
         )
@@ -182,6 +182,7 @@
             records,
             self.board,
             watch,
+            self.nodes,
             self.desired,
             runner,
             self.metrics,
@@ -193,7 +194,11 @@
     def _build_control(self) -> None:
         outside, settings = self._outside, self.settings
         self.announcer = Announcer(
-            settings, self.nonce, outside.store, outside.clock
+            settings,
+            self.nonce,
+            outside.store,
+            outside.clock,
+            outside.reachable,
         )
         self.lease = Lease(
             ORDERS_LEASE,
--- a/anvilcove/proxy/pools.py
+++ b/anvilcove/proxy/pools.py
@@ -11,6 +11,7 @@
 from anvilcove.decisions.limits import GradientLimit, queue_ratio
 from anvilcove.decisions.routing import LeastExpectedWait
 from anvilcove.decisions.types import (
+    OK,
     AttemptResult,
     NoRoute,
     RouteRequest,
@@ -60,6 +61,9 @@
             return None
         state = self.registry.view.by_id[choice.endpoint]
         state.in_flight += 1
+        now = self._clock.now()
+        idle = state.idle_connections if state.has_connection(now) else 0
+        state.idle_connections = max(idle - 1, 0)
         return state
 
     async def wait(
@@ -106,6 +110,9 @@
     ) -> None:
         """Give a slot back and learn from what came of it."""
         now = self._clock.now()
+        if outcome == OK:
+            state.idle_connections += 1
+            state.idle_since_s = now
         if load is not None:
             self.registry.view.set_report(
                 state,
--- a/anvilcove/state/endpoints.py
+++ b/anvilcove/state/endpoints.py
@@ -13,6 +13,8 @@
 # live again.
 MARK_KEPT_S = 60.0
 REMEMBERED_REPORTS = 16
+# Idle connections are kept for about this long.
+IDLE_CONNECTION_S = 8.0
 
 
 class EndpointState:
@@ -33,6 +35,8 @@
         'ejected_until_s',
         'isolated',
         'version',
+        'idle_connections',
+        'idle_since_s',
     )
 
     def __init__(self, member: EndpointMember) -> None:
@@ -51,6 +55,9 @@
         self.ejected_until_s = 0.0
         self.isolated = False
         self.version = 0
+        # Connections that were left open, and when the last one was.
+        self.idle_connections = 0
+        self.idle_since_s = float('-inf')
 
     def has_room(self, now: float) -> bool:
         """Tell whether the endpoint may take one more request."""
@@ -61,6 +68,11 @@
             and self.in_flight < self.limit
         )
 
+    def has_connection(self, now: float) -> bool:
+        """Tell whether a connection is probably open and idle."""
+        fresh = now - self.idle_since_s < IDLE_CONNECTION_S
+        return fresh and self.idle_connections > 0
+
 
 class EndpointView:
     """All endpoints by identifier and by pool."""
--- a/features/batch_jobs.feature
+++ b/features/batch_jobs.feature
@@ -113,3 +113,21 @@
     And daemon a accepts job j1 with 32 items from version 2 on
     And 6 s go by with announcements
     Then every result of job j1 was made by version 2
+
+  Scenario: The jobs of a service are run by one daemon
+    Guards against daemons that fill the same engines without seeing each
+    other, each over connections of its own.
+    Given a platform with 4 engines and daemons a, b and c
+    When daemon a accepts job j1 with 16 items
+    And daemon b accepts job j2 with 16 items
+    And daemon c accepts job j3 with 16 items
+    And 0.5 s go by
+    Then one daemon owns the jobs j1, j2 and j3
+
+  Scenario: The daemon that should run a job has just died
+    Guards against a job that waits for a lease before its first item runs.
+    Given a platform with 4 engines and daemons a, b and c
+    When the home of the jobs is killed
+    And another daemon accepts job j1 with 16 items
+    And 3 s go by
+    Then every daemon lists 16 completed results of job j1 in the same order
--- a/features/steps/batch_job_steps.py
+++ b/features/steps/batch_job_steps.py
@@ -375,3 +375,36 @@
 def acted(context, seconds):
     """Compare with the time for which a renewal holds."""
     assert context.acted_s <= seconds, context.acted_s
+
+
+def home(context):
+    """Return the name of the daemon that runs the jobs of the engines."""
+    names = set()
+    for name, daemon in context.memory.daemons.items():
+        node = daemon.nodes.home('llm', own_able=True)
+        names.add(node.host if node else name)
+    assert len(names) == 1, names
+    return names.pop()
+
+
+@then('one daemon owns the jobs {one}, {two} and {three}')
+def one_owner(context, one, two, three):
+    """Check the rows of the jobs."""
+    by_id = context.memory.daemons['a'].board.by_id
+    owners = {by_id[job].head.owner for job in (one, two, three)}
+    assert owners == {home(context)}, owners
+
+
+@when('the home of the jobs is killed')
+def kill_home(context):
+    """End the daemon that runs the jobs."""
+    name = home(context)
+    context.memory.kill(name)
+    context.memory.daemons.pop(name)
+
+
+@when('another daemon accepts job {job} with {count:d} items')
+def accept_elsewhere(context, job, count):
+    """Submit a job to a daemon that still takes the dead one as alive."""
+    name = min(context.memory.daemons)
+    accept(context, name, job, count)
