Wait for the home of a job although its own row arrives meanwhile

Cause: the accepting daemon took every job over at once, since its own watch delivered the row that it had just written. Change: it waits until the version of the row differs or the time is up. Before and after: the scenario of one owner failed and passes.

--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -165,10 +165,12 @@
     async def _guard(self, held: HeldJob) -> None:
         """Take a job over if the daemon that should run it does not begin."""
         job_id = held.head.job_id
-        await self._board.changed(job_id, BEGIN_S)
-        current = self._board.by_id.get(job_id)
-        if current is None or current.version != held.version:
-            return
+        end_s = self._clock.now() + BEGIN_S
+        while self._clock.now() < end_s:
+            await self._board.changed(job_id, end_s - self._clock.now())
+            current = self._board.by_id.get(job_id)
+            if current is None or current.version != held.version:
+                return
         if not self._closing and job_id not in self._board.ended:
             await self._take_over(held, 'its home did not begin')
 
