--- a/anvilcove/platform/engines.py
+++ b/anvilcove/platform/engines.py
@@ -1,10 +1,11 @@
 """Client of the platform's model servers."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterable, AsyncIterator
 
 from aiohttp import ClientResponse, ClientSession
-from msgspec import DecodeError, ValidationError, json
+from msgspec import json
 
+from anvilcove.platform.bodies import BodyError, decode_object
 from anvilcove.platform.exchange import (
     check_framing,
     exchange,
@@ -82,11 +83,7 @@
             version = _version(response.headers.get(WEIGHT_VERSIONS, ''))
             yield GenerationStart(version, server_load(response))
             last = generation.after
-            async for event in _events(response, version):
-                if event.number != last + 1:
-                    raise AnswerMismatch(
-                        f'expected event {last + 1}, got {event.number}'
-                    )
+            async for event in read_events(response.content, last, version):
                 last = event.number
                 yield event
             yield GenerationEnd(last)
@@ -126,15 +123,14 @@
             if response.status != 200:
                 raise EndpointFailed(f'report: status {response.status}')
             try:
-                data = json.decode(await response.read())
+                data = decode_object(await response.read())
                 return EngineReport(
                     version_by_model=decode_models(data['models']),
                     order_busy=bool(data['busy']),
                     order_count=int(data['sequence']),
                 )
             except (
-                DecodeError,
-                ValidationError,
+                BodyError,
                 RowError,
                 KeyError,
                 TypeError,
@@ -161,13 +157,36 @@
         raise AnswerMismatch(f'version {text[:40]!r}') from error
 
 
-async def _events(
-    response: ClientResponse, version: int
+async def read_events(
+    lines: AsyncIterable[bytes], after: int, version: int
 ) -> AsyncIterator[TokenEvent]:
-    """Yield the whole events of a stream; a cut one is left out."""
-    number = 0
-    data: list[str] = []
-    async for raw in response.content:
+    """Yield the whole events after a number, or raise an EndpointError."""
+    reader = EventReader(after, version)
+    async for line in lines:
+        event = reader.add(line)
+        if event is not None:
+            yield event
+    reader.end()
+
+
+class EventReader:
+    """Put the lines of a stream together.
+
+    An event that was cut is left out; one that is missing or out of order
+    ends the stream.
+    """
+
+    __slots__ = ('_number', '_last', '_version', '_data')
+
+    def __init__(self, after: int, version: int) -> None:
+        """Expect the events after a number."""
+        self._number = 0
+        self._last = after
+        self._version = version
+        self._data: list[str] = []
+
+    def add(self, raw: bytes) -> TokenEvent | None:
+        """Take a line; return the event that it ends."""
         if not raw.endswith(b'\n'):
             raise EndpointCrashed('stream ended inside an event')
         try:
@@ -175,23 +194,33 @@
         except UnicodeDecodeError as error:
             raise AnswerMismatch('event is not text') from error
         if not line:
-            if data:
-                yield TokenEvent(number, '\n'.join(data), version)
-            data = []
-            continue
+            return self._event()
         name, _, value = line.partition(':')
         value = value.removeprefix(' ')
         if name == 'data':
-            data.append(value)
+            self._data.append(value)
         elif name == 'id':
-            number = _event_number(value)
+            self._number = _event_number(value)
         elif name == WEIGHT_VERSIONS.lower():
-            version = _version(value)
-    if data:
-        raise EndpointCrashed('stream ended inside an event')
+            self._version = _version(value)
+        return None
+
+    def end(self) -> None:
+        """Raise EndpointCrashed inside an event."""
+        if self._data:
+            raise EndpointCrashed('stream ended inside an event')
+
+    def _event(self) -> TokenEvent | None:
+        if not self._data:
+            return None
+        if self._number != self._last + 1:
+            raise AnswerMismatch(f'event {self._number} after {self._last}')
+        self._last = self._number
+        text, self._data = '\n'.join(self._data), []
+        return TokenEvent(self._number, text, self._version)
 
 
 def _event_number(text: str) -> int:
-    if not text.isdigit() or len(text) > 9:
+    if not (text.isascii() and text.isdigit()) or len(text) > 9:
         raise AnswerMismatch(f'event id {text[:40]!r}')
     return int(text)
--- a/anvilcove/platform/jobs.py
+++ b/anvilcove/platform/jobs.py
@@ -3,10 +3,11 @@
 from base64 import b64decode
 from typing import Any
 
-from msgspec import DecodeError, ValidationError, json
+from msgspec import json
 
 from anvilcove.jobs.reader import ResultPage
 from anvilcove.jobs.types import Item, JobSpec, RewardCall
+from anvilcove.platform.bodies import BodyError, decode_object
 from anvilcove.platform.names import ATTEMPT_ID
 
 COMPLETED = 'completed'
@@ -24,9 +25,9 @@
 def decode_job(job_id: str, host: str, path: str, body: bytes) -> JobSpec:
     """Decode a submission, or raise JobFormatError."""
     try:
-        data = json.decode(body)
-    except (DecodeError, ValidationError, RecursionError) as error:
-        raise JobFormatError(f'not JSON: {error}') from error
+        data = decode_object(body)
+    except BodyError as error:
+        raise JobFormatError(str(error)) from error
     try:
         items = [_item(item) for item in data['requests']]
         spec = JobSpec(
@@ -39,7 +40,13 @@
             target_groups=int(data.get('target-groups', 0)),
             items=items,
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+    ) as error:
         raise JobFormatError(f'a field is wrong: {error!r}') from error
     if len({item.item_id for item in items}) != len(items):
         raise JobFormatError('an item is listed twice')
--- a/anvilcove/platform/rows.py
+++ b/anvilcove/platform/rows.py
@@ -3,7 +3,6 @@
 from typing import Any
 
 from loguru import logger
-from msgspec import DecodeError, ValidationError, json
 
 from anvilcove.control.desired import (
     DEFAULT_IDLE_TIMEOUT_S,
@@ -22,6 +21,7 @@
     Target,
 )
 from anvilcove.control.endpoints import EndpointEntry
+from anvilcove.platform.bodies import BodyError, decode_object
 from anvilcove.ports.store import StoredRow
 
 OPERATOR_TABLE = 'op'
@@ -63,7 +63,13 @@
             },
             limits=_limits(data.get('limits', {})),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+    ) as error:
         raise RowError(f'desired state: {error!r}') from error
 
 
@@ -130,17 +136,9 @@
 
 def _load(value: bytes) -> dict[str, Any]:
     try:
-        data = json.decode(value)
-    except (
-        DecodeError,
-        ValidationError,
-        UnicodeDecodeError,
-        RecursionError,
-    ) as error:
-        raise RowError(f'not JSON: {error}') from error
-    if not isinstance(data, dict):
-        raise RowError('not a JSON object')
-    return data
+        return decode_object(value)
+    except BodyError as error:
+        raise RowError(str(error)) from error
 
 
 def _whole(value: object) -> bool:
--- a/anvilcove/platform/store.py
+++ b/anvilcove/platform/store.py
@@ -4,8 +4,9 @@
 from typing import Any
 from urllib.parse import quote, urlencode
 
-from msgspec import DecodeError, ValidationError, json
+from msgspec import json
 
+from anvilcove.platform.bodies import BodyError, decode_object
 from anvilcove.ports.errors import (
     ObjectNotFound,
     StoreAnswerLost,
@@ -173,17 +174,14 @@
 
 def _object(reply: StoreReply) -> dict[str, Any]:
     try:
-        data = json.decode(reply.body)
-    except (DecodeError, ValidationError, UnicodeDecodeError) as error:
-        raise StoreAnswerLost(f'answer is not JSON: {error}') from error
-    if not isinstance(data, dict):
-        raise StoreAnswerLost('answer is not a JSON object')
-    return data
+        return decode_object(reply.body)
+    except BodyError as error:
+        raise StoreAnswerLost(f'answer of the store: {error}') from error
 
 
 def _number(data: dict[str, Any], name: str) -> int:
     value = data.get(name, 0)
-    return int(value) if isinstance(value, int | float) else 0
+    return value if isinstance(value, int) else 0
 
 
 def _page(data: dict[str, Any]) -> RowPage:
