Let each engine follow one trainer's model

Change: engines are shared alike among the models; an engine stays with the model whose newest version it is closest to. One order at a time for an engine, and half of a model's engines go on answering. Conclusion: two scenarios name the pattern of trainers that share engines.

--- a/anvilcove/control/versions.py
+++ b/anvilcove/control/versions.py
@@ -1,6 +1,7 @@
 """Move the engines to the versions that trainers name."""
 
 import asyncio
+from collections.abc import Callable
 
 from loguru import logger
 
@@ -8,9 +9,10 @@
 from anvilcove.control.endpoints import EndpointEntry, EndpointRegistry
 from anvilcove.control.leases import Lease
 from anvilcove.decisions.version_roll import (
-    EngineVersion,
-    RollSettings,
-    engines_to_order,
+    EngineHolding,
+    LoadOrder,
+    ModelNeed,
+    plan_loads,
 )
 from anvilcove.ports.engines import (
     CARRIED_OUT,
@@ -35,14 +37,23 @@
 class OrderRecord:
     """The last order to one engine and whether it was accepted."""
 
-    __slots__ = ('version', 'accepted', 'at_s')
+    __slots__ = ('order', 'accepted', 'at_s')
 
-    def __init__(self, version: int, accepted: bool, at_s: float) -> None:
-        """Note an order."""
-        self.version = version
-        self.accepted = accepted
+    def __init__(self, order: LoadOrder, at_s: float) -> None:
+        """Note an order that is about to be given."""
+        self.order = order
+        self.accepted = False
         self.at_s = at_s
 
+    def loading(self, entry: EndpointEntry, now: float) -> bool:
+        """Tell whether the engine is probably still loading."""
+        held = entry.version_by_model.get(self.order.model, 0)
+        return (
+            self.accepted
+            and held < self.order.version
+            and now < self.at_s + LOAD_S
+        )
+
 
 class VersionRoller:
     """Give version orders while this daemon holds the lease for them."""
@@ -54,7 +65,8 @@
         '_registry',
         '_engines',
         '_clock',
-        '_roll',
+        '_in_flight',
+        '_work_of',
         '_orders',
         '_count_by_endpoint',
     )
@@ -67,16 +79,23 @@
         registry: EndpointRegistry,
         engines: EngineClient,
         clock: Clock,
+        in_flight: Callable[[str], int],
+        work_of: Callable[[str], float],
     ) -> None:
-        """Give no order yet."""
+        """Give no order yet.
+
+        `in_flight` tells this daemon's work at an engine, `work_of` the work
+        that a model has lately had.
+        """
         self._host = host
         self._lease = lease
         self._desired = desired
         self._registry = registry
         self._engines = engines
         self._clock = clock
-        self._roll = RollSettings()
-        self._orders: dict[tuple[str, str], OrderRecord] = {}
+        self._in_flight = in_flight
+        self._work_of = work_of
+        self._orders: dict[str, OrderRecord] = {}
         # Orders that an engine has accepted, where it told more than its
         # announcement does.
         self._count_by_endpoint: dict[str, int] = {}
@@ -93,58 +112,62 @@
 
     async def look(self) -> None:
         """Give the orders that may be given now."""
-        for model, target in list(self._desired.model_versions.items()):
-            engines = self._engine_versions(model)
+        for service, models in self._models_by_service().items():
+            needs = [
+                ModelNeed(
+                    model,
+                    self._desired.model_versions.get(model, 1),
+                    self._work_of(model),
+                )
+                for model in models
+            ]
             now = self._clock.now()
-            chosen = engines_to_order(now, target, engines, self._roll)
-            await asyncio.gather(
-                *(self._order(engine, model, target) for engine in chosen)
-            )
+            orders = plan_loads(now, needs, self._holdings(service))
+            await asyncio.gather(*(self._order(order) for order in orders))
 
-    def _engine_versions(self, model: str) -> list[EngineVersion]:
-        found = []
+    def _models_by_service(self) -> dict[str, tuple[str, ...]]:
+        state = self._desired.current
+        if state is None:
+            return {}
+        return {
+            service.name: service.engine.models
+            for service in state.services_by_name.values()
+            if service.engine is not None
+        }
+
+    def _holdings(self, service: str) -> list[EngineHolding]:
         now = self._clock.now()
+        found = []
         for entry in self._registry.entry_by_endpoint.values():
-            if entry.draining or model not in entry.version_by_model:
+            if entry.service != service or entry.draining:
                 continue
-            version = entry.version_by_model[model]
-            state = self._registry.view.by_id.get(entry.endpoint)
-            record = self._orders.get((entry.endpoint, model))
-            loading = (
-                record is not None
-                and record.accepted
-                and version < record.version
-                and now < record.at_s + LOAD_S
-            )
+            record = self._orders.get(entry.endpoint)
             found.append(
-                EngineVersion(
+                EngineHolding(
                     endpoint=entry.endpoint,
-                    data_centre=entry.data_centre,
-                    version=version,
-                    busy=loading,
-                    in_flight=state.in_flight if state else 0,
+                    version_by_model=entry.version_by_model,
+                    busy=record is not None and record.loading(entry, now),
                     retry_at_s=record.at_s + RETRY_S if record else 0.0,
+                    in_flight=self._in_flight(entry.endpoint),
                 )
             )
         return found
 
-    async def _order(
-        self, engine: EngineVersion, model: str, target: int
-    ) -> None:
-        entry = self._registry.entry_by_endpoint.get(engine.endpoint)
+    async def _order(self, wanted: LoadOrder) -> None:
+        entry = self._registry.entry_by_endpoint.get(wanted.endpoint)
         if entry is None:
             return
-        record = OrderRecord(target, False, self._clock.now())
-        self._orders[entry.endpoint, model] = record
+        record = OrderRecord(wanted, self._clock.now())
+        self._orders[entry.endpoint] = record
         count = self._count_by_endpoint.get(entry.endpoint)
         if count is None:
-            count = await self._ask(entry, record, model)
+            count = await self._ask(entry, record)
         fence = self._lease.fence()
         if count is None or fence is None:
             return
         order = VersionOrder(
-            model=model,
-            version=target,
+            model=wanted.model,
+            version=wanted.version,
             holder=self._host,
             fence=fence,
             order_count=count,
@@ -159,9 +182,9 @@
             self._count_by_endpoint[entry.endpoint] = count + 1
         logger.bind(
             endpoint=entry.endpoint,
-            model=model,
-            version=target,
-            held=engine.version,
+            model=wanted.model,
+            version=wanted.version,
+            held=entry.version_by_model.get(wanted.model, 0),
             fence=fence,
             order_count=count,
             outcome=outcome,
@@ -177,7 +200,7 @@
             return f'no answer: {error}'[:120]
 
     async def _ask(
-        self, entry: EndpointEntry, record: OrderRecord, model: str
+        self, entry: EndpointEntry, record: OrderRecord
     ) -> int | None:
         """Return the count of orders of an engine that may take one."""
         try:
@@ -188,8 +211,8 @@
                 'engine report not read'
             )
             return None
-        held = report.version_by_model.get(model, 0)
-        if report.order_busy or held >= record.version:
+        held = report.version_by_model.get(record.order.model, 0)
+        if report.order_busy or held >= record.order.version:
             # It is loading, or will announce the version soon.
             record.accepted = True
             return None
--- a/anvilcove/jobs/board.py
+++ b/anvilcove/jobs/board.py
@@ -73,6 +73,16 @@
                 found.append(held)
         return found
 
+    def work_of(self, model: str) -> float:
+        """Return the tokens of the known jobs of a model."""
+        return float(
+            sum(
+                held.head.tokens
+                for held in self.by_id.values()
+                if held.head.model == model
+            )
+        )
+
     async def changed(self, job_id: str, wait_s: float) -> None:
         """Wait until the row of a job changes, at most for a time."""
         event = asyncio.Event()
--- a/anvilcove/jobs/engine_slots.py
+++ b/anvilcove/jobs/engine_slots.py
@@ -118,6 +118,11 @@
                 self.give_back(future.result().endpoint)
             raise
 
+    def in_flight(self, endpoint: str) -> int:
+        """Return the items that run at an engine."""
+        record = self._records.get(endpoint)
+        return record.in_flight if record else 0
+
     def give_back(self, endpoint: str) -> None:
         """Free a slot."""
         self._record(endpoint).in_flight -= 1
--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -115,6 +115,8 @@
             submitted_ms=self._watch.store_now_ms(),
             host=spec.host,
             path=spec.path,
+            model=spec.model,
+            tokens=sum(item.tokens for item in spec.items),
         )
         held = await self._create(spec, head, end_s)
         self._board.adopt(held)
--- a/anvilcove/jobs/types.py
+++ b/anvilcove/jobs/types.py
@@ -59,6 +59,9 @@
     submitted_ms: float
     host: str
     path: str
+    model: str
+    # Prompt and output tokens of all items at the most.
+    tokens: int
 
     @property
     def finished(self) -> bool:
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -216,6 +216,8 @@
             self.registry,
             outside.engines,
             outside.clock,
+            self.slots.in_flight,
+            self.board.work_of,
         )
 
     async def _expire_endpoints(self) -> None:
--- a/features/steps/memory_site.py
+++ b/features/steps/memory_site.py
@@ -10,6 +10,7 @@
     JOB,
     SAFE,
     DesiredState,
+    EngineTraits,
     JobTargets,
     Route,
     Service,
@@ -74,6 +75,7 @@
     def __init__(self, engines=4, servers=3, slots=12):
         """Build everything on a loop of its own; nothing runs yet."""
         logger.remove()
+        self.models = (MODEL,)
         self.loop = VirtualLoop()
         asyncio.set_event_loop(self.loop)
         self.store = MemoryStore(self.loop)
@@ -170,7 +172,7 @@
             ),
             services_by_name={
                 'app': Service('app', 100),
-                'llm': Service('llm', 100),
+                'llm': Service('llm', 100, EngineTraits(12, self.models)),
             },
         )
         self.put('op', 'config', msgspec.msgpack.encode(state))
--- a/features/version_orders.feature
+++ b/features/version_orders.feature
@@ -45,3 +45,19 @@
     When 2 s go by with announcements
     And the answers of all renewals are lost for 6 s
     Then orders could be given for at most 2 s after the last renewal
+
+  Scenario: Two trainers share the engines
+    Guards against engines that load every version of every trainer: the
+    pattern of several jobs open for one pool while part of it is loading.
+    Given 5 engines that hold version 1 of two models
+    When each model gets 8 more versions, each loaded before the next
+    Then at most 20 loads of each model were ordered for its 8 versions
+    And every engine followed one model all the time
+
+  Scenario: An engine is lost and another one follows its model
+    Guards against a model that no engine is moved for.
+    Given 4 engines that hold version 1 of two models
+    When each model gets 3 more versions, each loaded before the next
+    And every engine of the first model is lost
+    And each model gets 1 more versions, each loaded before the next
+    Then both models are held in their newest version somewhere
