Run a job once per daemon, move items off slow engines

Items of an engine that turned slow held their step up for 10 s. Engines announce a loaded version up to two seconds late, and items met engines that were loading. Ruled out: moving all items off an engine before each load. Change: one take-over at a time per job; items move once, off engines at twice the median time per event; the holder of the orders is the home of the jobs and knows which engines load.

--- a/anvilcove/control/nodes.py
+++ b/anvilcove/control/nodes.py
@@ -41,6 +41,8 @@
     leaving: bool
     # Whether the daemon reaches the store without the help of peers.
     reachable: bool
+    # Whether the daemon gives the orders to the engines.
+    orders: bool
 
 
 class NodeDirectory:
@@ -126,14 +128,24 @@
             if ip != self._settings.ip
         ]
 
-    def home(self, service: str, own_able: bool) -> NodeRow | None:
-        """Return the daemon that runs a service's jobs, None for this one."""
+    def home(
+        self, service: str, own_able: bool, own_orders: bool
+    ) -> NodeRow | None:
+        """Return the daemon that runs a service's jobs, None for this one.
+
+        It is the one that gives the orders, since it knows which engines
+        load, or else one that all daemons choose alike.
+        """
         by_host = {node.host: node for node in self.alive() if node.reachable}
+        if own_orders and own_able:
+            return None
+        for node in by_host.values():
+            if node.orders:
+                return node
         hosts = list(by_host)
         if own_able or not hosts:
             hosts.append(self._settings.host)
-        chosen = home_of(service, hosts)
-        return by_host.get(chosen or '')
+        return by_host.get(home_of(service, hosts) or '')
 
     def caller_addresses(
         self, region: str, own_ready: bool, rng: random.Random
@@ -153,7 +165,7 @@
 class Announcer:
     """Write the row of this daemon."""
 
-    __slots__ = ('_row', '_store', '_clock', '_reachable')
+    __slots__ = ('_row', '_store', '_clock', '_standing')
 
     def __init__(
         self,
@@ -161,9 +173,13 @@
         nonce: str,
         store: StorePort,
         clock: Clock,
-        reachable: Callable[[], bool],
+        standing: Callable[[], tuple[bool, bool]],
     ) -> None:
-        """Announce nothing before `run`."""
+        """Announce nothing before `run`.
+
+        `standing` tells whether the store is reached directly and whether
+        this daemon gives the orders.
+        """
         self._row = NodeRow(
             host=settings.host,
             nonce=nonce,
@@ -174,8 +190,9 @@
             beat=0,
             leaving=False,
             reachable=True,
+            orders=False,
         )
-        self._reachable = reachable
+        self._standing = standing
         self._store = store
         self._clock = clock
 
@@ -194,7 +211,7 @@
     async def beat(self) -> bool:
         """Write the row once; return whether it was acknowledged."""
         self._row.beat += 1
-        self._row.reachable = self._reachable()
+        self._row.reachable, self._row.orders = self._standing()
         row_id = RowId(NODES_TABLE, '', self._row.host)
         value = msgpack.encode(self._row)
         try:
--- a/anvilcove/control/versions.py
+++ b/anvilcove/control/versions.py
@@ -14,6 +14,7 @@
     ModelNeed,
     plan_loads,
 )
+from anvilcove.jobs.engine_slots import EngineSlots
 from anvilcove.ports.engines import (
     CARRIED_OUT,
     HOLDS,
@@ -65,7 +66,7 @@
         '_registry',
         '_engines',
         '_clock',
-        '_in_flight',
+        '_slots',
         '_work_of',
         '_orders',
         '_count_by_endpoint',
@@ -79,13 +80,13 @@
         registry: EndpointRegistry,
         engines: EngineClient,
         clock: Clock,
-        in_flight: Callable[[str], int],
+        slots: EngineSlots,
         work_of: Callable[[str], float],
     ) -> None:
         """Give no order yet.
 
-        `in_flight` tells this daemon's work at an engine, `work_of` the work
-        that a model has lately had.
+        `slots` hold this daemon's work at the engines; `work_of` tells the
+        work that a model has lately had.
         """
         self._host = host
         self._lease = lease
@@ -93,7 +94,7 @@
         self._registry = registry
         self._engines = engines
         self._clock = clock
-        self._in_flight = in_flight
+        self._slots = slots
         self._work_of = work_of
         self._orders: dict[str, OrderRecord] = {}
         # Orders that an engine has accepted, where it told more than its
@@ -148,7 +149,7 @@
                     version_by_model=entry.version_by_model,
                     busy=record is not None and record.loading(entry, now),
                     retry_at_s=record.at_s + RETRY_S if record else 0.0,
-                    in_flight=self._in_flight(entry.endpoint),
+                    in_flight=self._slots.in_flight(entry.endpoint),
                 )
             )
         return found
@@ -175,6 +176,10 @@
         )
         outcome = await self._give(entry, order)
         record.accepted = outcome in (CARRIED_OUT, HOLDS)
+        if record.accepted:
+            self._slots.load_ordered(
+                entry.endpoint, wanted.model, wanted.version
+            )
         # An order without a clear answer may have been accepted, so the count
         # is asked for before the next one.
         self._count_by_endpoint.pop(entry.endpoint, None)
--- /dev/null
+++ b/anvilcove/decisions/item_moves.py
@@ -0,0 +1,46 @@
+"""Which running items go on at another engine."""
+
+from msgspec import Struct
+
+# An engine whose time per event is this many times the pool's median holds a
+# step up. Full engines are up to a fifth slower than idle ones.
+SLOW_PACE = 2.0
+
+
+class RunningEngine(Struct):
+    """Load and pace of one engine, `pace` over the median of the pool."""
+
+    endpoint: str
+    slots: int
+    in_flight: int
+    pace: float = 1.0
+    usable: bool = True
+
+
+class RunningItem(Struct):
+    """An item that runs at an engine and has made some events.
+
+    `moves` counts how often it was moved before.
+    """
+
+    item_id: str
+    endpoint: str
+    events: int
+    moves: int = 0
+
+
+def slow_moves(
+    engines: list[RunningEngine], items: list[RunningItem]
+) -> list[RunningItem]:
+    """Return the items to move away from slow engines, within the room."""
+    room = _room([e for e in engines if e.pace < SLOW_PACE])
+    slow = {e.endpoint for e in engines if e.pace >= SLOW_PACE}
+    # A move costs a connection, so each item is moved once.
+    waiting = [i for i in items if i.endpoint in slow and not i.moves]
+    # What has run longest is the most likely to hold its group up.
+    waiting.sort(key=lambda item: -item.events)
+    return waiting[:room]
+
+
+def _room(engines: list[RunningEngine]) -> int:
+    return sum(max(e.slots - e.in_flight, 0) for e in engines if e.usable)
--- a/anvilcove/jobs/engine_slots.py
+++ b/anvilcove/jobs/engine_slots.py
@@ -4,12 +4,17 @@
 import heapq
 import itertools
 import random
-from collections import OrderedDict
+from collections import OrderedDict, deque
 
 from loguru import logger
 from msgspec import Struct
 
 from anvilcove.control.endpoints import EndpointEntry, EndpointRegistry
+from anvilcove.decisions.item_moves import (
+    RunningEngine,
+    RunningItem,
+    slow_moves,
+)
 from anvilcove.decisions.item_placement import EngineSlotView, choose_engine
 from anvilcove.ports.engines import EngineLoad
 from anvilcove.state.clock import Clock
@@ -17,8 +22,13 @@
 # Waiting items look again after this time, for engines that have become
 # usable without a slot being given back.
 LOOK_S = 0.05
-# Weight of a new measurement of an engine's pace.
-PACE_STEP = 0.2
+# Times between events whose median is an engine's pace.
+MEASURED_GAPS = 9
+# A longer time between events is a load of weights, which stops all runs.
+PAUSE_S = 0.6
+# Time after which an engine that was ordered to load is tried again; its
+# announcement comes up to two seconds later.
+LOAD_S = 0.95
 # An engine that refused an item is left out for this long; while it loads a
 # version it refuses for about a second.
 REFUSED_S = 0.15
@@ -37,14 +47,46 @@
     excluded: set[str]
 
 
+class RunHandle:
+    """A running item, which may be told to go on elsewhere."""
+
+    __slots__ = (
+        'item_id',
+        'endpoint',
+        'events',
+        'moves',
+        'moved',
+        'timeout',
+    )
+
+    def __init__(
+        self, item_id: str, endpoint: str, events: int, moves: int
+    ) -> None:
+        """Start with what earlier runs of the item have made."""
+        self.item_id = item_id
+        self.endpoint = endpoint
+        self.events = events
+        self.moves = moves
+        self.moved = False
+        # The running wait for the next event.
+        self.timeout: asyncio.Timeout | None = None
+
+    def move(self) -> None:
+        """End the run; its text goes on at another engine."""
+        self.moved = True
+        if self.timeout is not None and not self.timeout.expired():
+            self.timeout.reschedule(asyncio.get_running_loop().time())
+
+
 class EngineRecord:
     """What this daemon has learned of one engine."""
 
     __slots__ = (
         'in_flight',
         'others',
-        'event_s',
+        'gaps_s',
         'out_until_s',
+        'loading_until_s',
         'failures',
         'versions',
     )
@@ -53,13 +95,20 @@
         """Start without knowledge."""
         self.in_flight = 0
         self.others = 0
-        # Mean time between events, 0 while not measured.
-        self.event_s = 0.0
+        # Times between events; their median ignores the pauses of loads.
+        self.gaps_s: deque[float] = deque(maxlen=MEASURED_GAPS)
+        self.loading_until_s = float('-inf')
         self.out_until_s = 0.0
         self.failures = 0
         # Versions that its answers have named, by model.
         self.versions: dict[str, int] = {}
 
+    def event_s(self) -> float:
+        """Return the median time between events, 0 while not measured."""
+        if len(self.gaps_s) < MEASURED_GAPS // 2:
+            return 0.0
+        return sorted(self.gaps_s)[len(self.gaps_s) // 2]
+
 
 class EngineSlots:
     """Give out slots to waiting items, the most urgent first."""
@@ -72,6 +121,7 @@
         '_waiting',
         '_sequence',
         '_engine_by_group',
+        '_runs',
     )
 
     def __init__(
@@ -92,11 +142,13 @@
         ] = []
         self._sequence = itertools.count()
         self._engine_by_group: OrderedDict[str, str] = OrderedDict()
+        self._runs: dict[str, RunHandle] = {}
 
     async def run(self) -> None:
         """Serve waiting items for ever."""
         while True:
             self.serve()
+            self._move_stragglers()
             await self._clock.sleep(LOOK_S)
 
     async def take(
@@ -161,10 +213,76 @@
             record.others = max(busy - record.in_flight, 0)
 
     def event_took(self, endpoint: str, seconds: float) -> None:
-        """Learn the time between two events."""
+        """Learn the time between two events; pauses of loads don't count."""
+        if seconds < PAUSE_S:
+            self._record(endpoint).gaps_s.append(seconds)
+
+    def run_started(self, handle: RunHandle) -> None:
+        """Know a run, so that it can be moved."""
+        self._runs[handle.item_id] = handle
+
+    def run_ended(self, handle: RunHandle) -> None:
+        """Forget a run."""
+        if self._runs.get(handle.item_id) is handle:
+            del self._runs[handle.item_id]
+
+    def load_ordered(self, endpoint: str, model: str, version: int) -> None:
+        """Use an engine again, with its new weights, when it has loaded."""
         record = self._record(endpoint)
-        known = record.event_s or seconds
-        record.event_s = known + PACE_STEP * (seconds - known)
+        record.loading_until_s = self._clock.now() + LOAD_S
+        record.versions[model] = max(record.versions.get(model, 0), version)
+
+    def _move_stragglers(self) -> None:
+        if not self._runs:
+            return
+        for service in {e.service for e in self._entries_with_runs()}:
+            moves = slow_moves(
+                self._running_engines(service), self._running_items()
+            )
+            for item in moves:
+                logger.bind(
+                    request=item.item_id,
+                    endpoint=item.endpoint,
+                    events=item.events,
+                    pace=round(self.pace(item.endpoint), 2),
+                ).info('item moved off a slow engine')
+                self._runs[item.item_id].move()
+
+    def _entries_with_runs(self) -> list[EndpointEntry]:
+        by_endpoint = self.registry.entry_by_endpoint
+        return [
+            by_endpoint[handle.endpoint]
+            for handle in self._runs.values()
+            if handle.endpoint in by_endpoint
+        ]
+
+    def _running_engines(self, service: str) -> list[RunningEngine]:
+        now = self._clock.now()
+        found = []
+        for entry in self.registry.entry_by_endpoint.values():
+            if entry.service != service or entry.draining:
+                continue
+            record = self._record(entry.endpoint)
+            out_s = max(record.out_until_s, record.loading_until_s)
+            found.append(
+                RunningEngine(
+                    endpoint=entry.endpoint,
+                    slots=entry.slots,
+                    in_flight=record.in_flight,
+                    pace=self.pace(entry.endpoint),
+                    usable=out_s <= now,
+                )
+            )
+        return found
+
+    def _running_items(self) -> list[RunningItem]:
+        return [
+            RunningItem(
+                handle.item_id, handle.endpoint, handle.events, handle.moves
+            )
+            for handle in self._runs.values()
+            if handle.events and not handle.moved
+        ]
 
     def succeeded(self, endpoint: str) -> None:
         """Note a whole generation."""
@@ -192,17 +310,15 @@
     def pace(self, endpoint: str) -> float:
         """Return the time per event of an engine over the pool's median."""
         record = self._records.get(endpoint)
-        if record is None or not record.event_s:
-            return 1.0
-        return record.event_s / self._median_event_s()
-
-    def _median_event_s(self) -> float:
+        own_s = record.event_s() if record else 0.0
         known = sorted(
-            record.event_s
-            for endpoint, record in self._records.items()
-            if record.event_s and endpoint in self.registry.entry_by_endpoint
+            other.event_s()
+            for name, other in self._records.items()
+            if name in self.registry.entry_by_endpoint and other.event_s()
         )
-        return known[len(known) // 2] if known else 1.0
+        if not own_s or not known:
+            return 1.0
+        return own_s / known[(len(known) - 1) // 2]
 
     def _try(self, need: EngineNeed) -> EndpointEntry | None:
         views = [
@@ -224,7 +340,8 @@
         if state is None or state.leaving:
             return False
         record = self._record(entry.endpoint)
-        if record.out_until_s > self._clock.now():
+        now = self._clock.now()
+        if max(record.out_until_s, record.loading_until_s) > now:
             return False
         version = max(
             entry.version_by_model.get(need.model, 0),
--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -2,19 +2,21 @@
 
 import asyncio
 import random
+from collections.abc import AsyncIterator
 from contextlib import aclosing
 
 from loguru import logger
 
 from anvilcove.control.desired import DesiredStateView, Route
 from anvilcove.control.endpoints import EndpointEntry
-from anvilcove.jobs.engine_slots import EngineNeed, EngineSlots
+from anvilcove.jobs.engine_slots import EngineNeed, EngineSlots, RunHandle
 from anvilcove.jobs.reward_gate import RewardGate
 from anvilcove.jobs.types import Item, ItemResult, JobSpec
 from anvilcove.ports.engines import (
     EngineClient,
     Generation,
     GenerationEnd,
+    GenerationEvent,
     GenerationStart,
     ItemFailed,
     ItemRejected,
@@ -39,6 +41,10 @@
     """Raised when an engine answers with weights that are too old."""
 
 
+class Moved(EndpointError):
+    """Raised when a run was told to go on at another engine."""
+
+
 class ItemProgress:
     """The text of an item so far and what its attempts came to."""
 
@@ -49,18 +55,27 @@
         'attempts',
         'failures',
         'reward_failures',
-        'rewarding',
+        'endpoint',
+        'moves',
+        'started_s',
+        'waited_s',
+        'generated_s',
     )
 
-    def __init__(self, item: Item) -> None:
+    def __init__(self, item: Item, started_s: float) -> None:
         """Start without text."""
         self.item = item
+        self.started_s = started_s
+        # Time spent waiting for a slot, and when the text was whole.
+        self.waited_s = 0.0
+        self.generated_s = started_s
+        self.endpoint = ''
+        self.moves = 0
         self.texts: list[str] = []
         self.versions: list[int] = []
         self.attempts = 0
         self.failures = 0
         self.reward_failures = 0
-        self.rewarding = False
 
     def add(self, event: TokenEvent) -> None:
         """Append an event."""
@@ -128,8 +143,8 @@
         try:
             async with asyncio.timeout(max(end_s - self._clock.now(), 0.0)):
                 result = await self._generate(spec, progress, rank, end_s)
+                progress.generated_s = self._clock.now()
                 if result is None:
-                    progress.rewarding = True
                     result = await self._score(progress)
         except TimeoutError:
             result = ItemResult(item.item_id, completed=False)
@@ -139,8 +154,30 @@
                 attempts=progress.attempts,
                 events=len(progress.texts),
             ).warning('item given up at the end of its time')
+        self._record(spec, progress, result)
         return result
 
+    def _record(
+        self, spec: JobSpec, progress: ItemProgress, result: ItemResult
+    ) -> None:
+        now = self._clock.now()
+        logger.bind(
+            job=spec.job_id,
+            request=result.item_id,
+            completed=result.completed,
+            group=progress.item.group,
+            endpoint=progress.endpoint,
+            attempts=progress.attempts,
+            events=len(progress.texts),
+            hint=progress.item.length_hint,
+            versions=result.versions,
+            waited_ms=round(progress.waited_s * 1000),
+            generated_ms=round(
+                (progress.generated_s - progress.started_s) * 1000
+            ),
+            reward_ms=round((now - progress.generated_s) * 1000),
+        ).info('item finished')
+
     async def _generate(
         self,
         spec: JobSpec,
@@ -156,7 +193,10 @@
                 await self._pause(LONGEST_RETRY_S)
                 continue
             need = self._need(spec, progress.item, route)
+            asked_s = self._clock.now()
             entry = await self._slots.take(need, rank)
+            progress.waited_s += self._clock.now() - asked_s
+            progress.endpoint = entry.endpoint
             progress.attempts += 1
             try:
                 await self._attempt(spec, progress, route, entry, end_s)
@@ -167,6 +207,8 @@
                 progress.restart()
                 if progress.failures >= route.max_attempts:
                     return self._errored(spec, progress, 'failed each time')
+            except Moved:
+                progress.moves += 1
             except EndpointError as error:
                 self._note(spec, progress, entry, error)
                 await self._pause(pause_s)
@@ -200,36 +242,68 @@
         stream = self._engines.generate(
             entry.address, entry.instance, generation
         )
+        handle = RunHandle(
+            progress.item.item_id,
+            entry.endpoint,
+            len(progress.texts),
+            progress.moves,
+        )
+        self._slots.run_started(handle)
+        try:
+            async with aclosing(stream):  # type: ignore[type-var]
+                await self._follow(spec, progress, route, stream, handle)
+        finally:
+            self._slots.run_ended(handle)
+
+    async def _follow(
+        self,
+        spec: JobSpec,
+        progress: ItemProgress,
+        route: Route,
+        stream: AsyncIterator[GenerationEvent],
+        handle: RunHandle,
+    ) -> None:
+        """Take events until the text is whole."""
         timeout_s = FIRST_EVENT_TIMEOUT_S
         at_s = self._clock.now()
-        async with aclosing(stream):  # type: ignore[type-var]
-            while True:
-                try:
-                    async with asyncio.timeout(timeout_s):
-                        event = await anext(stream)
-                except TimeoutError as error:
-                    raise EndpointError(
-                        f'no event for {timeout_s} s'
-                    ) from error
-                if isinstance(event, GenerationEnd):
-                    return
-                now = self._clock.now()
-                if isinstance(event, GenerationStart):
-                    self._check_start(spec, entry, event)
-                else:
-                    self._check_event(spec, route, progress, event)
-                    progress.add(event)
-                    if timeout_s == NEXT_EVENT_TIMEOUT_S:
-                        self._slots.event_took(entry.endpoint, now - at_s)
-                    timeout_s = NEXT_EVENT_TIMEOUT_S
-                at_s = now
+        while True:
+            event = await self._next(stream, handle, timeout_s)
+            if isinstance(event, GenerationEnd):
+                return
+            now = self._clock.now()
+            if isinstance(event, GenerationStart):
+                self._check_start(spec, handle.endpoint, event)
+            else:
+                self._check_event(spec, route, progress, event)
+                progress.add(event)
+                handle.events = len(progress.texts)
+                if timeout_s == NEXT_EVENT_TIMEOUT_S:
+                    self._slots.event_took(handle.endpoint, now - at_s)
+                timeout_s = NEXT_EVENT_TIMEOUT_S
+            at_s = now
+
+    async def _next(
+        self,
+        stream: AsyncIterator[GenerationEvent],
+        handle: RunHandle,
+        timeout_s: float,
+    ) -> GenerationEvent:
+        try:
+            async with asyncio.timeout(timeout_s) as handle.timeout:
+                if handle.moved:
+                    raise Moved(handle.endpoint)
+                return await anext(stream)
+        except TimeoutError as error:
+            if handle.moved:
+                raise Moved(handle.endpoint) from error
+            raise EndpointError(f'no event for {timeout_s} s') from error
+        finally:
+            handle.timeout = None
 
     def _check_start(
-        self, spec: JobSpec, entry: EndpointEntry, start: GenerationStart
+        self, spec: JobSpec, endpoint: str, start: GenerationStart
     ) -> None:
-        self._slots.started(
-            entry.endpoint, spec.model, start.version, start.load
-        )
+        self._slots.started(endpoint, spec.model, start.version, start.load)
         if start.version < spec.min_version:
             raise StaleEngine(f'engine holds version {start.version}')
 
--- a/anvilcove/jobs/job_run.py
+++ b/anvilcove/jobs/job_run.py
@@ -117,7 +117,7 @@
             task.add_done_callback(self._tasks.discard)
 
     async def _run_item(self, item: Item, rank: tuple[float, ...]) -> None:
-        progress = ItemProgress(item)
+        progress = ItemProgress(item, self._clock.now())
         result = await self._runner.run(self.spec, progress, rank, self._end_s)
         self._metrics.item_listed(result.completed, progress.attempts)
         self._ready.append(result)
--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import secrets
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from loguru import logger
@@ -66,9 +66,11 @@
         '_metrics',
         '_clock',
         '_rng',
+        '_gives_orders',
         'runs',
         'tasks',
         '_closing',
+        '_taking',
     )
 
     def __init__(
@@ -84,8 +86,10 @@
         metrics: NodeMetrics,
         clock: Clock,
         rng: random.Random,
+        gives_orders: Callable[[], bool],
     ) -> None:
         """Own nothing; `watch` is that of the jobs table."""
+        self._gives_orders = gives_orders
         self._settings = settings
         self._nonce = nonce
         self._records = records
@@ -100,6 +104,8 @@
         self.runs: dict[str, JobRun] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self._closing = False
+        # Jobs that are being taken over.
+        self._taking: set[str] = set()
 
     async def accept(self, spec: JobSpec, end_s: float) -> None:
         """Keep a job for good and run it, or raise NotAccepted."""
@@ -159,7 +165,11 @@
         state = self._desired.current
         route = state.find(spec.host, spec.path) if state else None
         service = route.targets[0].service if route else ''
-        home = self._nodes.home(service, own_able=not self._closing)
+        home = self._nodes.home(
+            service,
+            own_able=not self._closing,
+            own_orders=self._gives_orders(),
+        )
         if home is not None:
             return home.host, home.nonce
         return self._settings.host, self._nonce
@@ -216,6 +226,17 @@
             )
 
     async def _take_over(self, held: HeldJob, reason: str) -> None:
+        """Become the owner of a job and run it, unless that is under way."""
+        job_id = held.head.job_id
+        if job_id in self._taking or job_id in self.runs:
+            return
+        self._taking.add(job_id)
+        try:
+            await self._become_owner(held, reason)
+        finally:
+            self._taking.discard(job_id)
+
+    async def _become_owner(self, held: HeldJob, reason: str) -> None:
         head = replace(
             held.head,
             owner=self._settings.host,
@@ -274,7 +295,8 @@
         except Exception:
             logger.bind(job=job_id).exception('job run ended by an error')
         finally:
-            self.runs.pop(job_id, None)
+            if self.runs.get(job_id) is run:
+                del self.runs[job_id]
             self._board.adopt(run.held)
 
     def _items_end_s(self, head: JobHead) -> float:
@@ -289,7 +311,7 @@
 
     def _stop_ended(self) -> None:
         for job_id, run in list(self.runs.items()):
-            if job_id in self._board.ended:
+            if job_id in self._board.ended and run.owned:
                 logger.bind(job=job_id, listed=run.held.head.listed).info(
                     'job ended'
                 )
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -188,6 +188,7 @@
             self.metrics,
             outside.clock,
             outside.rng,
+            lambda: self.lease.fence() is not None,
         )
         self.reader = JobReader(records, self.board, watch, outside.clock)
 
@@ -198,7 +199,7 @@
             self.nonce,
             outside.store,
             outside.clock,
-            outside.reachable,
+            self._standing,
         )
         self.lease = Lease(
             ORDERS_LEASE,
@@ -216,10 +217,14 @@
             self.registry,
             outside.engines,
             outside.clock,
-            self.slots.in_flight,
+            self.slots,
             self.board.work_of,
         )
 
+    def _standing(self) -> tuple[bool, bool]:
+        """Return whether the store is reached and the orders lease is held."""
+        return self._outside.reachable(), self.lease.fence() is not None
+
     async def _expire_endpoints(self) -> None:
         while True:
             await self._clock.sleep(EXPIRE_S)
--- a/anvilcove/standins/memory_engines.py
+++ b/anvilcove/standins/memory_engines.py
@@ -42,6 +42,7 @@
         self.order_count = 0
         self.loading = False
         self.running = 0
+        self.refused = 0
         self.pace = 1.0
         self.dark = False
         # Generations break off after this many events, once each.
@@ -87,6 +88,7 @@
             await asyncio.sleep(SILENCE_S)
         item = generation.item_id
         if engine.loading or engine.running >= engine.slots:
+            engine.refused += 1
             raise EndpointNotRun('refused', overloaded=True)
         if item in engine.rejected:
             raise ItemRejected(item)
@@ -99,6 +101,8 @@
             yield GenerationStart(engine.version)
             for number in range(generation.after + 1, engine.events + 1):
                 await asyncio.sleep(EVENT_S * engine.pace)
+                while engine.loading:
+                    await asyncio.sleep(EVENT_S)
                 cut = engine.break_after.get(item)
                 if (
                     cut is not None
--- a/anvilcove/standins/memory_store.py
+++ b/anvilcove/standins/memory_store.py
@@ -35,6 +35,8 @@
         self.lose: Callable[[RowTransaction], bool] = lambda change: False
         self.apply_lost = True
         self.delay_s = 0.0
+        # Factor on the time of every answer.
+        self.slow = 1.0
 
 
 class MemoryStore:
@@ -152,7 +154,7 @@
         return self._loop.time() * 1000
 
     async def _reach(self) -> None:
-        await asyncio.sleep(ANSWER_S)
+        await asyncio.sleep(ANSWER_S * self.faults.slow)
         if self.faults.away:
             raise StoreUnavailable('switched off by the test')
 
--- a/features/batch_jobs.feature
+++ b/features/batch_jobs.feature
@@ -118,7 +118,8 @@
     Guards against daemons that fill the same engines without seeing each
     other, each over connections of its own.
     Given a platform with 4 engines and daemons a, b and c
-    When daemon a accepts job j1 with 16 items
+    When 2 s go by
+    And daemon a accepts job j1 with 16 items
     And daemon b accepts job j2 with 16 items
     And daemon c accepts job j3 with 16 items
     And 0.5 s go by
@@ -127,7 +128,45 @@
   Scenario: The daemon that should run a job has just died
     Guards against a job that waits for a lease before its first item runs.
     Given a platform with 4 engines and daemons a, b and c
-    When the home of the jobs is killed
+    When 2 s go by
+    And the home of the jobs is killed
     And another daemon accepts job j1 with 16 items
     And 3 s go by
     Then every daemon lists 16 completed results of job j1 in the same order
+    And no item of job j1 ran twice
+
+  Scenario: A job is taken over while the store is slow
+    Guards against two runs of one job at one daemon, which take it from each
+    other again and again.
+    Given a platform with 4 engines and daemons a, b and c
+    When 2 s go by
+    And the home of the jobs is killed
+    And the store answers 20 times slower
+    And another daemon accepts job j1 with 16 items
+    And 8 s go by
+    Then every daemon lists 16 completed results of job j1 in the same order
+    And no item of job j1 ran twice
+
+  Scenario: An engine turns slow while it runs long items
+    Guards against a step that waits for the last item of a slow engine.
+    Given a platform with 3 engines and daemons a, b and c
+    And every text has 60 events
+    When 2 s go by
+    And daemon a accepts job j1 with 16 items
+    And 0.5 s go by
+    And engine 1 works 10 times slower
+    And 6 s go by
+    Then every daemon lists 16 completed results of job j1 in the same order
+
+  Scenario: Engines load while they run items
+    Guards against items that stand still for each load of their engine, and
+    items that are refused by engines that are known to load.
+    Given a platform with 4 engines and daemons a, b and c
+    And every text has 60 events
+    When 2 s go by
+    And daemon a accepts job j1 with 16 items
+    And 0.5 s go by
+    And version 2 is named
+    And 4 s go by with announcements
+    Then every daemon lists 16 completed results of job j1 in the same order
+    And no engine refused an item
--- a/features/steps/batch_job_steps.py
+++ b/features/steps/batch_job_steps.py
@@ -381,7 +381,9 @@
     """Return the name of the daemon that runs the jobs of the engines."""
     names = set()
     for name, daemon in context.memory.daemons.items():
-        node = daemon.nodes.home('llm', own_able=True)
+        node = daemon.nodes.home(
+            'llm', own_able=True, own_orders=daemon.lease.fence() is not None
+        )
         names.add(node.host if node else name)
     assert len(names) == 1, names
     return names.pop()
@@ -408,3 +410,29 @@
     """Submit a job to a daemon that still takes the dead one as alive."""
     name = min(context.memory.daemons)
     accept(context, name, job, count)
+
+
+@given('every text has {count:d} events')
+def long_texts(context, count):
+    """Change the length of all generations."""
+    for engine in context.memory.engines:
+        engine.events = count
+
+
+@when('engine {number:d} works {factor:d} times slower')
+def slow_engine(context, number, factor):
+    """Change the pace of an engine."""
+    context.memory.engines[number].pace = float(factor)
+
+
+@then('no engine refused an item')
+def no_refusal(context):
+    """Check that no item met an engine that loads or is full."""
+    refused = [engine.refused for engine in context.memory.engines]
+    assert not any(refused), refused
+
+
+@when('the store answers {factor:d} times slower')
+def slow_store(context, factor):
+    """Slow every call of the store down."""
+    context.memory.store.faults.slow = float(factor)
