Keep long texts, take jobs over sooner, load idle engines first

A lost owner cost them 2.6 s and all of their text, and each load of their engine stopped them for a second. Conclusion: the scenario of long texts fails without the kept parts.

--- a/anvilcove/decisions/version_roll.py
+++ b/anvilcove/decisions/version_roll.py
@@ -6,6 +6,8 @@
 # Share of the engines that may load at once; the weights' source serves about
 # this many at full speed, and the others go on answering.
 LOADING_SHARE = 0.4
+# Versions behind the newest one that new steps still accept.
+USABLE_LAG = 1
 
 
 class EngineHolding(Struct):
@@ -41,27 +43,50 @@
 def plan_loads(
     now: float, needs: list[ModelNeed], engines: list[EngineHolding]
 ) -> list[LoadOrder]:
-    """Return the orders that may be given now."""
+    """Return the orders that may be given now.
+
+    A load stops the runs of an engine for its time. Steps accept the version
+    before the newest one too, so an engine that has it is ordered when it is
+    idle, once half of the model's engines have the newest.
+    """
     model_by_endpoint = assign(needs, engines)
-    target_by_model = {need.model: need.target for need in needs}
     room = max(int(len(engines) * LOADING_SHARE), 1)
     room -= sum(engine.busy for engine in engines)
-    room_by_model = _room_by_model(needs, engines, model_by_endpoint)
     orders: list[LoadOrder] = []
-    for engine in sorted(engines, key=lambda e: (e.in_flight, e.endpoint)):
-        model = model_by_endpoint.get(engine.endpoint)
-        if model is None or engine.busy or engine.retry_at_s > now:
-            continue
-        target = target_by_model[model]
-        behind = engine.version_by_model.get(model, 0) < target
-        if not behind or room <= 0 or room_by_model[model] <= 0:
-            continue
-        room -= 1
-        room_by_model[model] -= 1
-        orders.append(LoadOrder(engine.endpoint, model, target))
+    for need in needs:
+        own = [
+            engine
+            for engine in engines
+            if model_by_endpoint.get(engine.endpoint) == need.model
+        ]
+        for engine in _due(now, need, own)[: max(room, 0)]:
+            room -= 1
+            orders.append(LoadOrder(engine.endpoint, need.model, need.target))
     return orders
 
 
+def _due(
+    now: float, need: ModelNeed, own: list[EngineHolding]
+) -> list[EngineHolding]:
+    """Return the engines of a model that should load now, best first."""
+
+    def lag(engine: EngineHolding) -> int:
+        return need.target - engine.version_by_model.get(need.model, 0)
+
+    new = sum(1 for engine in own if lag(engine) <= 0 or engine.busy)
+    wanted = (len(own) + 1) // 2 - new
+    due: list[EngineHolding] = []
+    for engine in sorted(
+        own, key=lambda e: (e.in_flight, -lag(e), e.endpoint)
+    ):
+        if lag(engine) <= 0 or engine.busy or engine.retry_at_s > now:
+            continue
+        idle = not engine.in_flight
+        if lag(engine) > USABLE_LAG or idle or len(due) < wanted:
+            due.append(engine)
+    return due
+
+
 def assign(
     needs: list[ModelNeed], engines: list[EngineHolding]
 ) -> dict[str, str]:
@@ -102,24 +127,3 @@
     for need in sorted(needs, key=lambda n: (-n.work, n.model))[:left]:
         quota[need.model] += 1
     return quota
-
-
-def _room_by_model(
-    needs: list[ModelNeed],
-    engines: list[EngineHolding],
-    model_by_endpoint: dict[str, str],
-) -> dict[str, int]:
-    """Return how many more engines of each model may load at once.
-
-    Half of them go on answering, if there are two or more.
-    """
-    room = {}
-    for need in needs:
-        own = [
-            e
-            for e in engines
-            if model_by_endpoint.get(e.endpoint) == need.model
-        ]
-        loading = sum(engine.busy for engine in own)
-        room[need.model] = max(len(own) // 2, 1) - loading
-    return room
--- a/anvilcove/jobs/board.py
+++ b/anvilcove/jobs/board.py
@@ -9,7 +9,7 @@
 from anvilcove.state.leases import LeaseWatch
 
 # A job whose row has stood still for this long is taken over.
-LEASE_S = 2.6
+LEASE_S = 1.5
 
 
 class JobBoard:
--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -11,7 +11,7 @@
 from anvilcove.control.endpoints import EndpointEntry
 from anvilcove.jobs.engine_slots import EngineNeed, EngineSlots, RunHandle
 from anvilcove.jobs.reward_gate import RewardGate
-from anvilcove.jobs.types import Item, ItemResult, JobSpec
+from anvilcove.jobs.types import Item, ItemResult, JobSpec, TextPart
 from anvilcove.ports.engines import (
     EngineClient,
     Generation,
@@ -52,6 +52,7 @@
         'item',
         'texts',
         'versions',
+        'restarted',
         'attempts',
         'failures',
         'reward_failures',
@@ -73,6 +74,8 @@
         self.moves = 0
         self.texts: list[str] = []
         self.versions: list[int] = []
+        # Whether a text was dropped: what was kept of it is another run's.
+        self.restarted = False
         self.attempts = 0
         self.failures = 0
         self.reward_failures = 0
@@ -83,10 +86,16 @@
         if event.version not in self.versions:
             self.versions.append(event.version)
 
+    def resume(self, part: TextPart) -> None:
+        """Go on with a text that an earlier owner kept."""
+        self.texts = list(part.texts)
+        self.versions = list(part.versions)
+
     def restart(self) -> None:
         """Drop the text."""
-        self.texts.clear()
-        self.versions.clear()
+        self.texts = []
+        self.versions = []
+        self.restarted = True
 
     def completed(self, score: str) -> ItemResult:
         """Return the result of the whole text."""
--- a/anvilcove/jobs/job_run.py
+++ b/anvilcove/jobs/job_run.py
@@ -12,7 +12,14 @@
     JobRecords,
     first_commit,
 )
-from anvilcove.jobs.types import HeldJob, Item, ItemResult, JobHead, JobSpec
+from anvilcove.jobs.types import (
+    Commit,
+    HeldJob,
+    Item,
+    ItemResult,
+    JobSpec,
+    TextPart,
+)
 from anvilcove.node.metrics import NodeMetrics
 from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
 from anvilcove.state.clock import Clock
@@ -20,8 +27,15 @@
 # Results wait this long for others to share a commit.
 COMMIT_WINDOW_S = 0.08
 # Without results the owner renews its row this often.
-RENEW_S = 0.8
+RENEW_S = 0.4
 RETRY_S = 0.2
+# Texts of running items are kept this often, in parts of at least so many
+# events: an item that took longer than this would be lost with its owner.
+KEEP_S = 0.8
+KEPT_EVENTS = 8
+# Bounds of one commit, below the 100 rows and 1 MB that the store takes.
+KEPT_PARTS = 60
+KEPT_BYTES = 300_000
 
 
 class JobRun:
@@ -40,7 +54,12 @@
         '_ready',
         '_wake',
         '_listed',
+        '_texts',
+        '_kept',
+        '_kept_at_s',
+        '_running',
         '_pending',
+        '_writing',
         '_leaving',
     )
 
@@ -49,6 +68,7 @@
         spec: JobSpec,
         held: HeldJob,
         listed: list[str],
+        texts: dict[str, TextPart],
         end_s: float,
         records: JobRecords,
         runner: ItemRunner,
@@ -68,7 +88,13 @@
         self._ready: list[ItemResult] = []
         self._wake = asyncio.Event()
         self._listed = set(listed)
-        self._pending: tuple[JobHead, list[ItemResult]] | None = None
+        # Texts that an earlier owner kept, and how much of each is kept now.
+        self._texts = texts
+        self._kept = {item: len(part.texts) for item, part in texts.items()}
+        self._running: dict[str, ItemProgress] = {}
+        self._kept_at_s = clock.now()
+        self._pending: Commit | None = None
+        self._writing = asyncio.Lock()
         self._leaving = False
 
     async def run(self) -> None:
@@ -118,8 +144,13 @@
 
     async def _run_item(self, item: Item, rank: tuple[float, ...]) -> None:
         progress = ItemProgress(item, self._clock.now())
+        kept = self._texts.pop(item.item_id, None)
+        if kept is not None:
+            progress.resume(kept)
+        self._running[item.item_id] = progress
         result = await self._runner.run(self.spec, progress, rank, self._end_s)
         self._metrics.item_listed(result.completed, progress.attempts)
+        del self._running[item.item_id]
         self._ready.append(result)
         self._wake.set()
 
@@ -137,41 +168,47 @@
             await self._clock.sleep(COMMIT_WINDOW_S)
 
     async def _commit(self) -> None:
-        """Write ready results, or renew the row."""
-        try:
-            if self._pending is None:
-                self._pending = await self._next_commit()
-            head, results = self._pending
-            # A commit without an answer may still be applied, so exactly the
-            # same one is sent until it is known what came of it.
-            self.held = await self._records.commit(self.held, head, results)
-        except CommitConflict as conflict:
-            self._lose(conflict)
-            return
-        except (StoreUnavailable, StoreAnswerLost) as error:
-            logger.bind(job=self.spec.job_id, reason=str(error)).info(
-                'job row not written'
-            )
-            await self._clock.sleep(RETRY_S)
-            self._wake.set()
-            return
-        self._pending = None
-        del self._ready[: len(results)]
+        """Write what is ready, or renew the row."""
+        async with self._writing:
+            try:
+                if self._pending is None:
+                    self._pending = await self._next_commit()
+                commit = self._pending
+                # A commit without an answer may still be applied, so exactly
+                # the same one is sent until it is known what came of it.
+                self.held = await self._records.commit(self.held, commit)
+            except CommitConflict as conflict:
+                self._lose(conflict)
+                return
+            except (StoreUnavailable, StoreAnswerLost) as error:
+                logger.bind(job=self.spec.job_id, reason=str(error)).info(
+                    'job row not written'
+                )
+                await self._clock.sleep(RETRY_S)
+                self._wake.set()
+                return
+            self._pending = None
+            self._committed(commit)
+
+    def _committed(self, commit: Commit) -> None:
+        del self._ready[: len(commit.results)]
         if self._ready:
             self._wake.set()
-        if results:
+        for part in commit.parts:
+            self._kept[part.item_id] = part.after + len(part.texts)
+        if commit.results:
             logger.bind(
                 job=self.spec.job_id,
-                listed=head.listed,
-                total=head.total,
-                items=[result.item_id for result in results],
+                listed=commit.head.listed,
+                total=commit.head.total,
+                items=[result.item_id for result in commit.results],
             ).info('results committed')
 
-    async def _next_commit(self) -> tuple[JobHead, list[ItemResult]]:
-        self._ready = [
-            await self._records.keep_output(self.spec.job_id, result)
-            for result in self._ready
-        ]
+    async def _next_commit(self) -> Commit:
+        for position, result in enumerate(self._ready):
+            self._ready[position] = await self._records.keep_output(
+                self.spec.job_id, result
+            )
         results = first_commit(self._ready)
         head = replace(
             self.held.head,
@@ -181,7 +218,30 @@
         )
         if self._leaving:
             head = replace(head, owner='', nonce='')
-        return head, results
+        return Commit(head, results, self._parts_to_keep())
+
+    def _parts_to_keep(self) -> list[TextPart]:
+        """Return what long running items have made since it was last kept."""
+        now = self._clock.now()
+        if now - self._kept_at_s < KEEP_S and not self._leaving:
+            return []
+        self._kept_at_s = now
+        parts: list[TextPart] = []
+        size = 0
+        for item_id, progress in self._running.items():
+            if progress.restarted:
+                continue
+            after = self._kept.get(item_id, 0)
+            texts = progress.texts[after:]
+            if len(texts) < KEPT_EVENTS or len(parts) >= KEPT_PARTS:
+                continue
+            size += sum(len(text) for text in texts)
+            if size > KEPT_BYTES:
+                break
+            parts.append(
+                TextPart(item_id, after, texts, list(progress.versions))
+            )
+        return parts
 
     def _lose(self, conflict: CommitConflict) -> None:
         current = conflict.current
--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -16,7 +16,7 @@
 from anvilcove.jobs.item_run import ItemRunner
 from anvilcove.jobs.job_run import JobRun
 from anvilcove.jobs.records import CommitConflict, JobRecords
-from anvilcove.jobs.types import HeldJob, JobHead, JobSpec
+from anvilcove.jobs.types import Commit, HeldJob, JobHead, JobSpec, TextPart
 from anvilcove.node.metrics import NodeMetrics
 from anvilcove.ports.errors import (
     ObjectNotFound,
@@ -138,7 +138,7 @@
         ).info('job accepted')
         self._metrics.job_event('accepted' if own else 'repeated')
         if own and nonce == self._nonce:
-            self._begin(spec, held, [])
+            self._begin(spec, held, [], {})
         elif own:
             self._spawn(self._guard(held))
 
@@ -245,7 +245,7 @@
             commit_id=secrets.token_hex(8),
         )
         try:
-            taken = await self._records.commit(held, head, [])
+            taken = await self._records.commit(held, Commit(head))
             self._board.adopt(taken)
             logger.bind(
                 job=head.job_id,
@@ -267,13 +267,21 @@
     async def _resume(self, held: HeldJob) -> None:
         spec = await self._records.load(held.head.job_id)
         listed = await self._records.results(held.head.job_id, 0)
-        self._begin(spec, held, [result.item_id for result in listed])
+        texts = await self._records.texts(held.head.job_id)
+        self._begin(spec, held, [result.item_id for result in listed], texts)
 
-    def _begin(self, spec: JobSpec, held: HeldJob, listed: list[str]) -> None:
+    def _begin(
+        self,
+        spec: JobSpec,
+        held: HeldJob,
+        listed: list[str],
+        texts: dict[str, TextPart],
+    ) -> None:
         run = JobRun(
             spec,
             held,
             listed,
+            texts,
             self._items_end_s(held.head),
             self._records,
             self._runner,
--- a/anvilcove/jobs/records.py
+++ b/anvilcove/jobs/records.py
@@ -5,7 +5,14 @@
 from msgspec.structs import replace
 from xxhash import xxh32_intdigest
 
-from anvilcove.jobs.types import HeldJob, ItemResult, JobHead, JobSpec
+from anvilcove.jobs.types import (
+    Commit,
+    HeldJob,
+    ItemResult,
+    JobHead,
+    JobSpec,
+    TextPart,
+)
 from anvilcove.ports.errors import StoreUnavailable
 from anvilcove.ports.store import (
     ObjectExists,
@@ -19,6 +26,7 @@
 
 JOBS_TABLE = 'jobs'
 RESULTS_TABLE = 'results'
+TEXTS_TABLE = 'texts'
 # Rows of one job share a part, so that a commit is one transaction; jobs are
 # spread over parts, since a part has a rate of its own.
 PARTS = [f'p{number}' for number in range(4)]
@@ -102,19 +110,22 @@
         except (DecodeError, ValidationError) as error:
             raise StoreUnavailable(f'submission of {job_id}') from error
 
-    async def commit(
-        self, held: HeldJob, head: JobHead, results: list[ItemResult]
-    ) -> HeldJob:
-        """Write the row and new results at once, or raise CommitConflict.
+    async def commit(self, held: HeldJob, commit: Commit) -> HeldJob:
+        """Write the row and what belongs to it, or raise CommitConflict.
 
         After StoreAnswerLost the same commit may be sent again.
         """
+        head = commit.head
         writes = [RowWrite(head_row(head.job_id), msgpack.encode(head))]
         position = held.head.listed
-        for segment in segments(results):
+        for segment in segments(commit.results):
             row_id = result_row(head.job_id, position)
             writes.append(RowWrite(row_id, msgpack.encode(segment)))
             position += len(segment)
+        writes += [
+            RowWrite(part_row(head.job_id, part), msgpack.encode(part))
+            for part in commit.parts
+        ]
         outcome = await self._store.transact(
             RowTransaction(
                 checks=[RowCheck(head_row(head.job_id), held.version)],
@@ -128,6 +139,24 @@
             return current
         raise CommitConflict(current)
 
+    async def texts(self, job_id: str) -> dict[str, TextPart]:
+        """Return the kept texts of unfinished items, each as one part."""
+        page = await self._store.read_range(
+            TEXTS_TABLE, part_of(job_id), f'{job_id}/', f'{job_id}0'
+        )
+        found: dict[str, TextPart] = {}
+        for row in page.rows:
+            part = _decode_part(row)
+            if part is None:
+                continue
+            known = found.setdefault(
+                part.item_id, TextPart(part.item_id, 0, [], [])
+            )
+            if part.after == len(known.texts):
+                known.texts += part.texts
+                known.versions = part.versions
+        return found
+
     async def end(self, job_id: str) -> None:
         """Mark a job as ended; doing it again changes nothing."""
         row_id = RowId(JOBS_TABLE, part_of(job_id), job_id + END_SUFFIX)
@@ -201,6 +230,12 @@
     return RowId(RESULTS_TABLE, part_of(job_id), f'{job_id}/{position:08d}')
 
 
+def part_row(job_id: str, part: TextPart) -> RowId:
+    """Return the name of the row of a part of a text."""
+    key = f'{job_id}/{part.item_id}/{part.after:06d}'
+    return RowId(TEXTS_TABLE, part_of(job_id), key)
+
+
 def spec_object(job_id: str) -> str:
     """Return the name of the object that keeps a submission."""
     return f'job-{job_id}'
@@ -244,6 +279,18 @@
     return None
 
 
+def _decode_part(row: StoredRow) -> TextPart | None:
+    if row.value is None:
+        return None
+    try:
+        return msgpack.decode(row.value, type=TextPart)
+    except (DecodeError, ValidationError) as error:
+        logger.bind(row=row.id.key, reason=str(error)).warning(
+            'part of a text skipped'
+        )
+        return None
+
+
 def _segment(row: StoredRow) -> list[ItemResult] | None:
     if row.value is None:
         return None
--- a/anvilcove/jobs/types.py
+++ b/anvilcove/jobs/types.py
@@ -83,6 +83,29 @@
     output_object: str = ''
 
 
+class TextPart(Struct, array_like=True):
+    """Events of an unfinished item from event `after` on.
+
+    `versions` made the text up to the end of this part.
+    """
+
+    item_id: str
+    after: int
+    texts: list[str]
+    versions: list[int]
+
+
+class Commit(Struct):
+    """What the owner of a job writes at once.
+
+    The same one is sent until it is known what came of it.
+    """
+
+    head: JobHead
+    results: list[ItemResult] = field(default_factory=list)
+    parts: list[TextPart] = field(default_factory=list)
+
+
 class HeldJob(Struct):
     """A job's row and its version in the store."""
 
--- a/features/batch_jobs.feature
+++ b/features/batch_jobs.feature
@@ -135,6 +135,18 @@
     Then every daemon lists 16 completed results of job j1 in the same order
     And no item of job j1 ran twice
 
+  Scenario: Long texts outlive their owner
+    Guards against long items that start anew each time their owner is lost.
+    Given a platform with 4 engines and daemons a, b and c
+    And every text has 100 events
+    When 2 s go by
+    And daemon a accepts job j1 with 16 items
+    And 3 s go by
+    And the home of the jobs is killed
+    And 5 s go by
+    Then the job is whole at every daemon that lives: j1 with 16 items
+    And every item of job j1 was resumed after 50 events or more
+
   Scenario: A job is taken over while the store is slow
     Guards against two runs of one job at one daemon, which take it from each
     other again and again.
--- a/features/steps/batch_job_steps.py
+++ b/features/steps/batch_job_steps.py
@@ -436,3 +436,23 @@
 def slow_store(context, factor):
     """Slow every call of the store down."""
     context.memory.store.faults.slow = float(factor)
+
+
+@then(
+    'the job is whole at every daemon that lives: {job} with {count:d} items'
+)
+def whole_at_living(context, job, count):
+    """Check a job after a daemon was lost."""
+    whole_job(context, count, job)
+
+
+@then('every item of job {job} was resumed after {events:d} events or more')
+def resumed_late(context, job, events):
+    """Check from where the second runs went on."""
+    runs = [run for e in context.memory.engines for run in e.runs]
+    by_item = {}
+    for item, after in runs:
+        by_item.setdefault(item, []).append(after)
+    assert len(by_item) == 16, len(by_item)
+    for item, starts in by_item.items():
+        assert max(starts) >= events, (item, starts)
