Forward streamed answers and carry resumable ones on

Cause: routes of kind streaming were forwarded as requests that may run once, whole and late. Change: events are passed on as they come; a resumable stream goes on at another endpoint after its last whole event, any other one ends without its last chunk.

--- a/anvilcove/node/adapters.py
+++ b/anvilcove/node/adapters.py
@@ -9,6 +9,7 @@
 from anvilcove.ports.rows import RowReader
 from anvilcove.ports.servers import ServerClient
 from anvilcove.ports.store import StorePort
+from anvilcove.ports.streams import StreamClient
 from anvilcove.ports.transport import StoreTransport
 from anvilcove.settings.node import NodeSettings
 
@@ -42,6 +43,9 @@
     def servers(self, session: ClientSession) -> ServerClient:
         """Return the client of the services."""
 
+    def streams(self, session: ClientSession) -> StreamClient:
+        """Return the client of the services that stream."""
+
     def engines(self, session: ClientSession) -> EngineClient:
         """Return the client of the engines."""
 
--- a/anvilcove/node/app.py
+++ b/anvilcove/node/app.py
@@ -78,6 +78,7 @@
         outside = Outside(
             store=adapters.store(self.relay),
             servers=adapters.servers(session),
+            streams=adapters.streams(session),
             engines=adapters.engines(session),
             rows=adapters.rows,
             clock=clock,
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -26,8 +26,10 @@
 from anvilcove.ports.rows import RowReader
 from anvilcove.ports.servers import ServerClient
 from anvilcove.ports.store import StoredRow, StorePort
+from anvilcove.ports.streams import StreamClient
 from anvilcove.proxy.forwarder import Forwarder
 from anvilcove.proxy.pools import EndpointPools
+from anvilcove.proxy.streams import StreamForwarder
 from anvilcove.settings.node import NodeSettings
 from anvilcove.state.clock import Clock
 
@@ -46,6 +48,7 @@
 
     store: StorePort
     servers: ServerClient
+    streams: StreamClient
     engines: EngineClient
     rows: RowReader
     clock: Clock
@@ -84,6 +87,7 @@
             self.desired,
             self.nodes,
             self.forwarder,
+            self.streams,
             self.owner,
             self.reader,
             outside.clock,
@@ -162,6 +166,10 @@
             self.metrics,
         )
 
+        self.streams = StreamForwarder(
+            self.pools, outside.streams, outside.clock, outside.rng
+        )
+
     def _build_jobs(self) -> None:
         outside = self._outside
         records = JobRecords(outside.store)
--- a/anvilcove/node/service.py
+++ b/anvilcove/node/service.py
@@ -11,8 +11,10 @@
 from anvilcove.jobs.reader import JobReader
 from anvilcove.jobs.types import JobSpec
 from anvilcove.ports.servers import CallerAnswer, CallerRequest
+from anvilcove.ports.streams import StreamSink
 from anvilcove.proxy.forwarder import Forwarder
 from anvilcove.proxy.outcomes import bad_gateway, not_found, refusal
+from anvilcove.proxy.streams import StreamForwarder
 from anvilcove.state.clock import Clock
 
 # A submission is answered within this share of its objective, as far as the
@@ -35,6 +37,7 @@
         '_desired',
         '_nodes',
         '_forwarder',
+        '_streams',
         '_owner',
         '_clock',
         '_rng',
@@ -46,6 +49,7 @@
         desired: DesiredStateView,
         nodes: NodeDirectory,
         forwarder: Forwarder,
+        streams: StreamForwarder,
         owner: JobOwner,
         jobs: JobReader,
         clock: Clock,
@@ -57,6 +61,7 @@
         self._desired = desired
         self._nodes = nodes
         self._forwarder = forwarder
+        self._streams = streams
         self._owner = owner
         self._clock = clock
         self._rng = rng
@@ -93,6 +98,12 @@
         """Return the answer to a request of a service's route."""
         return await self._forwarder.forward(request, route)
 
+    async def stream(
+        self, request: CallerRequest, route: Route, sink: StreamSink
+    ) -> CallerAnswer | None:
+        """Write a streamed answer, or return one instead of it."""
+        return await self._streams.forward(request, route, sink)
+
     async def submit(self, spec: JobSpec, route: Route) -> CallerAnswer:
         """Return whether a batch job was accepted."""
         if route.kind != JOB:
--- a/anvilcove/platform/family.py
+++ b/anvilcove/platform/family.py
@@ -25,7 +25,7 @@
     decode_endpoint,
     decode_named_version,
 )
-from anvilcove.platform.servers import PlatformServers
+from anvilcove.platform.servers import PlatformServers, PlatformStreams
 from anvilcove.platform.store import PlatformStore
 from anvilcove.platform.transport import DirectTransport
 from anvilcove.ports.store import StoredRow
@@ -128,6 +128,10 @@
         """Return the client of the services."""
         return PlatformServers(session)
 
+    def streams(self, session: ClientSession) -> PlatformStreams:
+        """Return the client of the services that stream."""
+        return PlatformStreams(session)
+
     def engines(self, session: ClientSession) -> PlatformEngines:
         """Return the client of the engines."""
         return PlatformEngines(session)
--- a/anvilcove/platform/listeners.py
+++ b/anvilcove/platform/listeners.py
@@ -12,7 +12,7 @@
 from msgspec import json
 from multidict import CIMultiDict
 
-from anvilcove.control.desired import JOB
+from anvilcove.control.desired import JOB, STREAM, Route
 from anvilcove.jobs.reader import JobUnknown, NotSure
 from anvilcove.node.service import NodeService
 from anvilcove.platform.jobs import (
@@ -28,8 +28,9 @@
     RETRY_AFTER,
     WAIT_MS,
 )
-from anvilcove.ports.servers import CallerAnswer, CallerRequest
+from anvilcove.ports.servers import CallerAnswer, CallerRequest, Headers
 from anvilcove.proxy.outcomes import not_found, refusal
+from anvilcove.proxy.streams import StreamBroken
 
 LOOKUP_PATH = '/-/lookup'
 READY_PATH = '/-/readyz'
@@ -91,21 +92,40 @@
         body = await _read_body(request)
         if route.kind == JOB:
             return await self._submit(request, host, path, body)
-        answer = await self._service.forward(
-            CallerRequest(
-                request_id=request.headers.get(ATTEMPT_ID, ''),
-                method=request.method,
-                host=host,
-                path=request.raw_path,
-                headers=_forwarded(request),
-                body=body,
-                received_s=received_s,
-                deadline_at_s=received_s + _deadline_s(request),
-            ),
-            route,
+        asked = CallerRequest(
+            request_id=request.headers.get(ATTEMPT_ID, ''),
+            method=request.method,
+            host=host,
+            path=request.raw_path,
+            headers=_forwarded(request),
+            body=body,
+            received_s=received_s,
+            deadline_at_s=received_s + _deadline_s(request),
         )
+        if route.kind == STREAM:
+            return await self._stream(request, asked, route)
+        answer = await self._service.forward(asked, route)
         return self._to_response(request, answer)
 
+    async def _stream(
+        self, request: web.BaseRequest, asked: CallerRequest, route: Route
+    ) -> web.StreamResponse:
+        sink = ResponseSink(request)
+        try:
+            answer = await self._service.stream(asked, route, sink)
+        except StreamBroken as error:
+            logger.bind(request=asked.request_id, reason=str(error)).info(
+                'stream ended without its end'
+            )
+            # Without the last chunk the caller sees that a part is missing.
+            if request.transport is not None:
+                request.transport.abort()
+            return sink.response
+        if answer is not None:
+            return self._to_response(request, answer)
+        await sink.response.write_eof()
+        return sink.response
+
     async def _submit(
         self, request: web.BaseRequest, host: str, path: str, body: bytes
     ) -> web.StreamResponse:
@@ -182,6 +202,29 @@
         )
 
 
+class ResponseSink:
+    """Write a stream to the connection of its caller."""
+
+    __slots__ = ('response', '_request')
+
+    def __init__(self, request: web.BaseRequest) -> None:
+        """Send nothing yet."""
+        self.response = web.StreamResponse()
+        self._request = request
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send status and headers."""
+        self.response = web.StreamResponse(
+            status=status, headers=CIMultiDict(headers)
+        )
+        self.response.enable_chunked_encoding()
+        await self.response.prepare(self._request)
+
+    async def write(self, piece: bytes) -> None:
+        """Send a piece."""
+        await self.response.write(piece)
+
+
 def lookup_handler(service: NodeService) -> Handler:
     """Return the handler of callers that ask where to connect."""
 
--- a/anvilcove/platform/servers.py
+++ b/anvilcove/platform/servers.py
@@ -1,5 +1,8 @@
 """Client of the platform's plain servers."""
 
+from collections.abc import AsyncIterable, AsyncIterator
+from contextlib import asynccontextmanager
+
 from aiohttp import ClientPayloadError, ClientResponse, ClientSession
 from multidict import CIMultiDict
 
@@ -12,10 +15,12 @@
     DEADLINE_MS,
     EXPECT_INSTANCE,
     HOP_BY_HOP,
+    LAST_EVENT_ID,
     SERVER_STAMP,
 )
 from anvilcove.ports.errors import AnswerMismatch
 from anvilcove.ports.servers import CallerRequest, Headers, ServerAnswer
+from anvilcove.ports.streams import StreamAnswer, StreamPiece
 
 
 class PlatformServers:
@@ -62,6 +67,62 @@
             )
 
 
+class PlatformStreams:
+    """Streamed answers of servers over HTTP."""
+
+    __slots__ = ('_session',)
+
+    def __init__(self, session: ClientSession) -> None:
+        """Keep the session whose connections are used."""
+        self._session = session
+
+    @asynccontextmanager
+    async def open(
+        self,
+        address: str,
+        instance: str,
+        request: CallerRequest,
+        time_left_s: float,
+        after: int | None,
+    ) -> AsyncIterator[StreamAnswer]:
+        """Send a request; raise an EndpointError here or from the pieces."""
+        headers = forwarded_headers(request, instance, time_left_s)
+        if after is not None:
+            headers[LAST_EVENT_ID] = str(after)
+        async with exchange(
+            self._session,
+            request.method,
+            address,
+            request.path,
+            headers,
+            request.body,
+            request.request_id,
+        ) as response:
+            check_framing(response)
+            yield StreamAnswer(
+                response.status,
+                end_to_end_headers(response),
+                _pieces(response.content),
+            )
+
+
+async def _pieces(lines: AsyncIterable[bytes]) -> AsyncIterator[StreamPiece]:
+    """Yield whole events; what follows the last one is left out if cut."""
+    waiting: list[bytes] = []
+    number: int | None = None
+    async for line in lines:
+        waiting.append(line)
+        text = line.strip()
+        if text.startswith(b'id:'):
+            digits = text[3:].strip()
+            number = int(digits) if digits.isdigit() else None
+        if not text:
+            yield StreamPiece(b''.join(waiting), number)
+            waiting, number = [], None
+    if waiting:
+        yield StreamPiece(b''.join(waiting))
+
+
 def forwarded_headers(
     request: CallerRequest, instance: str, time_left_s: float
 ) -> CIMultiDict[str]:
--- a/anvilcove/standins/memory_engines.py
+++ b/anvilcove/standins/memory_engines.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 from anvilcove.ports.engines import (
     BUSY,
@@ -23,6 +24,7 @@
     EndpointNotRun,
 )
 from anvilcove.ports.servers import CallerRequest, ServerAnswer
+from anvilcove.ports.streams import StreamAnswer, StreamPiece
 
 EVENT_S = 0.04
 LOAD_S = 0.9
@@ -175,3 +177,37 @@
             return ServerAnswer(500, [], b'', stamp='failed')
         stamp = f'stamp-{request.request_id}'
         return ServerAnswer(200, [], request.body, stamp=stamp)
+
+
+class MemoryStreams:
+    """Client of services that stream `events` events."""
+
+    def __init__(self) -> None:
+        """Start with healthy services."""
+        self.events = 6
+        # Services that break off after so many events.
+        self.break_after: dict[str, int] = {}
+        self.runs: list[tuple[str, int | None]] = []
+
+    @asynccontextmanager
+    async def open(
+        self,
+        address: str,
+        instance: str,
+        request: CallerRequest,
+        time_left_s: float,
+        after: int | None,
+    ) -> AsyncIterator[StreamAnswer]:
+        """Answer with the events after a number."""
+        self.runs.append((address, after))
+        yield StreamAnswer(200, [], self._pieces(address, after or 0))
+
+    async def _pieces(
+        self, address: str, after: int
+    ) -> AsyncIterator[StreamPiece]:
+        for number in range(after + 1, self.events + 1):
+            await asyncio.sleep(EVENT_S)
+            if number > self.break_after.get(address, self.events):
+                raise EndpointCrashed('broken off by the test')
+            data = f'id: {number}\ndata: {number}\n\n'.encode()
+            yield StreamPiece(data, number)
--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -77,3 +77,19 @@
     When the store forgets its history as desired state 7 is written
     And 1 s go by
     Then every daemon has desired state 7 in force
+
+  Scenario: A resumable stream goes on at another endpoint
+    Guards against events that are missing or come twice.
+    Given a platform with 1 engines and daemons a, b and c
+    And the shop streams and may be resumed
+    And every service but one breaks streams off after 3 events
+    When a stream is asked of daemon a 5 times
+    Then every stream has the events 1 to 6, each once
+
+  Scenario: A stream that may not be resumed ends without its end
+    Guards against a stream that looks complete, and one that runs twice.
+    Given a platform with 1 engines and daemons a, b and c
+    And the shop streams and may not be resumed
+    And every service breaks streams off after 3 events
+    When a stream is asked of daemon a 1 times
+    Then it is broken after event 3 and ran once
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -6,8 +6,9 @@
 from behave import given, then, when
 from memory_site import HOST, SHOP
 
-from anvilcove.control.desired import UNSAFE
+from anvilcove.control.desired import STREAM, UNSAFE
 from anvilcove.ports.servers import CallerRequest
+from anvilcove.proxy.streams import StreamBroken
 
 
 def request_of(site, number, left_s):
@@ -204,3 +205,91 @@
     expected = [f'{n}:1' for n in names.replace(' and ', ', ').split(', ')]
     found = daemon.service.addresses('r')
     assert found == sorted(expected), found
+
+
+class ListSink:
+    """Keep what a caller would get."""
+
+    def __init__(self):
+        """Start before the answer."""
+        self.starts = 0
+        self.data = b''
+
+    async def start(self, status, headers):
+        """Count the starts."""
+        self.starts += 1
+
+    async def write(self, piece):
+        """Keep a piece."""
+        self.data += piece
+
+
+@given('the shop streams and may be resumed')
+def resumable(context):
+    """Change the kind of the route."""
+    context.memory.write_operator(version=2, shop_kind=STREAM, resumable=True)
+    context.memory.pass_time(1.0)
+
+
+@given('the shop streams and may not be resumed')
+def not_resumable(context):
+    """Change the kind of the route."""
+    context.memory.write_operator(version=2, shop_kind=STREAM)
+    context.memory.pass_time(1.0)
+
+
+@given('every service but one breaks streams off after {count:d} events')
+def break_most(context, count):
+    """Let the streams of some services break off."""
+    site = context.memory
+    for address in site.server_addresses[1:2]:
+        site.streams.break_after[address] = count
+
+
+@given('every service breaks streams off after {count:d} events')
+def break_all(context, count):
+    """Let all streams break off."""
+    site = context.memory
+    for address in site.server_addresses:
+        site.streams.break_after[address] = count
+
+
+@when('a stream is asked of daemon {name} {count:d} times')
+def ask_streams(context, name, count):
+    """Ask for streams and keep what arrives."""
+    site = context.memory
+    service = site.daemons[name].service
+    context.sinks, context.broken = [], []
+
+    async def ask(number):
+        sink = ListSink()
+        context.sinks.append(sink)
+        request = request_of(site, number, 5.0)
+        route = service.route(HOST, request.path)
+        try:
+            answer = await service.stream(request, route, sink)
+            assert answer is None, answer
+        except StreamBroken as error:
+            context.broken.append(str(error))
+
+    for number in range(count):
+        site.run(ask(number))
+
+
+@then('every stream has the events {first:d} to {last:d}, each once')
+def whole_streams(context, first, last):
+    """Compare the bytes."""
+    numbers = range(first, last + 1)
+    expected = b''.join(f'id: {n}\ndata: {n}\n\n'.encode() for n in numbers)
+    assert not context.broken, context.broken
+    for sink in context.sinks:
+        assert sink.data == expected, sink.data
+        assert sink.starts == 1
+    assert any(after for _, after in context.memory.streams.runs)
+
+
+@then('it is broken after event {number:d} and ran once')
+def broken(context, number):
+    """Check that nothing was repeated."""
+    assert context.broken == [f'after event {number}'], context.broken
+    assert len(context.memory.streams.runs) == 1
--- a/features/steps/memory_site.py
+++ b/features/steps/memory_site.py
@@ -30,6 +30,7 @@
     MemoryEngine,
     MemoryEngines,
     MemoryServers,
+    MemoryStreams,
 )
 from anvilcove.standins.memory_store import MemoryStore
 from anvilcove.standins.virtual_loop import LoopClock, VirtualLoop
@@ -84,6 +85,7 @@
         ]
         self.engine_client = MemoryEngines(self.engines)
         self.servers = MemoryServers()
+        self.streams = MemoryStreams()
         self.server_addresses = [f'10.1.0.{i}:80' for i in range(servers)]
         self.daemons = {}
         self.clocks = {}
@@ -123,6 +125,7 @@
             Outside(
                 store=self.store,
                 servers=self.servers,
+                streams=self.streams,
                 engines=self.engine_client,
                 rows=MemoryRows(),
                 clock=LoopClock(self.loop),
@@ -154,7 +157,9 @@
         """Remove a row in another writer's name."""
         self.store.apply(RowTransaction(removals=[RowId(table, '', key)]))
 
-    def write_operator(self, version=1, shop_kind=SAFE, **changes):
+    def write_operator(
+        self, version=1, shop_kind=SAFE, resumable=False, **changes
+    ):
         """Write a desired state; `changes` are fields of the job route."""
         job = {
             'result_objective_s': 7.5,
@@ -164,7 +169,17 @@
         state = DesiredState(
             version=version,
             routes=(
-                route('shop', SHOP, shop_kind, 'app', 0.2, 2.0, 2),
+                route(
+                    'shop',
+                    SHOP,
+                    shop_kind,
+                    'app',
+                    0.2,
+                    2.0,
+                    2,
+                    None,
+                    resumable,
+                ),
                 route('reward', REWARDS, SAFE, 'app', 0.5, 2.0, 4),
                 route(
                     'job', JOBS, JOB, 'llm', 0.4, 10.0, 3, JobTargets(**job)
@@ -215,7 +230,15 @@
 
 
 def route(
-    name, prefix, kind, service, objective_s, timeout_s, attempts, job=None
+    name,
+    prefix,
+    kind,
+    service,
+    objective_s,
+    timeout_s,
+    attempts,
+    job=None,
+    resumable=False,
 ):
     """Return a route."""
     return Route(
@@ -228,6 +251,7 @@
         priority=1,
         targets=(Target(service),),
         max_attempts=attempts,
+        resumable=resumable,
         job=job,
     )
 
