--- a/anvilcove/cli/main.py
+++ b/anvilcove/cli/main.py
@@ -22,6 +22,7 @@
     'replay': 'anvilcove.cli.replay',
     'report': 'anvilcove.cli.report',
     'bench': 'anvilcove.cli.bench',
+    'soak': 'anvilcove.cli.soak',
 }
 
 
--- /dev/null
+++ b/anvilcove/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real daemons, faults from outside, promises checked."""
--- /dev/null
+++ b/anvilcove/soak/callers.py
@@ -0,0 +1,233 @@
+"""Callers and a trainer of the soak, and what they saw."""
+
+import asyncio
+import hashlib
+import itertools
+import random
+from base64 import b64encode
+from typing import Any
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+from msgspec import DecodeError, Struct, field, json
+
+from anvilcove.platform.names import ATTEMPT_ID, DEADLINE_MS, WAIT_MS
+from anvilcove.soak.site import (
+    CALLERS_PORT,
+    EXTRA,
+    HOST,
+    JOBS,
+    LOOKUP_PORT,
+    MODEL,
+    ONCE,
+    REWARDS,
+    SHOP,
+    LoopbackSite,
+)
+
+DEADLINE_S = 2.0
+CONNECT_S = 0.5
+PAUSE_S = 0.08
+LOOKUP_S = 1.0
+STEP_S = 2.5
+GROUPS, GROUP_SIZE = 4, 4
+READ_S = 0.4
+
+
+class Seen(Struct):
+    """One answer that a caller got; status 0 stands for none."""
+
+    request_id: str
+    kind: str
+    status: int
+    at_s: float
+    daemon: str
+    intact: bool = True
+
+
+class JobSeen(Struct):
+    """What the trainer has seen of one job."""
+
+    job_id: str
+    min_version: int
+    item_ids: list[str]
+    accepted: bool = False
+    results: list[dict[str, Any]] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)
+
+
+class Callers:
+    """Everyone who talks to the daemons of a run."""
+
+    def __init__(self, site: LoopbackSite, rng: random.Random) -> None:
+        """Ask nothing before `run`."""
+        self._site = site
+        self._rng = rng
+        self._ids = itertools.count()
+        self._addresses = [f'{d.ip}:{CALLERS_PORT}' for d in site.daemons]
+        self.seen: list[Seen] = []
+        self.jobs: list[JobSeen] = []
+        self.version = 1
+        self.trainer_stopped = False
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        timeout = ClientTimeout(total=DEADLINE_S + 1, sock_connect=CONNECT_S)
+        async with ClientSession(timeout=timeout) as session:
+            await asyncio.gather(
+                self._look_up(session),
+                self._call(session, 'safe', SHOP),
+                self._call(session, 'safe', SHOP),
+                self._call(session, 'once', ONCE),
+                self._call(session, 'extra', EXTRA),
+                self._train(session),
+            )
+
+    async def read_all(self, session: ClientSession, job: JobSeen) -> int:
+        """Read a job to its end; return the number of its results."""
+        while len(job.results) < len(job.item_ids):
+            before = len(job.results)
+            await self._read(session, job, before)
+            if len(job.results) == before:
+                return before
+        return len(job.results)
+
+    async def _look_up(self, session: ClientSession) -> None:
+        while True:
+            daemon = self._rng.choice(self._site.daemons)
+            url = f'http://{daemon.ip}:{LOOKUP_PORT}/-/lookup?name={HOST}'
+            try:
+                async with session.get(url + '&region=r&zone=z') as response:
+                    found = json.decode(await response.read())
+                    self._addresses = found['addresses'] or self._addresses
+            except (ClientError, TimeoutError, OSError, DecodeError, KeyError):
+                # Another daemon is asked the next time, as callers do.
+                pass
+            await asyncio.sleep(LOOKUP_S)
+
+    async def _call(
+        self, session: ClientSession, kind: str, prefix: str
+    ) -> None:
+        while True:
+            await asyncio.sleep(self._rng.uniform(0, 2 * PAUSE_S))
+            request_id = f'{kind}-{next(self._ids)}'
+            address = self._rng.choice(self._addresses)
+            body = request_id.encode() * 3
+            digest = hashlib.sha256(body).hexdigest()[:8]
+            status, intact = 0, True
+            try:
+                async with session.post(
+                    f'http://{address}{prefix}{request_id}',
+                    data=body,
+                    headers={
+                        'Host': HOST,
+                        ATTEMPT_ID: request_id,
+                        DEADLINE_MS: str(int(DEADLINE_S * 1000)),
+                    },
+                ) as response:
+                    answer = await response.read()
+                    status = response.status
+                    if status == 200:
+                        intact = answer == f'{request_id}:{digest}'.encode()
+            except (ClientError, TimeoutError, OSError):
+                # No answer promises nothing; the checks count it as such.
+                pass
+            at_s = asyncio.get_running_loop().time()
+            self.seen.append(
+                Seen(request_id, kind, status, at_s, address, intact)
+            )
+
+    async def _train(self, session: ClientSession) -> None:
+        for step in itertools.count():
+            if self.trainer_stopped:
+                return
+            job = self._make_job(step)
+            self.jobs.append(job)
+            tasks = [asyncio.create_task(self._step(session, job))]
+            await asyncio.wait(tasks, timeout=STEP_S)
+            self.version += 1
+            self._site.name_version(self.version)
+
+    def _make_job(self, step: int) -> JobSeen:
+        items = [
+            f'i{step}x{n}x{self._rng.randrange(10**6)}'
+            for n in range(GROUPS * GROUP_SIZE)
+        ]
+        oldest = max(self.version - 1, 1)
+        return JobSeen(f'j{step}x{self._rng.randrange(10**6)}', oldest, items)
+
+    async def _step(self, session: ClientSession, job: JobSeen) -> None:
+        while not job.accepted:
+            job.accepted = await self._submit(session, job)
+            await asyncio.sleep(PAUSE_S)
+        while len(job.results) < len(job.item_ids):
+            await self._read(session, job, len(job.results))
+            if job.results and self._rng.random() < 0.1:
+                await self._read(session, job, 0)
+            await asyncio.sleep(READ_S * self._rng.random())
+
+    async def _submit(self, session: ClientSession, job: JobSeen) -> bool:
+        body = json.encode(
+            {
+                'step': 0,
+                'model': MODEL,
+                'min-version': job.min_version,
+                'target-groups': GROUPS,
+                'requests': [
+                    self._item(item_id, position)
+                    for position, item_id in enumerate(job.item_ids)
+                ],
+            }
+        )
+        address = self._rng.choice(self._addresses)
+        try:
+            async with session.post(
+                f'http://{address}{JOBS}{job.job_id}',
+                data=body,
+                headers={'Host': HOST, ATTEMPT_ID: job.job_id},
+            ) as response:
+                await response.read()
+                return response.status == 202
+        except (ClientError, TimeoutError, OSError):
+            return False
+
+    def _item(self, item_id: str, position: int) -> dict[str, Any]:
+        return {
+            'id': item_id,
+            'path': f'{JOBS}{item_id}',
+            'headers': {'Model': MODEL},
+            'body': b64encode(item_id.encode()).decode(),
+            'token-count': 10,
+            'group-id': f'g{position // GROUP_SIZE}',
+            'scorer-url': {
+                'id': f'r-{item_id}',
+                'host': HOST,
+                'path': f'{REWARDS}{item_id}',
+                'body': '',
+            },
+        }
+
+    async def _read(
+        self, session: ClientSession, job: JobSeen, position: int
+    ) -> None:
+        address = self._rng.choice(self._addresses)
+        url = f'http://{address}/-/lots/{job.job_id}?after={position}'
+        headers = {'Host': HOST, WAIT_MS: '300'}
+        try:
+            async with session.get(url, headers=headers) as response:
+                data = await response.read()
+                if response.status == 404:
+                    job.faults.append(f'{address} says it is unknown')
+                if response.status != 200:
+                    return
+                page = json.decode(data)
+        except (ClientError, TimeoutError, OSError, DecodeError):
+            return
+        if page['total'] != len(job.item_ids):
+            job.faults.append(f'total {page["total"]}')
+        for offset, result in enumerate(page['results']):
+            place = position + offset
+            if place < len(job.results):
+                if job.results[place] != result:
+                    job.faults.append(f'position {place} changed')
+            elif place == len(job.results):
+                job.results.append(result)
--- /dev/null
+++ b/anvilcove/soak/site.py
@@ -0,0 +1,245 @@
+"""A platform on loopback addresses and the daemons in front of it."""
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+from aiohttp import web
+from msgspec import json
+
+from anvilcove.platform.standin import (
+    ServerStandin,
+    StoreStandin,
+    serve,
+)
+from anvilcove.ports.store import RowId, RowTransaction, RowWrite
+from anvilcove.soak.proxy import HarmfulProxy
+from anvilcove.standins.memory_store import MemoryStore
+
+HOST = 'h.example'
+MODEL = 'm'
+SHOP, ONCE, REWARDS, JOBS, EXTRA = (
+    '/shop/',
+    '/once/',
+    '/reward/',
+    '/job/',
+    '/extra/',
+)
+CALLERS_PORT, READY_PORT, LOOKUP_PORT, PEERS_PORT = 8101, 8102, 8103, 7720
+STORE_PORT, SERVER_PORT, PROXY_PORT = 8200, 8300, 8400
+GRACE_S = 5.0
+
+
+class DaemonProcess:
+    """One daemon, started again whenever it ends."""
+
+    def __init__(self, site: 'LoopbackSite', number: int) -> None:
+        """Give the daemon an address of its own."""
+        self.name = f'd{number}'
+        self.ip = f'{site.subnet}.{10 + number}'
+        self.store = HarmfulProxy(
+            f'{self.ip}:{PROXY_PORT}', f'{site.subnet}.2:{STORE_PORT}'
+        )
+        self.process: asyncio.subprocess.Process | None = None
+        self.starts = 0
+        # Ends that nobody asked for.
+        self.own_ends = 0
+        self._site = site
+        self._expected_end = False
+
+    async def start(self) -> None:
+        """Start the process."""
+        self.starts += 1
+        self._expected_end = False
+        settings = self._site.folder / f'{self.name}.toml'
+        settings.write_text(self._settings())
+        log = (self._site.folder / f'{self.name}.log').open('ab')
+        with log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'anvilcove',
+                'node',
+                stdout=log,
+                stderr=log,
+                env={**os.environ, 'ANVILCOVE_BOOT': str(settings)},
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process that this object started."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def kill(self) -> None:
+        """End the process at once."""
+        self._expected_end = True
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+
+    async def stop(self) -> None:
+        """End the process as planned, within its grace period."""
+        self._expected_end = True
+        self.signal(signal.SIGTERM)
+        if self.process is None:
+            return
+        try:
+            async with asyncio.timeout(GRACE_S):
+                await self.process.wait()
+        except TimeoutError:
+            await self.kill()
+
+    def ended_itself(self) -> bool:
+        """Tell whether the process ended although nobody asked for it."""
+        process = self.process
+        ended = process is not None and process.returncode is not None
+        return ended and not self._expected_end
+
+    def _settings(self) -> str:
+        seeds = [f'"{d.ip}:{PEERS_PORT}"' for d in self._site.daemons[:3]]
+        return f"""
+node-name = "{self.name}"
+zone = "z"
+region = "r"
+ip = "{self.ip}"
+internal-ports = [{PEERS_PORT}, {PEERS_PORT + 1}]
+seed-nodes = [{', '.join(seeds)}]
+[listen]
+frontend = "{self.ip}:{CALLERS_PORT}"
+ready = "{self.ip}:{READY_PORT}"
+registry = "{self.ip}:{LOOKUP_PORT}"
+[bounds]
+grace-s = {GRACE_S}
+lease-ms = 3000
+drain-ms = 2000
+[platform]
+address = "{self.store.listen}"
+row-bytes = 65536
+cross-shard = true
+"""
+
+
+class LoopbackSite:
+    """Store, servers and daemons of one run."""
+
+    def __init__(
+        self, folder: Path, daemons: int, engines: int, servers: int
+    ) -> None:
+        """Describe the site; nothing listens yet."""
+        self.folder = folder
+        pid = os.getpid()
+        self.subnet = f'127.{1 + pid // 250 % 250}.{1 + pid % 250}'
+        self.store = MemoryStore(asyncio.get_running_loop())
+        self.daemons: list[DaemonProcess] = []
+        for number in range(daemons):
+            self.daemons.append(DaemonProcess(self, number))
+        self.engines = [
+            ServerStandin(f'e{n}', model=MODEL) for n in range(engines)
+        ]
+        self.servers = [ServerStandin(f's{n}') for n in range(servers)]
+        self.links: dict[str, HarmfulProxy] = {}
+        self.draining: set[str] = set()
+        self.config_version = 1
+        # Whether the desired state has the additional route.
+        self.config_extra = False
+        self._runners: list[web.ServerRunner] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Start the platform, then the daemons."""
+        store = StoreStandin(self.store)
+        address = f'{self.subnet}.2:{STORE_PORT}'
+        self._runners.append(await serve(store.handle, address))
+        backends = [*self.engines, *self.servers]
+        for number, server in enumerate(backends):
+            ip = f'{self.subnet}.{100 + number}'
+            self._runners.append(
+                await serve(server.handle, f'{ip}:{SERVER_PORT}')
+            )
+            link = HarmfulProxy(f'{ip}:{PROXY_PORT}', f'{ip}:{SERVER_PORT}')
+            self.links[server.instance] = link
+            await link.start()
+        self.write_config(1)
+        self._tasks.append(asyncio.create_task(self._announce()))
+        for daemon in self.daemons:
+            await daemon.store.start()
+            await daemon.start()
+
+    async def stop(self) -> None:
+        """End everything that the run started."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*(daemon.kill() for daemon in self.daemons))
+        for link in [*self.links.values(), *(d.store for d in self.daemons)]:
+            await link.stop()
+        for runner in self._runners:
+            await runner.cleanup()
+
+    def write_config(self, version: int, extra: bool = False) -> None:
+        """Write a desired state; `extra` adds one more route."""
+        routes = [
+            _route('shop', SHOP, 'safe', 'app', 300, 2),
+            _route('once', ONCE, 'unsafe', 'app', 300, 2),
+            _route('reward', REWARDS, 'safe', 'app', 500, 4),
+            {
+                **_route('job', JOBS, 'rollout', 'llm', 400, 3),
+                'result-goal-ms': 7500,
+                'item-ttl-s': 60,
+            },
+        ]
+        if extra:
+            routes.append(_route('extra', EXTRA, 'safe', 'app', 300, 2))
+        engine = {'batch-size': 8, 'models': [{'name': MODEL}]}
+        state = {
+            'version': version,
+            'routes': routes,
+            'services': [
+                {'name': 'app', 'max-conns': 100},
+                {'name': 'llm', 'max-conns': 100, 'engine': engine},
+            ],
+            'limits': {},
+        }
+        self._put('op', 'config', json.encode(state))
+
+    def name_version(self, version: int) -> None:
+        """Name a version as its trainer does."""
+        row = {'model': MODEL, 'version': version}
+        self._put('op', f'version/{MODEL}', json.encode(row))
+
+    async def _announce(self) -> None:
+        while True:
+            for server in [*self.engines, *self.servers]:
+                service = 'llm' if server.model else 'app'
+                address = self.links[server.instance].listen
+                entry = server.entry(service, address, 'z')
+                if server.instance in self.draining:
+                    entry = entry.replace(b'"ready"', b'"draining"')
+                known = self.store.rows.get(
+                    RowId('servers', '', server.instance)
+                )
+                if known is None or known[0] != entry:
+                    self._put('servers', server.instance, entry)
+            await asyncio.sleep(0.5)
+
+    def _put(self, table: str, key: str, value: bytes) -> None:
+        row = RowWrite(RowId(table, '', key), value)
+        self.store.apply(RowTransaction(writes=[row]))
+
+
+def _route(
+    name: str, prefix: str, kind: str, service: str, goal: int, attempts: int
+) -> dict[str, object]:
+    return {
+        'name': name,
+        'host': HOST,
+        'prefix': prefix,
+        'type': kind,
+        'timeout-ms': 4000,
+        'latency-goal-ms': goal,
+        'priority': 1,
+        'service': service,
+        'max-attempts': attempts,
+    }
