Cache results at the position from which they were read

Two reads of one job were under way there; the first made the list longer, and the second took the new length as its start and added the same results again. Ruled out: the store's rows. Change: the start is kept across the wait. A daemon that accepts a job does not take it over before the store has answered. Commits stay below 1 MB in base64. Before and after: the scenario of three readers failed and passes.

--- a/anvilcove/jobs/job_run.py
+++ b/anvilcove/jobs/job_run.py
@@ -33,9 +33,10 @@
 # events: an item that took longer than this would be lost with its owner.
 KEEP_S = 0.8
 KEPT_EVENTS = 8
-# Bounds of one commit, below the 100 rows and 1 MB that the store takes.
+# Bounds of one commit; with the results it stays below the 100 rows and 1 MB
+# in base64 that the store takes.
 KEPT_PARTS = 60
-KEPT_BYTES = 300_000
+KEPT_BYTES = 150_000
 
 
 class JobRun:
--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -124,7 +124,14 @@
             model=spec.model,
             tokens=sum(item.tokens for item in spec.items),
         )
-        held = await self._create(spec, head, end_s)
+        # The watch may deliver the row before the store's answer arrives.
+        fresh = spec.job_id not in self._taking
+        self._taking.add(spec.job_id)
+        try:
+            held = await self._create(spec, head, end_s)
+        finally:
+            if fresh:
+                self._taking.discard(spec.job_id)
         self._board.adopt(held)
         own = held.head.commit_id == head.commit_id
         logger.bind(
@@ -137,7 +144,7 @@
             owner=held.head.owner,
         ).info('job accepted')
         self._metrics.job_event('accepted' if own else 'repeated')
-        if own and nonce == self._nonce:
+        if own and nonce == self._nonce and spec.job_id not in self.runs:
             self._begin(spec, held, [], {})
         elif own:
             self._spawn(self._guard(held))
--- a/anvilcove/jobs/reader.py
+++ b/anvilcove/jobs/reader.py
@@ -132,18 +132,22 @@
         listed = held.head.listed if held is not None else 0
         if len(known) > position or (fresh and listed <= len(known)):
             return known
+        # Another read may add to the list while this one waits.
+        start = len(known)
         try:
-            more = await self._records.results(job_id, len(known))
+            more = await self._records.results(job_id, start)
         except (StoreUnavailable, StoreAnswerLost) as error:
             raise NotSure(str(error)) from error
-        return self._cache_results(job_id, len(known), more)
+        return self._cache_results(job_id, start, more)
 
     def _cache_results(
         self, job_id: str, start: int, more: list[ItemResult]
     ) -> list[ItemResult]:
         known = self._results.setdefault(job_id, [])
         self._results.move_to_end(job_id)
-        # Another read of the same job may have added them meanwhile.
+        if start > len(known):
+            # The list was dropped meanwhile; the next read starts anew.
+            return known
         added = more[len(known) - start :]
         known += added
         self._result_bytes += sum(len(r.output) + 200 for r in added)
--- a/anvilcove/jobs/records.py
+++ b/anvilcove/jobs/records.py
@@ -35,8 +35,8 @@
 SEGMENT_BYTES = 40_000
 # A longer output becomes an object of its own.
 INLINE_OUTPUT_BYTES = 30_000
-# Rows of one transaction; the store takes 100 rows and 1 MB.
-SEGMENTS_PER_COMMIT = 16
+# Rows of results in one transaction; the store takes 1 MB in base64.
+SEGMENTS_PER_COMMIT = 10
 
 
 class CommitConflict(Exception):
--- a/features/batch_jobs.feature
+++ b/features/batch_jobs.feature
@@ -28,6 +28,18 @@
     Then the results that were read stand where they stood
     And every daemon lists 64 completed results of job j1 in the same order
 
+  Scenario: Two callers read the same job at one daemon
+    Guards against results that are cached twice, which moves all later ones.
+    Given a platform with 2 engines and daemons a, b and c
+    When daemon a accepts job j1 with 64 items
+    And 0.7 s go by
+    Then daemon b lists some results of job j1
+    When 0.5 s go by
+    And 3 callers read job j1 at daemon b at the same time
+    And 4 s go by
+    Then the results that were read stand where they stood
+    And every daemon lists 64 completed results of job j1 in the same order
+
   Scenario: The owner is stopped as planned and hands its job over
     Guards against a job that waits for a lease although its owner left.
     Given a platform with 2 engines and daemons a, b and c
--- a/features/steps/batch_job_steps.py
+++ b/features/steps/batch_job_steps.py
@@ -453,3 +453,18 @@
     assert len(by_item) == 16, len(by_item)
     for item, starts in by_item.items():
         assert max(starts) >= events, (item, starts)
+
+
+@when('{count:d} callers read job {job} at daemon {name} at the same time')
+def read_together(context, count, job, name):
+    """Read new results several times at once."""
+    site = context.memory
+    reader = site.daemons[name].reader
+    position = len(context.read[job])
+
+    async def read():
+        await asyncio.gather(
+            *(reader.page(job, position, 0.0) for _ in range(count))
+        )
+
+    site.run(read())
