Explain any id from the logs, with the age of what was known

Cause: explain found decisions of the own interface only, and the lines of a request did not say on which desired state and list of endpoints they rested. Change: explain takes ids of requests, items, jobs and endpoints, from plain logs and from collected output with a prefix; answered requests carry version and ages.

--- a/anvilcove/cli/explain.py
+++ b/anvilcove/cli/explain.py
@@ -1,4 +1,4 @@
-"""Show every decision taken for a request."""
+"""Show what the logs say of a request, item, job or endpoint."""
 
 import json
 import sys
@@ -16,12 +16,12 @@
     'logs', [], 'Log files of hosts; without one, the daemon is asked.'
 )
 
-USAGE = 'usage: anvilcove explain REQUEST_ID --logs FILE [FILE...]'
+USAGE = 'usage: anvilcove explain ID --logs FILE [FILE...]'
 
 
-@program('explain', f'Show the decisions taken for a request: {USAGE[7:]}')
+@program('explain', f'Show what the logs say of an id: {USAGE[7:]}')
 def explain(arguments: list[str]) -> int:
-    """Print the decisions of one request in the order of their times."""
+    """Print the lines about one subject in the order of their times."""
     if not arguments:
         print(USAGE, file=sys.stderr)
         return 2
@@ -37,31 +37,63 @@
     except OSError as error:
         print(error, file=sys.stderr)
         return 2
-    records.sort(key=lambda record: record.get('time', record['at_s']))
+    records.sort(key=_when)
     for record in records:
         print(as_text(record))
     if not records:
-        print(f'no decision for {request_id} is logged', file=sys.stderr)
+        print(
+            f'no decision or event for {request_id} is logged',
+            file=sys.stderr,
+        )
         return 1
     return 0
 
 
-def read_log(path: Path, request_id: str) -> Iterator[dict[str, Any]]:
-    """Yield the decisions of a request from a log of JSON lines."""
+def _when(record: dict[str, Any]) -> str:
+    return str(record.get('time') or record.get('at_s', ''))
+
+
+def read_log(path: Path, subject: str) -> Iterator[dict[str, Any]]:
+    """Yield the lines about a subject from a log of JSON lines.
+
+    The subject is the id of a request, item, job or endpoint. A line may have
+    a prefix, as that of a tool that collects the output of many hosts.
+    """
     with path.open(errors='replace') as lines:
         for line in lines:
-            if request_id not in line:
+            if subject not in line or '{' not in line:
                 continue
             try:
-                record = json.loads(line)
+                record = json.loads(line[line.index('{') :])
             except ValueError:
                 continue
-            if record.get('subject') == request_id and 'decision' in record:
+            if isinstance(record, dict) and _concerns(record, subject):
                 yield record
 
 
+def _concerns(record: dict[str, Any], subject: str) -> bool:
+    if record.get('subject') == subject and 'decision' in record:
+        return True
+    if 'message' not in record or 'decision' in record:
+        return False
+    for value in record.values():
+        named = value if isinstance(value, list) else [value]
+        if any(_names(one, subject) for one in named):
+            return True
+    return False
+
+
+def _names(value: object, subject: str) -> bool:
+    """Tell whether a value is a subject, or one start of an endpoint."""
+    return isinstance(value, str) and (
+        value == subject or value.partition('/')[0] == subject
+    )
+
+
 def as_text(record: dict[str, Any]) -> str:
-    """Return one decision as text."""
+    """Return one decision or event as text."""
+    if 'decision' not in record:
+        return _event_text(record)
     lines = [
         f'{record.get("time", record["at_s"])} {record.get("host", "")} '
         f'{record["decision"]} {record["choice"] or "-"}: '
@@ -76,3 +108,16 @@
     if record.get('extra'):
         lines.append(f'    {record["extra"]}')
     return '\n'.join(lines)
+
+
+def _event_text(record: dict[str, Any]) -> str:
+    shown = {
+        key: value
+        for key, value in record.items()
+        if key not in ('time', 'level', 'module', 'message', 'host')
+    }
+    facts = ' '.join(f'{key}={value}' for key, value in shown.items())
+    return (
+        f'{record.get("time", "")} {record.get("host", "")} '
+        f'{record["message"]}: {facts}'
+    )
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -164,6 +164,7 @@
             outside.clock,
             outside.rng,
             self.metrics,
+            self._knowledge,
         )
 
         self.streams = StreamForwarder(
@@ -229,6 +230,17 @@
             self.board.work_of,
         )
 
+    def _knowledge(self) -> dict[str, float]:
+        """Return version and age of what decisions rest on, for the log."""
+        current = self.desired.current
+        return {
+            'config': current.version if current else 0,
+            'config_age_ms': round(self.watches['operator'].age_s() * 1000),
+            'endpoints_age_ms': round(
+                self.watches['endpoints'].age_s() * 1000
+            ),
+        }
+
     def _standing(self) -> tuple[bool, bool]:
         """Return whether the store is reached and the orders lease is held."""
         return self._outside.reachable(), self.lease.fence() is not None
--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from loguru import logger
 from xxhash import xxh3_64_intdigest
@@ -118,6 +119,7 @@
         '_clock',
         '_rng',
         '_metrics',
+        '_knowledge',
     )
 
     def __init__(
@@ -128,8 +130,14 @@
         clock: Clock,
         rng: random.Random,
         metrics: NodeMetrics,
+        knowledge: Callable[[], dict[str, float]],
     ) -> None:
-        """Keep the pools and the client."""
+        """Keep the pools and the client.
+
+        `knowledge` returns versions and ages of what decisions rest on, for
+        the log.
+        """
+        self._knowledge = knowledge
         self._pools = pools
         self._servers = servers
         self._hedging = ObjectiveHedging(settings)
@@ -359,6 +367,9 @@
             status=answer.status,
             latency_ms=round(latency_s * 1000),
             left_ms=round((request.deadline_at_s - self._clock.now()) * 1000),
+            endpoints=self._pools.size(progress.service),
+            retry_after_s=answer.retry_after_s,
+            **self._knowledge(),
         ).info('request answered')
 
 
