Explain three kinds of failed request in a test

Cause: the on-call engineers have only logs and metrics, and no test showed that these suffice. Change: a scenario injects a refusal, a broken stream and failing rewards and finds each cause with anvilcove explain; another one stops reading the log. Conclusion: the lines name the id, the cause and the age of what was known.

--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -371,9 +371,11 @@
                     return progress.completed(answer.stamp)
                 progress.reward_failures += answer.server_failures
                 if progress.reward_failures >= route.max_attempts:
-                    logger.bind(request=progress.item.item_id).info(
-                        'item errored: its reward call failed each time'
-                    )
+                    logger.bind(
+                        request=progress.item.item_id,
+                        reward=reward.request_id,
+                        failures=progress.reward_failures,
+                    ).info('item errored: its reward call failed each time')
                     return ItemResult(progress.item.item_id, completed=False)
             await self._pause(pause_s)
             pause_s = min(pause_s * 2, LONGEST_RETRY_S)
--- a/anvilcove/platform/standin.py
+++ b/anvilcove/platform/standin.py
@@ -154,6 +154,8 @@
         self.failing = False
         self.refusing = False
         self.work_s = 0.02
+        # Streams break off after so many events.
+        self.break_after: int | None = None
 
 
 class ServerStandin:
@@ -227,6 +229,10 @@
         first = int(request.headers.get(LAST_EVENT_ID, '0')) + 1
         for number in range(first, event_count(attempt) + 1):
             await asyncio.sleep(EVENT_S)
+            if self.faults.break_after == number - 1:
+                assert request.transport is not None
+                request.transport.abort()
+                return response
             lines = []
             if self.version != shown:
                 shown = self.version
--- a/anvilcove/soak/callers.py
+++ b/anvilcove/soak/callers.py
@@ -140,14 +140,15 @@
         for step in itertools.count():
             if self.trainer_stopped:
                 return
-            job = self._make_job(step)
+            job = self.make_job(step)
             self.jobs.append(job)
             tasks = [asyncio.create_task(self._step(session, job))]
             await asyncio.wait(tasks, timeout=STEP_S)
             self.version += 1
             self._site.name_version(self.version)
 
-    def _make_job(self, step: int) -> JobSeen:
+    def make_job(self, step: int) -> JobSeen:
+        """Return a job of the next step."""
         items = [
             f'i{step}x{n}x{self._rng.randrange(10**6)}'
             for n in range(GROUPS * GROUP_SIZE)
@@ -165,8 +166,9 @@
                 await self._read(session, job, 0)
             await asyncio.sleep(READ_S * self._rng.random())
 
-    async def _submit(self, session: ClientSession, job: JobSeen) -> bool:
-        body = json.encode(
+    def submission(self, job: JobSeen) -> bytes:
+        """Return the body that submits a job."""
+        return json.encode(
             {
                 'step': 0,
                 'model': MODEL,
@@ -178,6 +180,9 @@
                 ],
             }
         )
+
+    async def _submit(self, session: ClientSession, job: JobSeen) -> bool:
+        body = self.submission(job)
         address = self._rng.choice(self._addresses)
         try:
             async with session.post(
--- a/anvilcove/soak/proxy.py
+++ b/anvilcove/soak/proxy.py
@@ -34,8 +34,10 @@
         """Close every connection."""
         if self._server is not None:
             self._server.close()
-        for task in list(self._tasks):
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _relay(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/anvilcove/soak/site.py
+++ b/anvilcove/soak/site.py
@@ -20,12 +20,13 @@
 
 HOST = 'h.example'
 MODEL = 'm'
-SHOP, ONCE, REWARDS, JOBS, EXTRA = (
+SHOP, ONCE, REWARDS, JOBS, EXTRA, STREAMS = (
     '/shop/',
     '/once/',
     '/reward/',
     '/job/',
     '/extra/',
+    '/stream/',
 )
 CALLERS_PORT, READY_PORT, LOOKUP_PORT, PEERS_PORT = 8101, 8102, 8103, 7720
 STORE_PORT, SERVER_PORT, PROXY_PORT = 8200, 8300, 8400
@@ -190,6 +191,7 @@
                 'item-ttl-s': 60,
             },
         ]
+        routes.append(_route('stream', STREAMS, 'streaming', 'llm', 400, 2))
         if extra:
             routes.append(_route('extra', EXTRA, 'safe', 'app', 300, 2))
         engine = {'batch-size': 8, 'models': [{'name': MODEL}]}
--- /dev/null
+++ b/features/steps/explaining_steps.py
@@ -0,0 +1,215 @@
+"""Steps that read causes from logs."""
+
+import asyncio
+import os
+import random
+import subprocess
+import sys
+from pathlib import Path
+
+from aiohttp import ClientError
+from behave import given, then, when
+from loguru import logger
+from msgspec import json
+
+from anvilcove.node.logs import LogWriter
+from anvilcove.platform.names import ATTEMPT_ID, RETRY_AFTER, WAIT_MS
+from anvilcove.soak.callers import Callers
+from anvilcove.soak.site import (
+    CALLERS_PORT,
+    HOST,
+    JOBS,
+    SHOP,
+    STREAMS,
+    LoopbackSite,
+)
+from anvilcove.state.clock import SystemClock
+
+READY_LIMIT_S = 30.0
+READ_LIMIT_S = 20.0
+
+
+@given('a site of {count:d} daemons that logs to files')
+def start_site(context, count):
+    """Start a site and wait until a request is answered."""
+    context.finish = context.loop.run_until_complete
+
+    async def start():
+        site = LoopbackSite(context.folder, count, engines=2, servers=2)
+        await site.start()
+        end_s = context.loop.time() + READY_LIMIT_S
+        while context.loop.time() < end_s:
+            context.loopback = site
+            status, _, _ = await post(context, SHOP, 'warm', b'')
+            if status == 200:
+                return site
+            await asyncio.sleep(0.2)
+        raise AssertionError('no request was answered')
+
+    context.loopback = context.finish(start())
+    # Stopped after the scenario, on its loop.
+    context.site = context.loopback
+
+
+async def post(context, prefix, request_id, body):
+    """Send a request to the first daemon."""
+    ip = context.loopback.daemons[0].ip
+    try:
+        async with context.session.post(
+            f'http://{ip}:{CALLERS_PORT}{prefix}{request_id}',
+            data=body,
+            headers={'Host': HOST, ATTEMPT_ID: request_id},
+        ) as response:
+            return response.status, response.headers, await response.read()
+    except (ClientError, OSError) as error:
+        return 0, {}, str(error).encode()
+
+
+def explain(context, subject):
+    """Return what the command prints."""
+    logs = [str(p) for p in Path(context.folder).glob('*.log')]
+    command = [sys.executable, '-m', 'anvilcove', 'explain', subject]
+    return subprocess.run(
+        [*command, '--logs', *logs],
+        capture_output=True,
+        text=True,
+        check=True,
+    ).stdout
+
+
+@when('every plain server refuses and a request is sent')
+def refuse(context):
+    """Send a request that nobody takes."""
+    for server in context.loopback.servers:
+        server.faults.refusing = True
+    context.answer = context.finish(post(context, SHOP, 'refused-1', b'x'))
+    for server in context.loopback.servers:
+        server.faults.refusing = False
+
+
+@then('its answer is 503 with a time to come back')
+def refused(context):
+    """Check the refusal."""
+    status, headers, _ = context.answer
+    assert status == 503, context.answer
+    assert float(headers[RETRY_AFTER]) > 0
+
+
+@then('explaining it names each server that refused and the status 503')
+def explain_refusal(context):
+    """Read the cause."""
+    text = explain(context, 'refused-1')
+    for server in context.loopback.servers:
+        assert f'endpoint={server.instance}/' in text, text
+    for fact in ('outcome=overloaded', 'status=503', 'endpoints_age_ms='):
+        assert fact in text, text
+
+
+@when(
+    'every engine breaks streams off after {count:d} events and a stream is '
+    'asked'
+)
+def break_streams(context, count):
+    """Ask for a stream that cannot be whole."""
+    for engine in context.loopback.engines:
+        engine.faults.break_after = count
+    context.answer = context.finish(post(context, STREAMS, 'stream-1', b''))
+    for engine in context.loopback.engines:
+        engine.faults.break_after = None
+
+
+@then('the stream ends without its end')
+def stream_ended(context):
+    """Check that the caller sees that a part is missing."""
+    assert context.answer[0] == 0, context.answer
+
+
+@then('explaining it names the engine, the last event and the reason')
+def explain_stream(context):
+    """Read the cause."""
+    text = explain(context, 'stream-1')
+    assert 'stream broke off' in text, text
+    assert 'endpoint=e' in text, text
+    assert 'last=2' in text, text
+    assert 'reason=' in text, text
+
+
+@when('the rewards of a job fail and it is submitted')
+def submit_failing(context):
+    """Submit a job whose reward calls fail."""
+    site = context.loopback
+    for server in site.servers:
+        server.faults.failing = True
+    callers = Callers(site, random.Random(1))
+    context.job = callers.make_job(0)
+    body = callers.submission(context.job)
+
+    async def submit():
+        status, _, _ = await post(context, JOBS, context.job.job_id, body)
+        assert status == 202, status
+
+    context.finish(submit())
+
+
+@then('its items are errored')
+def errored(context):
+    """Read the results."""
+    ip = context.loopback.daemons[1].ip
+    url = f'http://{ip}:{CALLERS_PORT}/-/lots/{context.job.job_id}?after='
+
+    async def read():
+        results = []
+        end_s = context.loop.time() + READ_LIMIT_S
+        while context.loop.time() < end_s:
+            async with context.session.get(
+                url + str(len(results)), headers={'Host': HOST, WAIT_MS: '500'}
+            ) as response:
+                page = json.decode(await response.read())
+            results += page['results']
+            if page['next'] == page['total']:
+                return results
+        raise AssertionError('the job is not whole')
+
+    results = context.finish(read())
+    assert all(result['state'] == 'errored' for result in results), results
+
+
+@then('explaining one of them names its reward call and the failures')
+def explain_item(context):
+    """Read the cause."""
+    item = context.job.item_ids[0]
+    text = explain(context, item)
+    assert 'its reward call failed each time' in text, text
+    assert f'reward=r-{item}' in text, text
+    assert 'status=500' in explain(context, f'r-{item}')
+
+
+@given('a log writer whose reader has stopped')
+def stopped_reader(context):
+    """Log into a pipe that nobody reads."""
+    reading, writing = os.pipe()
+    context.add_cleanup(os.close, reading)
+    context.add_cleanup(os.close, writing)
+    context.add_cleanup(logger.remove)
+    context.writer = LogWriter('h', SystemClock(), writing)
+    context.writer.install()
+
+
+@when('{count:d} lines are logged')
+def log_lines(context, count):
+    """Write many lines."""
+    for number in range(count):
+        logger.bind(request=f'q{number}').warning('line')
+    context.logged = True
+
+
+@then('logging never waited')
+def quick(context):
+    """Check that all lines were taken; a blocked writer would never end."""
+    assert context.logged
+
+
+@then('the lines that were left out are counted')
+def counted(context):
+    """Check the count."""
+    assert context.writer.left_out > 0
