Keep the home of the jobs while only its way to the store is cut

Change: the home is whoever gives the orders, directly or through peers; reward calls get a second attempt only after their objective.

--- a/anvilcove/control/nodes.py
+++ b/anvilcove/control/nodes.py
@@ -38,8 +38,6 @@
     peers: str
     beat: int
     leaving: bool
-    # Whether the daemon reaches the store without the help of peers.
-    reachable: bool
     # Whether the daemon gives the orders to the engines.
     orders: bool
 
@@ -131,11 +129,12 @@
         """Return the daemon that should run new batch jobs.
 
         It is the one that gives the orders to the engines: it knows which of
-        them load, and has connections to them. None is known for a while
-        after that daemon was lost.
+        them load, and has connections to them. One that is cut off from the
+        store goes on through its peers. None is known for a while after that
+        daemon was lost.
         """
         for node in self.alive():
-            if node.orders and node.reachable:
+            if node.orders:
                 return node
         return None
 
@@ -157,7 +156,7 @@
 class Announcer:
     """Write the row of this daemon."""
 
-    __slots__ = ('_row', '_store', '_clock', '_standing')
+    __slots__ = ('_row', '_store', '_clock', '_gives_orders')
 
     def __init__(
         self,
@@ -165,13 +164,9 @@
         nonce: str,
         store: StorePort,
         clock: Clock,
-        standing: Callable[[], tuple[bool, bool]],
+        gives_orders: Callable[[], bool],
     ) -> None:
-        """Announce nothing before `run`.
-
-        `standing` tells whether the store is reached directly and whether
-        this daemon gives the orders.
-        """
+        """Announce nothing before `run`."""
         self._row = NodeRow(
             host=settings.host,
             nonce=nonce,
@@ -181,10 +176,9 @@
             peers=settings.listeners.peers,
             beat=0,
             leaving=False,
-            reachable=True,
             orders=False,
         )
-        self._standing = standing
+        self._gives_orders = gives_orders
         self._store = store
         self._clock = clock
 
@@ -203,7 +197,7 @@
     async def beat(self) -> bool:
         """Write the row once; return whether it was acknowledged."""
         self._row.beat += 1
-        self._row.reachable, self._row.orders = self._standing()
+        self._row.orders = self._gives_orders()
         row_id = RowId(NODES_TABLE, '', self._row.host)
         value = msgpack.encode(self._row)
         try:
--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -366,6 +366,7 @@
                             + min(route.timeout_s, REWARD_TIMEOUT_S),
                         ),
                         route,
+                        urgent=False,
                     )
                 if 200 <= answer.status < 300 and answer.stamp:
                     return progress.completed(answer.stamp)
--- a/anvilcove/node/app.py
+++ b/anvilcove/node/app.py
@@ -84,7 +84,6 @@
             clock=clock,
             lease_clock=SuspendAwareClock(),
             rng=self._rng,
-            reachable=lambda: self.relay.reachable,
         )
         self.parts = NodeParts(self.settings, self._nonce, outside)
         self.relay.peers = self.parts.nodes.relays
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Any
 
 from msgspec import Struct
@@ -54,8 +54,6 @@
     clock: Clock
     lease_clock: Clock
     rng: random.Random
-    # Tells whether direct calls to the store are answered.
-    reachable: Callable[[], bool] = lambda: True
 
 
 class NodeParts:
@@ -197,7 +195,7 @@
             self.metrics,
             outside.clock,
             outside.rng,
-            lambda: self.lease.fence() is not None,
+            self._gives_orders,
         )
         self.reader = JobReader(records, self.board, watch, outside.clock)
 
@@ -208,7 +206,7 @@
             self.nonce,
             outside.store,
             outside.clock,
-            self._standing,
+            self._gives_orders,
         )
         self.lease = Lease(
             ORDERS_LEASE,
@@ -241,9 +239,8 @@
             ),
         }
 
-    def _standing(self) -> tuple[bool, bool]:
-        """Return whether the store is reached and the orders lease is held."""
-        return self._outside.reachable(), self.lease.fence() is not None
+    def _gives_orders(self) -> bool:
+        return self.lease.fence() is not None
 
     async def _expire_endpoints(self) -> None:
         while True:
--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -72,6 +72,7 @@
         'request',
         'route',
         'service',
+        'urgent',
         'tried',
         'runs',
         'refused',
@@ -83,9 +84,14 @@
     )
 
     def __init__(
-        self, request: CallerRequest, route: Route, service: str
+        self,
+        request: CallerRequest,
+        route: Route,
+        service: str,
+        urgent: bool,
     ) -> None:
         """Start without an attempt."""
+        self.urgent = urgent
         self.request = request
         self.route = route
         self.service = service
@@ -146,11 +152,15 @@
         self._metrics = metrics
 
     async def forward(
-        self, request: CallerRequest, route: Route
+        self, request: CallerRequest, route: Route, urgent: bool = True
     ) -> CallerAnswer:
-        """Return the answer of a server, or the daemon's own."""
+        """Return the answer of a server, or the daemon's own.
+
+        A request that is not urgent gets no second attempt before its
+        objective has passed.
+        """
         service = choose_service(route, request.request_id)
-        progress = Progress(request, route, service)
+        progress = Progress(request, route, service, urgent)
         end_s = min(
             request.deadline_at_s, request.received_s + route.timeout_s
         )
@@ -234,7 +244,11 @@
         )
         progress.running.append(Attempt(state, task, now))
         if route.repeatable:
-            delay_s = self._hedging.delay_for(route.name, route.objective_s)
+            delay_s = None
+            if progress.urgent:
+                delay_s = self._hedging.delay_for(
+                    route.name, route.objective_s
+                )
             progress.hedge_at_s = now + (delay_s or route.objective_s)
         return True
 
