Add metrics of duties, versions, store calls and the loop's delay

Cause: the metrics showed requests and jobs, but not who gives orders, what versions engines hold, or whether the store and the loop are well.

--- a/anvilcove/control/relay.py
+++ b/anvilcove/control/relay.py
@@ -44,10 +44,9 @@
         '_clock',
         '_rng',
         'peers',
+        'count',
         '_failed',
         '_probe_at_s',
-        'answered_at_s',
-        'away_since_s',
     )
 
     def __init__(
@@ -62,14 +61,12 @@
         self._session = session
         self._clock = clock
         self._rng = rng
+        # Counts a call by its kind and outcome.
+        self.count: Callable[[str, str], None] = lambda kind, outcome: None
         # Lists the addresses of peers, ip:port.
         self.peers: Callable[[], list[str]] = list
         self._failed = False
         self._probe_at_s = 0.0
-        # Last time that an answer came, directly or through a peer.
-        self.answered_at_s = clock.now()
-        # Since when nothing has been answered, None while answers come.
-        self.away_since_s: float | None = None
 
     @property
     def reachable(self) -> bool:
@@ -81,11 +78,9 @@
         try:
             reply = await self._send(call)
         except (StoreUnavailable, StoreAnswerLost):
-            if self.away_since_s is None:
-                self.away_since_s = self._clock.now()
+            self.count('write' if call.write else 'read', 'failed')
             raise
-        self.answered_at_s = self._clock.now()
-        self.away_since_s = None
+        self.count('write' if call.write else 'read', 'answered')
         return reply
 
     async def _send(self, call: StoreCall) -> StoreReply:
--- a/anvilcove/node/app.py
+++ b/anvilcove/node/app.py
@@ -12,6 +12,7 @@
 
 from anvilcove.control.relay import RELAY_PATH, RelayedStore
 from anvilcove.node.adapters import Adapters, Listeners
+from anvilcove.node.gauges import set_gauges
 from anvilcove.node.logs import LogWriter
 from anvilcove.node.parts import NodeParts, Outside
 from anvilcove.settings.node import NodeSettings
@@ -24,6 +25,8 @@
 CLOSE_S = 1.2
 POLL_S = 0.05
 HOUSEKEEPING_S = 0.2
+# The longest delay of the loop fades by this factor with each look.
+LAG_FADE = 0.95
 # Idle connections to endpoints are given up before the servers close them,
 # which announce 10 s.
 KEEPALIVE_S = 9.0
@@ -41,6 +44,8 @@
         self._nonce = secrets.token_hex(6)
         self._tasks: list[asyncio.Task[None]] = []
         self._stop = asyncio.Event()
+        self._lag_s = 0.0
+        self._lines_left_out = 0
 
     async def run(self) -> None:
         """Run until SIGTERM, then hand over and end."""
@@ -87,6 +92,7 @@
         )
         self.parts = NodeParts(self.settings, self._nonce, outside)
         self.relay.peers = self.parts.nodes.relays
+        self.relay.count = self.parts.metrics.store_call
 
     async def _listen(self) -> Listeners:
         listeners = await self._adapters.listen(
@@ -120,42 +126,37 @@
 
     async def _housekeeping(self, logs: LogWriter) -> None:
         while True:
+            due_s = self._clock.now() + HOUSEKEEPING_S
             await self._clock.sleep(HOUSEKEEPING_S)
+            lag_s = max(self._clock.now() - due_s, 0.0)
+            self._lag_s = max(lag_s, self._lag_s * LAG_FADE)
             logs.flush()
             if logs.left_out:
                 left_out, logs.left_out = logs.left_out, 0
+                self._lines_left_out += left_out
                 logger.bind(lines=left_out).warning('log lines left out')
 
     def _render_metrics(self) -> bytes:
+        set_gauges(self.parts)
         gauge = self.parts.metrics.gauge
-        for name, watch in self.parts.watches.items():
-            gauge(
-                'watch_age_seconds',
-                'Age of what a watch knows.',
-                {'table': name},
-                watch.age_s(),
-            )
-        current = self.parts.desired.current
-        gauge(
-            'desired_state_version',
-            'Version of the desired state in force.',
-            {},
-            float(current.version if current else 0),
-        )
         gauge(
             'store_reachable',
             'Whether direct calls to the store are answered.',
             {},
             float(self.relay.reachable),
         )
-        for state in self.parts.registry.view.by_id.values():
-            labels = {'endpoint': state.endpoint}
-            gauge(
-                'endpoint_in_flight',
-                'Attempts in flight by endpoint.',
-                labels,
-                float(state.in_flight),
-            )
+        gauge(
+            'loop_lag_seconds',
+            'Longest delay of the event loop in the last seconds.',
+            {},
+            self._lag_s,
+        )
+        gauge(
+            'log_lines_left_out',
+            'Lines that the log has left out since the start.',
+            {},
+            float(self._lines_left_out),
+        )
         return self.parts.metrics.render()
 
     def _reload(self) -> None:
--- /dev/null
+++ b/anvilcove/node/gauges.py
@@ -0,0 +1,72 @@
+"""Gauges that are read from the parts of a daemon when they are asked for."""
+
+from anvilcove.node.parts import NodeParts
+
+
+def set_gauges(parts: NodeParts) -> None:
+    """Set every gauge of a daemon's state."""
+    gauge = parts.metrics.gauge
+    current = parts.desired.current
+    for table, watch in parts.watches.items():
+        gauge(
+            'watch_age_seconds',
+            'Age of what a watch knows.',
+            {'table': table},
+            watch.age_s(),
+        )
+    gauge(
+        'desired_state_version',
+        'Version of the desired state in force.',
+        {},
+        float(current.version if current else 0),
+    )
+    gauge(
+        'orders_lease_held',
+        'Whether this daemon gives the orders to the engines.',
+        {},
+        float(parts.lease.fence() is not None),
+    )
+    gauge(
+        'jobs_owned', 'Jobs that run here.', {}, float(len(parts.owner.runs))
+    )
+    gauge(
+        'nodes_alive',
+        'Other daemons that are alive.',
+        {},
+        float(len(parts.nodes.alive())),
+    )
+    _set_endpoints(parts)
+
+
+def _set_endpoints(parts: NodeParts) -> None:
+    gauge = parts.metrics.gauge
+    for model, named in parts.desired.model_versions.items():
+        gauge(
+            'model_version_named',
+            'Newest version that a trainer has named.',
+            {'model': model},
+            float(named),
+        )
+    for endpoint, entry in parts.registry.entry_by_endpoint.items():
+        state = parts.registry.view.by_id.get(endpoint)
+        if state is not None:
+            labels = {'endpoint': endpoint}
+            gauge(
+                'endpoint_in_flight',
+                'Requests in flight by endpoint.',
+                labels,
+                float(state.in_flight),
+            )
+            gauge(
+                'endpoint_limit',
+                'Requests that may be in flight by endpoint.',
+                labels,
+                state.limit,
+            )
+        for model, version in entry.version_by_model.items():
+            gauge(
+                'endpoint_version',
+                'Version of a model that an endpoint has announced.',
+                {'endpoint': endpoint, 'model': model},
+                float(version),
+            )
--- a/anvilcove/node/metrics.py
+++ b/anvilcove/node/metrics.py
@@ -50,6 +50,20 @@
             {'service': service, 'outcome': outcome},
         )
 
+    def ejected(self, service: str) -> None:
+        """Count an ejection of an endpoint."""
+        self._count(
+            'ejections_total', 'Ejections by service.', {'service': service}
+        )
+
+    def store_call(self, kind: str, outcome: str) -> None:
+        """Count a call of the store."""
+        self._count(
+            'store_calls_total',
+            'Store calls by kind and outcome.',
+            {'kind': kind, 'outcome': outcome},
+        )
+
     def job_event(self, event: str) -> None:
         """Count an event of a batch job."""
         self._count('job_events_total', 'Job events.', {'event': event})
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -153,7 +153,11 @@
     def _build_requests(self) -> None:
         outside = self._outside
         self.pools = EndpointPools(
-            self.settings, self.registry, outside.clock, outside.rng
+            self.settings,
+            self.registry,
+            outside.clock,
+            outside.rng,
+            self.metrics,
         )
         self.forwarder = Forwarder(
             self.settings,
--- a/anvilcove/proxy/pools.py
+++ b/anvilcove/proxy/pools.py
@@ -17,6 +17,7 @@
     RouteRequest,
 )
 from anvilcove.messages.engines import LoadReport
+from anvilcove.node.metrics import NodeMetrics
 from anvilcove.ports.engines import EngineLoad
 from anvilcove.settings.daemon import HostSettings
 from anvilcove.state.clock import Clock
@@ -30,6 +31,7 @@
         'registry',
         '_clock',
         '_rng',
+        '_metrics',
         '_routing',
         '_limits',
         '_ejection',
@@ -42,8 +44,10 @@
         registry: EndpointRegistry,
         clock: Clock,
         rng: random.Random,
+        metrics: NodeMetrics,
     ) -> None:
         """Build the policies; `registry` is kept by its owner."""
+        self._metrics = metrics
         self.registry = registry
         self._clock = clock
         self._rng = rng
@@ -142,6 +146,7 @@
             logger.bind(
                 endpoint=state.endpoint, outcome=outcome, for_s=until_s - now
             ).info('endpoint ejected')
+            self._metrics.ejected(state.pool)
         self._routing.finished(now, result, state.pool, kind)
         self._serve(state.pool)
 
