--- a/anvilcove/decisions/ejection.py
+++ b/anvilcove/decisions/ejection.py
@@ -15,6 +15,11 @@
 LONGEST_EJECTION_S = 60.0
 # Errors in a row that eject; one error alone may be the request's fault.
 ERRORS_IN_ROW = 3
+# Share of failed attempts that ejects, smoothed by this step. An endpoint may
+# fail a part of its requests while its health check is good; two failures in
+# a row stay below the share.
+FAILING_SHARE = 0.3
+SHARE_STEP = 0.15
 # Accelerators of different ages in one pool differ by less than this.
 SLOW_RATIO = 4.0
 # Attempts before the latency of an endpoint counts.
@@ -30,13 +35,22 @@
 class EndpointRecord:
     """Failures and relative latency of one endpoint."""
 
-    __slots__ = ('until_s', 'ejections', 'errors', 'attempts', 'ratio')
+    __slots__ = (
+        'until_s',
+        'ejections',
+        'errors',
+        'failing',
+        'attempts',
+        'ratio',
+    )
 
     def __init__(self) -> None:
         """Start without failures."""
         self.until_s = 0.0
         self.ejections = 0
         self.errors = 0
+        # Smoothed share of failed attempts.
+        self.failing = 0.0
         self.attempts = 0
         self.ratio = 1.0
 
@@ -75,9 +89,14 @@
             return True
         if result.outcome == ERROR:
             record.errors += 1
-            return record.errors >= ERRORS_IN_ROW
+            record.failing += SHARE_STEP * (1.0 - record.failing)
+            return (
+                record.errors >= ERRORS_IN_ROW
+                or record.failing > FAILING_SHARE
+            )
         if result.outcome == OK:
             record.errors = 0
+            record.failing -= SHARE_STEP * record.failing
             return self._is_slow(record, result)
         return False
 
@@ -111,6 +130,8 @@
         time_s = FIRST_EJECTION_S * 2.0 ** min(record.ejections, 10)
         record.ejections += 1
         record.errors = 0
+        # An endpoint that fails again soon after its return is soon out.
+        record.failing /= 2
         record.attempts = 0
         record.ratio = 1.0
         record.until_s = now + min(time_s, LONGEST_EJECTION_S)
--- a/anvilcove/standins/memory_engines.py
+++ b/anvilcove/standins/memory_engines.py
@@ -149,6 +149,8 @@
         self.silent: set[str] = set()
         self.failing: dict[str, int] = {}
         self.refusing: set[str] = set()
+        # Services that fail each second, third, ... request.
+        self.failing_every: dict[str, int] = {}
         self.work_by_address: dict[str, float] = {}
         self.runs: list[tuple[str, str]] = []
         self.cancelled = 0
@@ -171,6 +173,10 @@
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
+        every = self.failing_every.get(address, 0)
+        count = sum(where == address for where, _ in self.runs)
+        if every and count % every == 0:
+            return ServerAnswer(500, [], b'', stamp='failed')
         left = self.failing.get(request.request_id, 0)
         if left:
             self.failing[request.request_id] = left - 1
--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -9,6 +9,14 @@
     Then all of them are answered within 0.2 s
     And no request ran at more than 2 services
 
+  Scenario: An endpoint fails a part of its requests
+    Guards against an endpoint whose health check is good although each
+    second request fails there.
+    Given a platform with 1 engines and daemons a, b and c
+    And service 0 fails each 2nd request
+    When 60 repeatable requests arrive at daemon a
+    Then service 0 got at most 12 of them
+
   Scenario: A request that may run once is sent once
     Guards against a posting that is repeated after a lost answer.
     Given a platform with 1 engines and daemons a, b and c
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -293,3 +293,20 @@
     """Check that nothing was repeated."""
     assert context.broken == [f'after event {number}'], context.broken
     assert len(context.memory.streams.runs) == 1
+
+
+@given('service {number:d} fails each {every:d}nd request')
+def failing_part(context, number, every):
+    """Let a service fail a part of its requests."""
+    site = context.memory
+    address = site.server_addresses[number]
+    site.servers.failing_every[address] = every
+
+
+@then('service {number:d} got at most {count:d} of them')
+def got_at_most(context, number, count):
+    """Count the requests that a service ran."""
+    address = context.memory.server_addresses[number]
+    runs = [where for where, _ in context.memory.servers.runs]
+    assert len(context.answers) == 60
+    assert runs.count(address) <= count, runs.count(address)
