Let a test go red for each mechanism of requests and jobs

Change: scenarios for two owners of a row, late commits of a former owner, a connection that breaks under a request that may run once, services that never answer, and long texts of a job that ends.

--- a/anvilcove/standins/memory_engines.py
+++ b/anvilcove/standins/memory_engines.py
@@ -149,6 +149,8 @@
         self.silent: set[str] = set()
         self.failing: dict[str, int] = {}
         self.refusing: set[str] = set()
+        # Services that break the connection after they have begun to run.
+        self.breaking: set[str] = set()
         # Services that fail each second, third, ... request.
         self.failing_every: dict[str, int] = {}
         self.work_by_address: dict[str, float] = {}
@@ -177,6 +179,8 @@
         count = sum(where == address for where, _ in self.runs)
         if every and count % every == 0:
             return ServerAnswer(500, [], b'', stamp='failed')
+        if address in self.breaking:
+            raise EndpointCrashed('broken off by the test')
         left = self.failing.get(request.request_id, 0)
         if left:
             self.failing[request.request_id] = left - 1
--- a/features/batch_jobs.feature
+++ b/features/batch_jobs.feature
@@ -57,6 +57,24 @@
     And 9 s go by
     Then every daemon lists 16 completed results of job j1 in the same order
 
+  Scenario: Two owners write on the same row of a job
+    Guards against a former owner that changes what its successor has listed.
+    Given a platform with 1 engines and daemons a, b and c
+    And job j1 that two daemons take for their own
+    When each of them lists another result at position 0
+    Then the first result stands and the second owner is told
+
+  Scenario: Commits of a former owner are applied after its successor's
+    Guards against results that move because a late write acts.
+    Given a platform with 4 engines and daemons a, b and c
+    And the answers of all commits with results are lost for 4 s and applied after 5 s
+    When daemon a accepts job j1 with 16 items
+    And 9 s go by
+    Then daemon b lists some results of job j1
+    When 6 s go by
+    Then the results that were read stand where they stood
+    And every daemon lists 16 completed results of job j1 in the same order
+
   Scenario: The store is away while items are running
     Guards against items that are given up or listed before they are kept.
     Given a platform with 4 engines and daemons a, b and c
@@ -112,6 +130,7 @@
   Scenario: The trainer ends a job and its items stop
     Guards against engines that work for a job that has ended.
     Given a platform with 1 engines and daemons a, b and c
+    And every text has 100 events
     When daemon a accepts job j1 with 64 items
     And 0.4 s go by
     And daemon b ends job j1
--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -26,6 +26,23 @@
     Then all of them end with status 504
     And no request ran at more than 1 services
 
+  Scenario: The connection breaks while a request that may run once runs
+    Guards against a second run of what may have run.
+    Given a platform with 1 engines and daemons a, b and c
+    And the shop takes requests that may run only once
+    And every service breaks connections off after it has begun
+    When 3 requests with 1 s left arrive at daemon a
+    Then all of them end with status 502
+    And no request ran at more than 1 services
+
+  Scenario: No service answers a repeatable request
+    Guards against a request that reaches more services than its route allows.
+    Given a platform with 1 engines and daemons a, b and c
+    And every service takes requests and never answers
+    When 3 requests with 1 s left arrive at daemon a
+    Then all of them end with status 504
+    And no request ran at more than 2 services
+
   Scenario: A refused request goes to another endpoint
     Guards against refusals while other endpoints have room.
     Given a platform with 1 engines and daemons a, b and c
--- a/features/steps/batch_job_steps.py
+++ b/features/steps/batch_job_steps.py
@@ -3,10 +3,16 @@
 import asyncio
 
 from behave import given, then, use_step_matcher, when
-from memory_site import MemorySite, job_spec
+from memory_site import MODEL, MemorySite, job_spec
+from msgspec.structs import replace
 
 from anvilcove.jobs.reader import JobUnknown, NotSure
-from anvilcove.jobs.records import RESULTS_TABLE
+from anvilcove.jobs.records import (
+    RESULTS_TABLE,
+    CommitConflict,
+    JobRecords,
+)
+from anvilcove.jobs.types import Commit, ItemResult, JobHead
 
 use_step_matcher('parse')
 
@@ -468,3 +474,37 @@
         )
 
     site.run(read())
+
+
+@given('job {job} that two daemons take for their own')
+def two_owners(context, job):
+    """Create a job in the store; both owners know its first row."""
+    context.records = JobRecords(context.memory.store)
+    spec = job_spec(job)
+    head = JobHead(
+        job, 'x', 'n', 0, 'c0', 0, len(spec.items), 0.0, '', '', MODEL, 0
+    )
+    context.held = context.memory.run(context.records.create(spec, head))
+
+
+@when('each of them lists another result at position {position:d}')
+def list_twice(context, position):
+    """Commit twice on the same version."""
+    context.conflicts = 0
+    for number in range(2):
+        head = replace(context.held.head, listed=1, commit_id=f'c{number + 1}')
+        result = ItemResult(f'item-{number}', True, output=str(number))
+        commit = Commit(head, [result])
+        try:
+            context.memory.run(context.records.commit(context.held, commit))
+        except CommitConflict:
+            context.conflicts += 1
+
+
+@then('the first result stands and the second owner is told')
+def first_stands(context):
+    """Read the results of the job."""
+    job = context.held.head.job_id
+    results = context.memory.run(context.records.results(job, 0))
+    assert [result.item_id for result in results] == ['item-0'], results
+    assert context.conflicts == 1, context.conflicts
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -62,6 +62,13 @@
     context.memory.servers.refusing.update(context.memory.server_addresses)
 
 
+@given('every service breaks connections off after it has begun')
+def all_breaking(context):
+    """Let every service run requests and break the connection."""
+    servers = context.memory.servers
+    servers.breaking.update(context.memory.server_addresses)
+
+
 @given('every service has left')
 def all_left(context):
     """Remove the entries of all services."""
