Take a text with nothing left as whole

A server that has no event left names no weights; the adapter took that for a broken answer, the items failed at each engine for seven seconds, and every engine was ejected. Ruled out: the engines, which answered 200 at once; 75 attempts failed with the same reason and nothing else did. Change: a resumed text without a version is whole. The stand-in does the same as the servers.

--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -13,6 +13,7 @@
 from anvilcove.jobs.reward_gate import RewardGate
 from anvilcove.jobs.types import Item, ItemResult, JobSpec, TextPart
 from anvilcove.ports.engines import (
+    NO_EVENT_LEFT,
     EngineClient,
     Generation,
     GenerationEnd,
@@ -312,6 +313,8 @@
     def _check_start(
         self, spec: JobSpec, endpoint: str, start: GenerationStart
     ) -> None:
+        if start.version == NO_EVENT_LEFT:
+            return
         self._slots.started(endpoint, spec.model, start.version, start.load)
         if start.version < spec.min_version:
             raise StaleEngine(f'engine holds version {start.version}')
--- a/anvilcove/platform/engines.py
+++ b/anvilcove/platform/engines.py
@@ -24,6 +24,7 @@
     BUSY,
     CARRIED_OUT,
     HOLDS,
+    NO_EVENT_LEFT,
     REFUSED,
     EngineReport,
     Generation,
@@ -80,7 +81,7 @@
             generation.item_id,
         ) as response:
             _check_status(response)
-            version = _version(response.headers.get(WEIGHT_VERSIONS, ''))
+            version = _first_version(response, generation.after)
             yield GenerationStart(version, server_load(response))
             last = generation.after
             async for event in read_events(response.content, last, version):
@@ -150,6 +151,14 @@
     check_framing(response)
 
 
+def _first_version(response: ClientResponse, after: int) -> int:
+    """Return the weights of the first event, 0 where no event is left."""
+    text = response.headers.get(WEIGHT_VERSIONS, '')
+    if not text and after:
+        return NO_EVENT_LEFT
+    return _version(text)
+
+
 def _version(text: str) -> int:
     try:
         return int(text)
--- a/anvilcove/platform/standin.py
+++ b/anvilcove/platform/standin.py
@@ -220,13 +220,15 @@
         self, request: web.BaseRequest, attempt: str
     ) -> web.StreamResponse:
         headers = self._headers(attempt)
-        headers[WEIGHT_VERSIONS] = str(self.version)
+        first = int(request.headers.get(LAST_EVENT_ID, '0')) + 1
+        if first <= event_count(attempt):
+            # Where nothing is left no weights are named.
+            headers[WEIGHT_VERSIONS] = str(self.version)
         response = web.StreamResponse(headers=headers)
         response.content_type = 'text/event-stream'
         response.enable_chunked_encoding()
         await response.prepare(request)
         shown = self.version
-        first = int(request.headers.get(LAST_EVENT_ID, '0')) + 1
         for number in range(first, event_count(attempt) + 1):
             await asyncio.sleep(EVENT_S)
             if self.faults.break_after == number - 1:
--- a/anvilcove/ports/engines.py
+++ b/anvilcove/ports/engines.py
@@ -69,6 +69,10 @@
     slots: int
 
 
+# Version of a start after which no event follows: the text was whole.
+NO_EVENT_LEFT = 0
+
+
 class GenerationStart(Struct):
     """The engine has begun to answer with weights of a version."""
 
