Split items, their progress and their reward calls; decode own rows once

Cause: item_run.py held three topics in 435 lines, and three modules decoded their rows each in its own way. Change: jobs/progress.py, jobs/reward_calls.py, control/row_values.py; no behaviour changes.

--- a/anvilcove/control/leases.py
+++ b/anvilcove/control/leases.py
@@ -3,15 +3,15 @@
 import random
 
 from loguru import logger
-from msgspec import DecodeError, Struct, ValidationError, msgpack
+from msgspec import Struct, msgpack
 
+from anvilcove.control.row_values import decode_value
 from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
 from anvilcove.ports.store import (
     RowCheck,
     RowId,
     RowTransaction,
     RowWrite,
-    StoredRow,
     StorePort,
 )
 from anvilcove.state.clock import Clock
@@ -137,7 +137,7 @@
         page = await self._store.read_range(
             LEASES_TABLE, '', self.name, self.name + '\0'
         )
-        current = _decode(page.rows[0]) if page.rows else None
+        current = decode_value(page.rows[0], LeaseRow) if page.rows else None
         self._version = page.rows[0].version if page.rows else 0
         if current is not None and current.nonce == self._nonce:
             # A write of our own whose answer was lost: nobody else holds it.
@@ -190,7 +190,7 @@
             self._version = outcome.version
             return None
         for conflict in outcome.conflicts:
-            found = _decode(conflict)
+            found = decode_value(conflict, LeaseRow)
             if found is not None:
                 self._version = conflict.version
                 return found
@@ -200,15 +200,3 @@
         self.row = None
         self._acting_until_s = float('-inf')
         logger.bind(lease=self.name, reason=reason).info('lease lost')
-
-
-def _decode(row: StoredRow) -> LeaseRow | None:
-    if row.value is None:
-        return None
-    try:
-        return msgpack.decode(row.value, type=LeaseRow)
-    except (DecodeError, ValidationError) as error:
-        logger.bind(row=row.id.key, reason=str(error)).warning(
-            'lease row skipped'
-        )
-        return None
--- a/anvilcove/control/nodes.py
+++ b/anvilcove/control/nodes.py
@@ -4,8 +4,9 @@
 from collections.abc import Callable
 
 from loguru import logger
-from msgspec import DecodeError, Struct, ValidationError, msgpack
+from msgspec import Struct, msgpack
 
+from anvilcove.control.row_values import decode_value
 from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
 from anvilcove.ports.store import (
     RowId,
@@ -71,7 +72,7 @@
         if whole:
             self.by_host = {}
         for row in rows:
-            node = _decode(row)
+            node = decode_value(row, NodeRow)
             if node is None:
                 self.by_host.pop(row.id.key, None)
             else:
@@ -208,15 +209,3 @@
             logger.bind(reason=str(error)).debug('beat not acknowledged')
             return False
         return True
-
-
-def _decode(row: StoredRow) -> NodeRow | None:
-    if row.value is None:
-        return None
-    try:
-        return msgpack.decode(row.value, type=NodeRow)
-    except (DecodeError, ValidationError) as error:
-        logger.bind(row=row.id.key, reason=str(error)).warning(
-            'daemon entry skipped'
-        )
-        return None
--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -10,8 +10,9 @@
 from anvilcove.control.desired import DesiredStateView, Route
 from anvilcove.control.endpoints import EndpointEntry
 from anvilcove.jobs.engine_slots import EngineNeed, EngineSlots, RunHandle
-from anvilcove.jobs.reward_gate import RewardGate
-from anvilcove.jobs.types import Item, ItemResult, JobSpec, TextPart
+from anvilcove.jobs.progress import ItemProgress
+from anvilcove.jobs.reward_calls import RewardCalls
+from anvilcove.jobs.types import Item, ItemResult, JobSpec
 from anvilcove.ports.engines import (
     NO_EVENT_LEFT,
     EngineClient,
@@ -24,8 +25,6 @@
     TokenEvent,
 )
 from anvilcove.ports.errors import EndpointError, EndpointNotRun
-from anvilcove.ports.servers import CallerRequest
-from anvilcove.proxy.forwarder import Forwarder
 from anvilcove.state.clock import Clock
 
 # An engine that sends nothing for this long is taken as lost. A load of a
@@ -34,8 +33,6 @@
 NEXT_EVENT_TIMEOUT_S = 1.5
 RETRY_S = 0.05
 LONGEST_RETRY_S = 0.5
-# Largest time that a reward call has at its service.
-REWARD_TIMEOUT_S = 3.0
 
 
 class StaleEngine(EndpointError):
@@ -46,76 +43,12 @@
     """Raised when a run was told to go on at another engine."""
 
 
-class ItemProgress:
-    """The text of an item so far and what its attempts came to."""
-
-    __slots__ = (
-        'item',
-        'texts',
-        'versions',
-        'restarted',
-        'attempts',
-        'failures',
-        'reward_failures',
-        'endpoint',
-        'moves',
-        'started_s',
-        'waited_s',
-        'generated_s',
-    )
-
-    def __init__(self, item: Item, started_s: float) -> None:
-        """Start without text."""
-        self.item = item
-        self.started_s = started_s
-        # Time spent waiting for a slot, and when the text was whole.
-        self.waited_s = 0.0
-        self.generated_s = started_s
-        self.endpoint = ''
-        self.moves = 0
-        self.texts: list[str] = []
-        self.versions: list[int] = []
-        # Whether a text was dropped: what was kept of it is another run's.
-        self.restarted = False
-        self.attempts = 0
-        self.failures = 0
-        self.reward_failures = 0
-
-    def add(self, event: TokenEvent) -> None:
-        """Append an event."""
-        self.texts.append(event.text)
-        if event.version not in self.versions:
-            self.versions.append(event.version)
-
-    def resume(self, part: TextPart) -> None:
-        """Go on with a text that an earlier owner kept."""
-        self.texts = list(part.texts)
-        self.versions = list(part.versions)
-
-    def restart(self) -> None:
-        """Drop the text."""
-        self.texts = []
-        self.versions = []
-        self.restarted = True
-
-    def completed(self, score: str) -> ItemResult:
-        """Return the result of the whole text."""
-        return ItemResult(
-            item_id=self.item.item_id,
-            completed=True,
-            output='\n'.join(self.texts),
-            versions=list(self.versions),
-            score=score,
-        )
-
-
 class ItemRunner:
     """Run the items of the batch jobs of this daemon."""
 
     __slots__ = (
         '_slots',
         '_engines',
-        '_forwarder',
         '_desired',
         '_rewards',
         '_clock',
@@ -126,16 +59,14 @@
         self,
         slots: EngineSlots,
         engines: EngineClient,
-        forwarder: Forwarder,
         desired: DesiredStateView,
-        rewards: RewardGate,
+        rewards: RewardCalls,
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        """Keep what items need; `rewards` bounds reward calls at once."""
+        """Keep what items need."""
         self._slots = slots
         self._engines = engines
-        self._forwarder = forwarder
         self._desired = desired
         self._rewards = rewards
         self._clock = clock
@@ -155,7 +86,7 @@
                 result = await self._generate(spec, progress, rank, end_s)
                 progress.generated_s = self._clock.now()
                 if result is None:
-                    result = await self._score(progress)
+                    result = await self._rewards.score(progress)
         except TimeoutError:
             result = ItemResult(item.item_id, completed=False)
             logger.bind(
@@ -344,46 +275,6 @@
         if progress.versions and progress.versions != [version]:
             progress.restart()
 
-    async def _score(self, progress: ItemProgress) -> ItemResult:
-        """Send the reward call until its answer counts."""
-        reward = progress.item.reward
-        if reward is None:
-            return progress.completed('')
-        pause_s = RETRY_S
-        while True:
-            state = self._desired.current
-            route = state.find(reward.host, reward.path) if state else None
-            if route is not None:
-                async with self._rewards.enter(route.targets[0].service):
-                    now = self._clock.now()
-                    answer = await self._forwarder.forward(
-                        CallerRequest(
-                            request_id=reward.request_id,
-                            method='POST',
-                            host=reward.host,
-                            path=reward.path,
-                            headers=reward.headers,
-                            body=reward.body,
-                            received_s=now,
-                            deadline_at_s=now
-                            + min(route.timeout_s, REWARD_TIMEOUT_S),
-                        ),
-                        route,
-                        urgent=False,
-                    )
-                if 200 <= answer.status < 300 and answer.stamp:
-                    return progress.completed(answer.stamp)
-                progress.reward_failures += answer.server_failures
-                if progress.reward_failures >= route.max_attempts:
-                    logger.bind(
-                        request=progress.item.item_id,
-                        reward=reward.request_id,
-                        failures=progress.reward_failures,
-                    ).info('item errored: its reward call failed each time')
-                    return ItemResult(progress.item.item_id, completed=False)
-            await self._pause(pause_s)
-            pause_s = min(pause_s * 2, LONGEST_RETRY_S)
-
     def _route(self, spec: JobSpec) -> Route | None:
         state = self._desired.current
         route = state.find(spec.host, spec.path) if state else None
--- a/anvilcove/jobs/job_run.py
+++ b/anvilcove/jobs/job_run.py
@@ -6,7 +6,8 @@
 from loguru import logger
 from msgspec.structs import replace
 
-from anvilcove.jobs.item_run import ItemProgress, ItemRunner
+from anvilcove.jobs.item_run import ItemRunner
+from anvilcove.jobs.progress import ItemProgress
 from anvilcove.jobs.records import (
     CommitConflict,
     JobRecords,
--- a/anvilcove/jobs/records.py
+++ b/anvilcove/jobs/records.py
@@ -1,10 +1,10 @@
 """The one writer and reader of what the store keeps of batch jobs."""
 
-from loguru import logger
 from msgspec import DecodeError, Struct, ValidationError, msgpack
 from msgspec.structs import replace
 from xxhash import xxh32_intdigest
 
+from anvilcove.control.row_values import decode_value
 from anvilcove.jobs.types import (
     Commit,
     HeldJob,
@@ -146,7 +146,7 @@
         )
         found: dict[str, TextPart] = {}
         for row in page.rows:
-            part = _decode_part(row)
+            part = decode_value(row, TextPart)
             if part is None:
                 continue
             known = found.setdefault(
@@ -175,7 +175,7 @@
         )
         found: list[ItemResult] = []
         for row in page.rows:
-            segment = _segment(row)
+            segment = decode_value(row, list[ItemResult])
             start = int(row.id.key.rpartition('/')[2])
             if segment is None or start != position + len(found):
                 break
@@ -265,39 +265,11 @@
 
 
 def _held(rows: list[StoredRow]) -> HeldJob | None:
+    """Return the first row of a job that can be read."""
     for row in rows:
-        if row.id.table != JOBS_TABLE or row.value is None:
+        if row.id.table != JOBS_TABLE:
             continue
-        try:
-            head = msgpack.decode(row.value, type=JobHead)
-        except (DecodeError, ValidationError) as error:
-            logger.bind(row=row.id.key, reason=str(error)).warning(
-                'job row skipped'
-            )
-            continue
-        return HeldJob(head, row.version)
+        head = decode_value(row, JobHead)
+        if head is not None:
+            return HeldJob(head, row.version)
     return None
-
-
-def _decode_part(row: StoredRow) -> TextPart | None:
-    if row.value is None:
-        return None
-    try:
-        return msgpack.decode(row.value, type=TextPart)
-    except (DecodeError, ValidationError) as error:
-        logger.bind(row=row.id.key, reason=str(error)).warning(
-            'part of a text skipped'
-        )
-        return None
-
-
-def _segment(row: StoredRow) -> list[ItemResult] | None:
-    if row.value is None:
-        return None
-    try:
-        return msgpack.decode(row.value, type=list[ItemResult])
-    except (DecodeError, ValidationError) as error:
-        logger.bind(row=row.id.key, reason=str(error)).warning(
-            'result row skipped'
-        )
-        return None
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -19,6 +19,7 @@
 from anvilcove.jobs.owner import JobOwner
 from anvilcove.jobs.reader import JobReader
 from anvilcove.jobs.records import JOBS_TABLE, PARTS, JobRecords
+from anvilcove.jobs.reward_calls import RewardCalls
 from anvilcove.jobs.reward_gate import RewardGate
 from anvilcove.node.metrics import NodeMetrics
 from anvilcove.node.service import NodeService, NodeState
@@ -178,12 +179,18 @@
         records = JobRecords(outside.store)
         watch = self.watches['jobs']
         self.slots = EngineSlots(self.registry, outside.clock, outside.rng)
+        rewards = RewardCalls(
+            self.forwarder,
+            self.desired,
+            RewardGate(self.registry),
+            outside.clock,
+            outside.rng,
+        )
         runner = ItemRunner(
             self.slots,
             outside.engines,
-            self.forwarder,
             self.desired,
-            RewardGate(self.registry),
+            rewards,
             outside.clock,
             outside.rng,
         )
