--- a/features/steps/explaining_steps.py
+++ b/features/steps/explaining_steps.py
@@ -6,13 +6,13 @@
 import sys
 from pathlib import Path
 
-from aiohttp import ClientError
 from behave import given, then, when
 from loguru import logger
+from loopback_calls import post
 from msgspec import json
 
 from anvilcove.node.logs import LogWriter
-from anvilcove.platform.names import ATTEMPT_ID, RETRY_AFTER, WAIT_MS
+from anvilcove.platform.names import RETRY_AFTER, WAIT_MS
 from anvilcove.soak.callers import Callers
 from anvilcove.soak.site import (
     CALLERS_PORT,
@@ -50,20 +50,6 @@
     context.site = context.loopback
 
 
-async def post(context, prefix, request_id, body):
-    """Send a request to the first daemon."""
-    ip = context.loopback.daemons[0].ip
-    try:
-        async with context.session.post(
-            f'http://{ip}:{CALLERS_PORT}{prefix}{request_id}',
-            data=body,
-            headers={'Host': HOST, ATTEMPT_ID: request_id},
-        ) as response:
-            return response.status, response.headers, await response.read()
-    except (ClientError, OSError) as error:
-        return 0, {}, str(error).encode()
-
-
 def explain(context, subject):
     """Return what the command prints."""
     logs = [str(p) for p in Path(context.folder).glob('*.log')]
