Check the adapter with answers that are not whole

Cause: the checks of id, framing, encoding and stamp had no scenario. Change: six answers as raw bytes that must not be passed on, and a good one.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -19,3 +19,24 @@
     Given a model server on a loopback address
     When a text is asked of a server that is gone
     Then it certainly did not run
+
+  Scenario Outline: An answer that is not a whole answer to the request
+    Guards against bytes of another request, or a part, passed on as whole.
+    Given a server that sends <bytes>
+    When a request q1 is sent to it
+    Then no answer comes of it
+
+    Examples:
+      | bytes                                                                  |
+      | HTTP/1.1 200 OK~Attempt-Id: q2~Server-Stamp: s~Content-Length: 2~~ok   |
+      | HTTP/1.1 200 OK~Attempt-Id: q1~Content-Length: 2~~ok                   |
+      | HTTP/1.1 200 OK~Attempt-Id: q1~Server-Stamp: s~Content-Length: 9~~ok   |
+      | HTTP/1.1 200 OK~Attempt-Id: q1~Server-Stamp: s~~ok                     |
+      | HTTP/1.1 200 OK~Attempt-Id: q1~Server-Stamp: s~Content-Encoding: gzip~Content-Length: 2~~ok |
+      | nonsense                                                               |
+
+  Scenario: An answer that is whole
+    Guards against a check that refuses every answer.
+    Given a server that sends HTTP/1.1 200 OK~Attempt-Id: q1~Server-Stamp: s~Content-Length: 2~~ok
+    When a request q1 is sent to it
+    Then its answer is ok with stamp s
