Repeat calls on idle connections that their server has dropped

Cause: servers of the grown sites forget idle connections before the time that they announce and reset what comes next on them. The daemon took that for a crash: the endpoint was ejected, an item paused, and a request that may run once was lost although the server was healthy. Looking at how the HTTP library handles such breaks showed a second fault: it repeats GET, PUT and DELETE by itself after any break of a connection, also of a request that was running and may run once.

Ruled out: a shorter keep-alive time (the time is not announced and new connections are priced); closing all idle connections after one reset (those of a server that has merely restarted would be found dropped anyway).

Change: `ServerConnections` owns the sessions towards servers. A call whose reused connection breaks within a round trip is sent again on the next connection if it may be repeated; other calls get connections of their own at such a server for a while. The library's own repetition is off. The clients share one way to build a call.

Before: a PUT and a DELETE that broke off while running ran twice. After: once; repeatable requests and texts on dropped connections are answered at once, and only the first request that may run once is lost.

--- a/anvilcove/node/adapters.py
+++ b/anvilcove/node/adapters.py
@@ -1,8 +1,10 @@
 """What a family of adapters provides to the daemon."""
 
+from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
 from aiohttp import ClientSession
+from msgspec import Struct
 
 from anvilcove.node.service import NodeService
 from anvilcove.ports.engines import EngineClient
@@ -14,6 +16,14 @@
 from anvilcove.settings.node import NodeSettings
 
 
+class EndpointClients(Struct):
+    """Clients of everything that endpoints do."""
+
+    servers: ServerClient
+    streams: StreamClient
+    engines: EngineClient
+
+
 class Listeners(Protocol):
     """Open listeners of the daemon."""
 
@@ -40,14 +50,10 @@
     def store(self, transport: StoreTransport) -> StorePort:
         """Return the client of the store."""
 
-    def servers(self, session: ClientSession) -> ServerClient:
-        """Return the client of the services."""
-
-    def streams(self, session: ClientSession) -> StreamClient:
-        """Return the client of the services that stream."""
-
-    def engines(self, session: ClientSession) -> EngineClient:
-        """Return the client of the engines."""
+    def endpoint_clients(
+        self,
+    ) -> AbstractAsyncContextManager[EndpointClients]:
+        """Open the connections to endpoints and yield their clients."""
 
     async def listen(
         self, settings: NodeSettings, service: NodeService
--- a/anvilcove/node/app.py
+++ b/anvilcove/node/app.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from anvilcove.control.relay import RELAY_PATH, RelayedStore
-from anvilcove.node.adapters import Adapters, Listeners
+from anvilcove.node.adapters import Adapters, EndpointClients, Listeners
 from anvilcove.node.gauges import set_gauges
 from anvilcove.node.logs import LogWriter
 from anvilcove.node.parts import NodeParts, Outside
@@ -27,9 +27,6 @@
 HOUSEKEEPING_S = 0.2
 # The longest delay of the loop fades by this factor with each look.
 LAG_FADE = 0.95
-# Idle connections to endpoints are given up before the servers close them,
-# which announce 10 s.
-KEEPALIVE_S = 9.0
 
 
 class NodeDaemon:
@@ -64,27 +61,24 @@
             ClientSession(
                 connector=TCPConnector(limit=0), auto_decompress=False
             ) as control,
-            ClientSession(
-                connector=TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S),
-                auto_decompress=False,
-            ) as session,
+            self._adapters.endpoint_clients() as clients,
         ):
-            self._build(control, session)
+            self._build(control, clients)
             listeners = await self._listen()
             self._start_loops(logs)
             await self._stop.wait()
             await self._shut_down(listeners, logs)
 
-    def _build(self, control: ClientSession, session: ClientSession) -> None:
+    def _build(self, control: ClientSession, clients: EndpointClients) -> None:
         adapters, clock = self._adapters, self._clock
         self.relay = RelayedStore(
             adapters.transport(control), control, clock, self._rng
         )
         outside = Outside(
             store=adapters.store(self.relay),
-            servers=adapters.servers(session),
-            streams=adapters.streams(session),
-            engines=adapters.engines(session),
+            servers=clients.servers,
+            streams=clients.streams,
+            engines=clients.engines,
             rows=adapters.rows,
             clock=clock,
             lease_clock=SuspendAwareClock(),
--- a/anvilcove/platform/engines.py
+++ b/anvilcove/platform/engines.py
@@ -2,10 +2,11 @@
 
 from collections.abc import AsyncIterable, AsyncIterator
 
-from aiohttp import ClientResponse, ClientSession
+from aiohttp import ClientResponse
 from msgspec import json
 
 from anvilcove.platform.bodies import BodyError, decode_object
+from anvilcove.platform.connections import ServerCall, ServerConnections
 from anvilcove.platform.exchange import (
     check_framing,
     exchange,
@@ -51,11 +52,11 @@
 class PlatformEngines:
     """Generations, orders and reports over HTTP."""
 
-    __slots__ = ('_session',)
+    __slots__ = ('_connections',)
 
-    def __init__(self, session: ClientSession) -> None:
-        """Keep the session whose connections are used."""
-        self._session = session
+    def __init__(self, connections: ServerConnections) -> None:
+        """Keep the connections that are used."""
+        self._connections = connections
 
     async def generate(
         self, address: str, instance: str, generation: Generation
@@ -71,15 +72,16 @@
         }
         if generation.after:
             headers[LAST_EVENT_ID] = str(generation.after)
-        async with exchange(
-            self._session,
+        call = ServerCall(
             'POST',
             address,
             generation.path,
             headers,
             generation.body,
             generation.item_id,
-        ) as response:
+            repeatable=True,
+        )
+        async with exchange(self._connections, call) as response:
             _check_status(response)
             version = _first_version(response, generation.after)
             yield GenerationStart(version, server_load(response))
@@ -109,18 +111,19 @@
             }
         )
         headers = {**JSON_HEADERS, EXPECT_INSTANCE: instance}
-        async with exchange(
-            self._session, 'POST', address, '/-/order', headers, body, ''
-        ) as response:
+        # The count that the order expects keeps it from acting twice.
+        call = ServerCall(
+            'POST', address, '/-/order', headers, body, repeatable=True
+        )
+        async with exchange(self._connections, call) as response:
             await response.read()
             status = response.status
             return ORDER_OUTCOMES.get(status, f'{REFUSED}: status {status}')
 
     async def report(self, address: str) -> EngineReport:
         """Read what the engine says of itself."""
-        async with exchange(
-            self._session, 'GET', address, '/-/report', {}, b'', ''
-        ) as response:
+        call = ServerCall('GET', address, '/-/report', {}, repeatable=True)
+        async with exchange(self._connections, call) as response:
             if response.status != 200:
                 raise EndpointFailed(f'report: status {response.status}')
             try:
--- a/anvilcove/platform/exchange.py
+++ b/anvilcove/platform/exchange.py
@@ -1,20 +1,17 @@
 """One HTTP exchange with a server, with errors turned into those of ports."""
 
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 from aiohttp import (
     ClientConnectorError,
     ClientError,
     ClientResponse,
-    ClientSession,
-    ClientTimeout,
     ConnectionTimeoutError,
     ServerDisconnectedError,
 )
-from multidict import CIMultiDict
-from yarl import URL
 
+from anvilcove.platform.connections import ServerCall, ServerConnections
 from anvilcove.platform.names import (
     ATTEMPT_ID,
     NOT_EXECUTED,
@@ -28,37 +25,21 @@
     EndpointNotRun,
 )
 
-# Headers that the client library would add by itself.
-SKIPPED_HEADERS = ('User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type')
 OVERLOADED_STATUSES = (429, 503)
-CONNECT_TIMEOUT_S = 0.4
 
 
 @asynccontextmanager
 async def exchange(
-    session: ClientSession,
-    method: str,
-    address: str,
-    path: str,
-    headers: Mapping[str, str] | CIMultiDict[str],
-    body: bytes,
-    attempt_id: str,
+    connections: ServerConnections, call: ServerCall
 ) -> AsyncIterator[ClientResponse]:
-    """Send a request and yield an answer that is surely its own.
+    """Send a call and yield an answer that is surely its own.
 
     The caller bounds the time. Raises EndpointNotRun only where the server
     has certainly run nothing.
     """
+    address, attempt_id = call.address, call.attempt_id
     try:
-        async with session.request(
-            method,
-            URL(f'http://{address}{path}', encoded=True),
-            data=body or None,
-            headers=headers,
-            skip_auto_headers=SKIPPED_HEADERS,
-            allow_redirects=False,
-            timeout=ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
-        ) as response:
+        async with connections.open(call) as response:
             echoed = response.headers.get(ATTEMPT_ID, '')
             if attempt_id and echoed and echoed != attempt_id:
                 # Closing drops the connection: the answer that it still owes
--- a/anvilcove/platform/family.py
+++ b/anvilcove/platform/family.py
@@ -1,13 +1,17 @@
 """The adapters of the users' platform as one family."""
 
 import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 from aiohttp import ClientSession, web
 from loguru import logger
 
 from anvilcove.control.desired import DesiredStateView
 from anvilcove.control.endpoints import EndpointRegistry
+from anvilcove.node.adapters import EndpointClients
 from anvilcove.node.service import NodeService
+from anvilcove.platform.connections import ServerConnections
 from anvilcove.platform.engines import PlatformEngines
 from anvilcove.platform.listeners import (
     CallerListener,
@@ -124,17 +128,15 @@
         """Return the client of the store."""
         return PlatformStore(transport)
 
-    def servers(self, session: ClientSession) -> PlatformServers:
-        """Return the client of the services."""
-        return PlatformServers(session)
-
-    def streams(self, session: ClientSession) -> PlatformStreams:
-        """Return the client of the services that stream."""
-        return PlatformStreams(session)
-
-    def engines(self, session: ClientSession) -> PlatformEngines:
-        """Return the client of the engines."""
-        return PlatformEngines(session)
+    @asynccontextmanager
+    async def endpoint_clients(self) -> AsyncIterator[EndpointClients]:
+        """Open the connections to endpoints and yield their clients."""
+        async with ServerConnections() as connections:
+            yield EndpointClients(
+                servers=PlatformServers(connections),
+                streams=PlatformStreams(connections),
+                engines=PlatformEngines(connections),
+            )
 
     async def listen(
         self, settings: NodeSettings, service: NodeService
--- a/anvilcove/platform/servers.py
+++ b/anvilcove/platform/servers.py
@@ -3,9 +3,10 @@
 from collections.abc import AsyncIterable, AsyncIterator
 from contextlib import asynccontextmanager
 
-from aiohttp import ClientPayloadError, ClientResponse, ClientSession
+from aiohttp import ClientPayloadError, ClientResponse
 from multidict import CIMultiDict
 
+from anvilcove.platform.connections import ServerCall, ServerConnections
 from anvilcove.platform.exchange import (
     check_framing,
     exchange,
@@ -26,11 +27,11 @@
 class PlatformServers:
     """Requests to servers over HTTP."""
 
-    __slots__ = ('_session',)
+    __slots__ = ('_connections',)
 
-    def __init__(self, session: ClientSession) -> None:
-        """Keep the session whose connections are used."""
-        self._session = session
+    def __init__(self, connections: ServerConnections) -> None:
+        """Keep the connections that are used."""
+        self._connections = connections
 
     async def send(
         self,
@@ -38,18 +39,12 @@
         instance: str,
         request: CallerRequest,
         time_left_s: float,
+        repeatable: bool,
     ) -> ServerAnswer:
         """Return a whole answer, or raise an EndpointError."""
         headers = forwarded_headers(request, instance, time_left_s)
-        async with exchange(
-            self._session,
-            request.method,
-            address,
-            request.path,
-            headers,
-            request.body,
-            request.request_id,
-        ) as response:
+        call = _call(address, request, headers, repeatable)
+        async with exchange(self._connections, call) as response:
             check_framing(response)
             try:
                 body = await response.read()
@@ -70,11 +65,11 @@
 class PlatformStreams:
     """Streamed answers of servers over HTTP."""
 
-    __slots__ = ('_session',)
+    __slots__ = ('_connections',)
 
-    def __init__(self, session: ClientSession) -> None:
-        """Keep the session whose connections are used."""
-        self._session = session
+    def __init__(self, connections: ServerConnections) -> None:
+        """Keep the connections that are used."""
+        self._connections = connections
 
     @asynccontextmanager
     async def open(
@@ -83,21 +78,15 @@
         instance: str,
         request: CallerRequest,
         time_left_s: float,
+        repeatable: bool,
         after: int | None,
     ) -> AsyncIterator[StreamAnswer]:
         """Send a request; raise an EndpointError here or from the pieces."""
         headers = forwarded_headers(request, instance, time_left_s)
         if after is not None:
             headers[LAST_EVENT_ID] = str(after)
-        async with exchange(
-            self._session,
-            request.method,
-            address,
-            request.path,
-            headers,
-            request.body,
-            request.request_id,
-        ) as response:
+        call = _call(address, request, headers, repeatable)
+        async with exchange(self._connections, call) as response:
             check_framing(response)
             yield StreamAnswer(
                 response.status,
@@ -106,6 +95,23 @@
             )
 
 
+def _call(
+    address: str,
+    request: CallerRequest,
+    headers: CIMultiDict[str],
+    repeatable: bool,
+) -> ServerCall:
+    return ServerCall(
+        request.method,
+        address,
+        request.path,
+        headers,
+        request.body,
+        request.request_id,
+        repeatable,
+    )
+
+
 async def _pieces(lines: AsyncIterable[bytes]) -> AsyncIterator[StreamPiece]:
     """Yield whole events; what follows the last one is left out if cut."""
     waiting: list[bytes] = []
--- a/anvilcove/platform/standin.py
+++ b/anvilcove/platform/standin.py
@@ -9,6 +9,7 @@
 from base64 import b64decode, b64encode
 from typing import Any
 from urllib.parse import parse_qs, unquote
+from weakref import WeakSet
 
 from aiohttp import web
 from msgspec import json
@@ -153,6 +154,10 @@
         self.silent = False
         self.failing = False
         self.refusing = False
+        # Connections break while their request runs.
+        self.breaking = False
+        # Connections that have carried a request are dropped unannounced.
+        self.drops_idle = False
         self.work_s = 0.02
         # Streams break off after so many events.
         self.break_after: int | None = None
@@ -171,6 +176,7 @@
         self.loading = False
         self.running = 0
         self.faults = ServerFaults()
+        self._used: WeakSet[asyncio.BaseTransport] = WeakSet()
         # What began to run: id, path and digest of the body.
         self.runs: list[tuple[str, str, str]] = []
         # What each event of an item was made by: (item, event) to versions.
@@ -178,6 +184,12 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
+        transport = request.transport
+        assert transport is not None
+        if self.faults.drops_idle and transport in self._used:
+            transport.abort()
+            return web.Response(status=500)
+        self._used.add(transport)
         if request.raw_path == '/-/report':
             return self._report()
         if request.headers.get(EXPECT_INSTANCE, '') != self.instance:
@@ -198,6 +210,8 @@
             if self.model:
                 return await self._generate(request, attempt)
             await asyncio.sleep(self.faults.work_s)
+            if self.faults.breaking:
+                transport.abort()
             return self._answer(attempt, digest)
         finally:
             self.running -= 1
--- a/anvilcove/ports/servers.py
+++ b/anvilcove/ports/servers.py
@@ -59,5 +59,9 @@
         instance: str,
         request: CallerRequest,
         time_left_s: float,
+        repeatable: bool,
     ) -> ServerAnswer:
-        """Return a whole answer, or raise an EndpointError."""
+        """Return a whole answer, or raise an EndpointError.
+
+        A repeatable request may run more than once at the endpoint.
+        """
--- a/anvilcove/ports/streams.py
+++ b/anvilcove/ports/streams.py
@@ -33,6 +33,7 @@
         instance: str,
         request: CallerRequest,
         time_left_s: float,
+        repeatable: bool,
         after: int | None,
     ) -> AbstractAsyncContextManager[StreamAnswer]:
         """Send a request; raise an EndpointError here or from the pieces."""
--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -240,6 +240,7 @@
                 entry.instance,
                 request,
                 request.deadline_at_s - now,
+                route.repeatable,
             )
         )
         progress.running.append(Attempt(state, task, now))
--- a/anvilcove/proxy/streams.py
+++ b/anvilcove/proxy/streams.py
@@ -80,7 +80,7 @@
             outcome = CANCELLED
             started_s = self._clock.now()
             try:
-                await self._attempt(request, state, sink, progress)
+                await self._attempt(request, route, state, sink, progress)
                 outcome = OK
                 return None
             except EndpointNotRun as error:
@@ -108,6 +108,7 @@
     async def _attempt(
         self,
         request: CallerRequest,
+        route: Route,
         state: EndpointState,
         sink: StreamSink,
         progress: StreamProgress,
@@ -117,7 +118,12 @@
             raise EndpointNotRun('the endpoint has just left')
         left_s = request.deadline_at_s - self._clock.now()
         async with self._client.open(
-            entry.address, entry.instance, request, left_s, progress.last
+            entry.address,
+            entry.instance,
+            request,
+            left_s,
+            route.resumable,
+            progress.last,
         ) as answer:
             progress.sent += 1
             progress.maybe_run = True
--- a/anvilcove/standins/memory_engines.py
+++ b/anvilcove/standins/memory_engines.py
@@ -163,6 +163,7 @@
         instance: str,
         request: CallerRequest,
         time_left_s: float,
+        repeatable: bool,
     ) -> ServerAnswer:
         """Answer with a stamp that names the request."""
         if address in self.refusing:
@@ -208,6 +209,7 @@
         instance: str,
         request: CallerRequest,
         time_left_s: float,
+        repeatable: bool,
         after: int | None,
     ) -> AsyncIterator[StreamAnswer]:
         """Answer with the events after a number."""
--- a/features/environment.py
+++ b/features/environment.py
@@ -7,6 +7,8 @@
 
 from aiohttp import ClientSession
 
+from anvilcove.platform.connections import ServerConnections
+
 
 def before_scenario(context, scenario):
     """Give each scenario a loop, a session and a folder of its own."""
@@ -18,6 +20,8 @@
         return ClientSession()
 
     context.session = context.loop.run_until_complete(open_session())
+    context.connections = ServerConnections()
+    context.loop.run_until_complete(context.connections.__aenter__())
 
 
 def after_scenario(context, scenario):
@@ -25,5 +29,8 @@
     if context.site is not None:
         context.loop.run_until_complete(context.site.stop())
     context.loop.run_until_complete(context.session.close())
+    context.loop.run_until_complete(
+        context.connections.__aexit__(None, None, None)
+    )
     context.loop.close()
     shutil.rmtree(context.folder, ignore_errors=True)
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -40,3 +40,39 @@
     Given a server that sends HTTP/1.1 200 OK~Attempt-Id: q1~Server-Stamp: s~Content-Length: 2~~ok
     When a request q1 is sent to it
     Then its answer is ok with stamp s
+
+  Scenario: A request on an idle connection that its server has dropped
+    Guards against a healthy server taken as crashed, and its request lost,
+    because it forgets idle connections sooner than it announces.
+    Given a server on a loopback address that drops idle connections
+    When repeatable requests q1, q2, q3 are sent to it one after another
+    Then each is answered and has run once
+
+  Scenario: Text after text on idle connections that their server has dropped
+    Guards against items that wait because a healthy engine counts as broken.
+    Given a model server on a loopback address
+    And it drops idle connections
+    When a text is asked for
+    And a text is asked for
+    Then every event has its number and version 1
+
+  Scenario: A request that may run once at a server that drops connections
+    Guards against requests that fail again and again at a healthy server
+    because they must not be sent a second time.
+    Given a server on a loopback address that drops idle connections
+    When requests q1, q2, q3 that may run once are sent one after another
+    Then q1 and q3 are answered and q2 may have run
+
+  Scenario Outline: A request that breaks off while it runs
+    Guards against the HTTP library repeating, by itself, a request that may
+    run once only.
+    Given a server on a loopback address that breaks off what it runs
+    When a <method> request q1 that may run once is sent to it
+    Then no answer comes of it
+    And q1 has run once
+
+    Examples:
+      | method |
+      | POST   |
+      | PUT    |
+      | DELETE |
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -3,7 +3,6 @@
 import asyncio
 from contextlib import aclosing
 
-from aiohttp import ClientSession
 from behave import given, then, when
 
 from anvilcove.demo.processes import free_port
@@ -12,7 +11,7 @@
 from anvilcove.platform.standin import ServerStandin, event_count, serve
 from anvilcove.ports.engines import Generation, GenerationEnd, GenerationStart
 from anvilcove.ports.errors import EndpointError, EndpointNotRun
-from anvilcove.ports.servers import CallerRequest
+from anvilcove.ports.servers import CallerRequest, ServerAnswer
 
 ITEM = 'item-1'
 
@@ -32,7 +31,17 @@
 @given('a model server on a loopback address')
 def start_server(context):
     """Listen on the scenario's loop."""
-    context.server = ServerStandin('i-1', model='m')
+    listen(context, ServerStandin('i-1', model='m'))
+
+
+def start_plain_server(context):
+    """Listen as a server that holds no model."""
+    listen(context, ServerStandin('i-1'))
+
+
+def listen(context, server):
+    """Serve on a free port until the scenario ends."""
+    context.server = server
     context.address = f'127.0.0.1:{free_port()}'
     runner = context.loop.run_until_complete(
         serve(context.server.handle, context.address)
@@ -42,7 +51,7 @@
 
 def generate(context, instance, after):
     """Ask for a text and keep what comes."""
-    engines = PlatformEngines(context.session)
+    engines = PlatformEngines(context.connections)
     generation = Generation(
         ITEM, 'h', '/p/1', {}, b'', deadline_s=5.0, after=after
     )
@@ -135,23 +144,94 @@
     context.loop.run_until_complete(context.site.start(port))
 
 
+def send(context, request_id, method='POST', repeatable=False):
+    """Send a request; return its answer or error."""
+    request = CallerRequest(
+        request_id, method, 'h', '/p/', [('Attempt-Id', request_id)], b'', 0, 9
+    )
+    servers = PlatformServers(context.connections)
+    try:
+        return context.loop.run_until_complete(
+            servers.send(context.address, 'i-1', request, 5.0, repeatable)
+        )
+    except EndpointError as error:
+        return error
+
+
 @when('a request {request_id} is sent to it')
 def send_request(context, request_id):
     """Send a request and keep its answer or error."""
-    request = CallerRequest(
-        request_id, 'POST', 'h', '/p/', [('Attempt-Id', request_id)], b'', 0, 9
-    )
+    context.answer = send(context, request_id)
 
-    async def send():
-        # The daemon's session leaves encoded bodies as they are, too.
-        async with ClientSession(auto_decompress=False) as session:
-            servers = PlatformServers(session)
-            return await servers.send(context.address, 'i-1', request, 5.0)
 
-    try:
-        context.answer = context.loop.run_until_complete(send())
-    except EndpointError as error:
-        context.answer = error
+@when('a {method} request {request_id} that may run once is sent to it')
+def send_method(context, method, request_id):
+    """Send a request with a method that HTTP calls idempotent, or not."""
+    context.answer = send(context, request_id, method)
+
+
+@given('it drops idle connections')
+def drop_idle(context):
+    """Reset the second request of each connection."""
+    context.server.faults.drops_idle = True
+
+
+@given('a server on a loopback address that drops idle connections')
+def start_dropping_server(context):
+    """Listen as a plain server."""
+    start_plain_server(context)
+    drop_idle(context)
+
+
+@given('a server on a loopback address that breaks off what it runs')
+def start_breaking_server(context):
+    """Listen as a plain server."""
+    start_plain_server(context)
+    context.server.faults.breaking = True
+
+
+@when('repeatable requests {names} are sent to it one after another')
+def send_repeatable(context, names):
+    """Keep each answer."""
+    context.answer_by_id = {
+        name: send(context, name, repeatable=True)
+        for name in names.split(', ')
+    }
+
+
+@when('requests {names} that may run once are sent one after another')
+def send_single(context, names):
+    """Keep each answer."""
+    context.answer_by_id = {
+        name: send(context, name) for name in names.split(', ')
+    }
+
+
+@then('each is answered and has run once')
+def answered(context):
+    """Check answers and runs."""
+    for name, answer in context.answer_by_id.items():
+        assert isinstance(answer, ServerAnswer), (name, answer)
+        assert answer.status == 200, answer
+    run = [request_id for request_id, _, _ in context.server.runs]
+    assert run == list(context.answer_by_id), run
+
+
+@then('{first} and {third} are answered and {second} may have run')
+def one_lost(context, first, third, second):
+    """Check that the lost one isn't called unrun and is the only one."""
+    for name in (first, third):
+        assert isinstance(context.answer_by_id[name], ServerAnswer)
+    lost = context.answer_by_id[second]
+    assert isinstance(lost, EndpointError), lost
+    assert not isinstance(lost, EndpointNotRun), lost
+
+
+@then('{request_id} has run once')
+def ran_once(context, request_id):
+    """Check the runs at the server."""
+    run = [name for name, _, _ in context.server.runs]
+    assert run == [request_id], run
 
 
 @then('no answer comes of it')
