--- a/anvilcove/control/versions.py
+++ b/anvilcove/control/versions.py
@@ -177,7 +177,7 @@
         outcome = await self._give(entry, order)
         record.accepted = outcome in (CARRIED_OUT, HOLDS)
         if record.accepted:
-            self._slots.load_ordered(
+            self._slots.records.load_ordered(
                 entry.endpoint, wanted.model, wanted.version
             )
         # An order without a clear answer may have been accepted, so the count
--- a/anvilcove/jobs/engine_slots.py
+++ b/anvilcove/jobs/engine_slots.py
@@ -4,7 +4,7 @@
 import heapq
 import itertools
 import random
-from collections import OrderedDict, deque
+from collections import OrderedDict
 
 from loguru import logger
 from msgspec import Struct
@@ -15,30 +15,25 @@
     RunningItem,
     slow_moves,
 )
-from anvilcove.decisions.item_placement import EngineSlotView, choose_engine
-from anvilcove.ports.engines import EngineLoad
+from anvilcove.decisions.item_placement import (
+    UNKNOWN_PACE,
+    EngineSlotView,
+    choose_engine,
+)
+from anvilcove.jobs.engine_records import EngineRecords
 from anvilcove.state.clock import Clock
 
 # Waiting items look again after this time, for engines that have become
 # usable without a slot being given back.
 LOOK_S = 0.05
-# Times between events whose median is an engine's pace.
-MEASURED_GAPS = 9
-# A longer time between events is a load of weights, which stops all runs.
-PAUSE_S = 0.6
-# Time after which an engine that was ordered to load is tried again; its
-# announcement comes up to two seconds later.
-LOAD_S = 0.95
-# An engine that refused an item is left out for this long; while it loads a
-# version it refuses for about a second.
-REFUSED_S = 0.15
-FAILED_S = 0.8
-LONGEST_OUT_S = 6.0
 REMEMBERED_GROUPS = 2_000
 
 
 class EngineNeed(Struct):
-    """What an item asks of an engine."""
+    """What an item asks of an engine.
+
+    `excluded` holds the engines at which the item has failed.
+    """
 
     service: str
     model: str
@@ -78,38 +73,6 @@
             self.timeout.reschedule(asyncio.get_running_loop().time())
 
 
-class EngineRecord:
-    """What this daemon has learned of one engine."""
-
-    __slots__ = (
-        'in_flight',
-        'others',
-        'gaps_s',
-        'out_until_s',
-        'loading_until_s',
-        'failures',
-        'versions',
-    )
-
-    def __init__(self) -> None:
-        """Start without knowledge."""
-        self.in_flight = 0
-        self.others = 0
-        # Times between events; their median ignores the pauses of loads.
-        self.gaps_s: deque[float] = deque(maxlen=MEASURED_GAPS)
-        self.loading_until_s = float('-inf')
-        self.out_until_s = 0.0
-        self.failures = 0
-        # Versions that its answers have named, by model.
-        self.versions: dict[str, int] = {}
-
-    def event_s(self) -> float:
-        """Return the median time between events, 0 while not measured."""
-        if len(self.gaps_s) < MEASURED_GAPS // 2:
-            return 0.0
-        return sorted(self.gaps_s)[len(self.gaps_s) // 2]
-
-
 class EngineSlots:
     """Give out slots to waiting items, the most urgent first."""
 
@@ -117,7 +80,7 @@
         'registry',
         '_clock',
         '_rng',
-        '_records',
+        'records',
         '_waiting',
         '_sequence',
         '_engine_by_group',
@@ -131,7 +94,7 @@
         self.registry = registry
         self._clock = clock
         self._rng = rng
-        self._records: dict[str, EngineRecord] = {}
+        self.records = EngineRecords(registry, clock)
         self._waiting: list[
             tuple[
                 tuple[float, ...],
@@ -149,15 +112,17 @@
         while True:
             self.serve()
             self._move_stragglers()
+            self.records.prune()
             await self._clock.sleep(LOOK_S)
 
     async def take(
         self, need: EngineNeed, rank: tuple[float, ...]
     ) -> EndpointEntry:
         """Wait for a slot; `give_back` must follow. Lower ranks go first."""
-        entry = None if self._waiting else self._try(need)
-        if entry is not None:
-            return entry
+        if not self._waiting:
+            entry = self._try(need, self.records.pace_by_endpoint())
+            if entry is not None:
+                return entry
         future: asyncio.Future[EndpointEntry] = (
             asyncio.get_running_loop().create_future()
         )
@@ -170,18 +135,27 @@
                 self.give_back(future.result().endpoint)
             raise
 
+    def count(self, service: str) -> int:
+        """Return the number of engines of a service."""
+        return sum(
+            entry.service == service
+            for entry in self.registry.entry_by_endpoint.values()
+        )
+
     def in_flight(self, endpoint: str) -> int:
         """Return the items that run at an engine."""
-        record = self._records.get(endpoint)
-        return record.in_flight if record else 0
+        return self.records.of(endpoint).in_flight
 
     def give_back(self, endpoint: str) -> None:
         """Free a slot."""
-        self._record(endpoint).in_flight -= 1
+        self.records.of(endpoint).in_flight -= 1
         self.serve()
 
     def serve(self) -> None:
         """Give free slots to waiting items."""
+        if not self._waiting:
+            return
+        paces = self.records.pace_by_endpoint()
         left = []
         blocked: set[tuple[str, str, int]] = set()
         while self._waiting:
@@ -192,7 +166,7 @@
             key = (need.service, need.model, need.min_version)
             entry = None
             if key not in blocked or need.excluded:
-                entry = self._try(need)
+                entry = self._try(need, paces)
             if entry is not None:
                 future.set_result(entry)
                 continue
@@ -202,21 +176,6 @@
         for item in left:
             heapq.heappush(self._waiting, item)
 
-    def started(
-        self, endpoint: str, model: str, version: int, load: EngineLoad | None
-    ) -> None:
-        """Learn from the start of an answer."""
-        record = self._record(endpoint)
-        record.versions[model] = version
-        if load is not None:
-            busy = load.running + load.waiting
-            record.others = max(busy - record.in_flight, 0)
-
-    def event_took(self, endpoint: str, seconds: float) -> None:
-        """Learn the time between two events; pauses of loads don't count."""
-        if seconds < PAUSE_S:
-            self._record(endpoint).gaps_s.append(seconds)
-
     def run_started(self, handle: RunHandle) -> None:
         """Know a run, so that it can be moved."""
         self._runs[handle.item_id] = handle
@@ -226,54 +185,46 @@
         if self._runs.get(handle.item_id) is handle:
             del self._runs[handle.item_id]
 
-    def load_ordered(self, endpoint: str, model: str, version: int) -> None:
-        """Use an engine again, with its new weights, when it has loaded."""
-        record = self._record(endpoint)
-        record.loading_until_s = self._clock.now() + LOAD_S
-        record.versions[model] = max(record.versions.get(model, 0), version)
-
     def _move_stragglers(self) -> None:
         if not self._runs:
             return
-        for service in {e.service for e in self._entries_with_runs()}:
+        paces = self.records.pace_by_endpoint()
+        for service in self._services_with_runs():
             moves = slow_moves(
-                self._running_engines(service), self._running_items()
+                self._running_engines(service, paces), self._running_items()
             )
             for item in moves:
                 logger.bind(
                     request=item.item_id,
                     endpoint=item.endpoint,
                     events=item.events,
-                    pace=round(self.pace(item.endpoint), 2),
+                    pace=round(paces.get(item.endpoint, UNKNOWN_PACE), 2),
                 ).info('item moved off a slow engine')
                 self._runs[item.item_id].move()
 
-    def _entries_with_runs(self) -> list[EndpointEntry]:
+    def _services_with_runs(self) -> set[str]:
         by_endpoint = self.registry.entry_by_endpoint
-        return [
-            by_endpoint[handle.endpoint]
+        return {
+            by_endpoint[handle.endpoint].service
             for handle in self._runs.values()
             if handle.endpoint in by_endpoint
-        ]
+        }
 
-    def _running_engines(self, service: str) -> list[RunningEngine]:
+    def _running_engines(
+        self, service: str, paces: dict[str, float]
+    ) -> list[RunningEngine]:
         now = self._clock.now()
-        found = []
-        for entry in self.registry.entry_by_endpoint.values():
-            if entry.service != service or entry.draining:
-                continue
-            record = self._record(entry.endpoint)
-            out_s = max(record.out_until_s, record.loading_until_s)
-            found.append(
-                RunningEngine(
-                    endpoint=entry.endpoint,
-                    slots=entry.slots,
-                    in_flight=record.in_flight,
-                    pace=self.pace(entry.endpoint),
-                    usable=out_s <= now,
-                )
+        return [
+            RunningEngine(
+                endpoint=entry.endpoint,
+                slots=entry.slots,
+                in_flight=self.in_flight(entry.endpoint),
+                pace=paces.get(entry.endpoint, UNKNOWN_PACE),
+                usable=self.records.out_until_s(entry.endpoint) <= now,
             )
-        return found
+            for entry in self.registry.entry_by_endpoint.values()
+            if entry.service == service and not entry.draining
+        ]
 
     def _running_items(self) -> list[RunningItem]:
         return [
@@ -284,52 +235,18 @@
             if handle.events and not handle.moved
         ]
 
-    def succeeded(self, endpoint: str) -> None:
-        """Note a whole generation."""
-        self._record(endpoint).failures = 0
-
-    def refused(self, endpoint: str) -> None:
-        """Leave an engine out that ran nothing of an item."""
-        record = self._record(endpoint)
-        until_s = self._clock.now() + REFUSED_S
-        record.out_until_s = max(record.out_until_s, until_s)
-
-    def failed(self, endpoint: str) -> None:
-        """Leave an engine out that broke off, longer each time."""
-        record = self._record(endpoint)
-        now = self._clock.now()
-        if record.out_until_s > now + REFUSED_S:
-            return
-        out_s = min(FAILED_S * 2.0**record.failures, LONGEST_OUT_S)
-        record.failures += 1
-        record.out_until_s = now + out_s
-        logger.bind(
-            endpoint=endpoint, for_s=out_s, failures=record.failures
-        ).info('engine ejected')
-
-    def pace(self, endpoint: str) -> float:
-        """Return the time per event of an engine over the pool's median."""
-        record = self._records.get(endpoint)
-        own_s = record.event_s() if record else 0.0
-        known = sorted(
-            other.event_s()
-            for name, other in self._records.items()
-            if name in self.registry.entry_by_endpoint and other.event_s()
-        )
-        if not own_s or not known:
-            return 1.0
-        return own_s / known[(len(known) - 1) // 2]
-
-    def _try(self, need: EngineNeed) -> EndpointEntry | None:
+    def _try(
+        self, need: EngineNeed, paces: dict[str, float]
+    ) -> EndpointEntry | None:
         views = [
-            self._view(entry, need)
+            self._view(entry, need, paces)
             for entry in self.registry.entry_by_endpoint.values()
             if self._usable(entry, need)
         ]
         chosen = choose_engine(views, self._rng)
         if chosen is None:
             return None
-        self._record(chosen.endpoint).in_flight += 1
+        self.records.of(chosen.endpoint).in_flight += 1
         self._remember_group(need.group, chosen.endpoint)
         return self.registry.entry_by_endpoint[chosen.endpoint]
 
@@ -339,36 +256,27 @@
         state = self.registry.view.by_id.get(entry.endpoint)
         if state is None or state.leaving:
             return False
-        record = self._record(entry.endpoint)
-        now = self._clock.now()
-        if max(record.out_until_s, record.loading_until_s) > now:
+        if self.records.out_until_s(entry.endpoint) > self._clock.now():
             return False
-        version = max(
-            entry.version_by_model.get(need.model, 0),
-            record.versions.get(need.model, 0),
-        )
         # An engine that does not hold the model has no version of it.
-        return version >= max(need.min_version, 1)
+        wanted = max(need.min_version, 1)
+        return self.records.version(entry, need.model) >= wanted
 
-    def _view(self, entry: EndpointEntry, need: EngineNeed) -> EngineSlotView:
-        record = self._record(entry.endpoint)
+    def _view(
+        self, entry: EndpointEntry, need: EngineNeed, paces: dict[str, float]
+    ) -> EngineSlotView:
+        record = self.records.of(entry.endpoint)
         return EngineSlotView(
             endpoint=entry.endpoint,
             slots=entry.slots,
             in_flight=record.in_flight,
             others=record.others,
-            pace=self.pace(entry.endpoint),
+            pace=paces.get(entry.endpoint, UNKNOWN_PACE),
             holds_group=(
                 self._engine_by_group.get(need.group) == entry.endpoint
             ),
         )
 
-    def _record(self, endpoint: str) -> EngineRecord:
-        record = self._records.get(endpoint)
-        if record is None:
-            record = self._records[endpoint] = EngineRecord()
-        return record
-
     def _remember_group(self, group: str, endpoint: str) -> None:
         self._engine_by_group[group] = endpoint
         self._engine_by_group.move_to_end(group)
--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -12,7 +12,7 @@
 from anvilcove.jobs.engine_slots import EngineNeed, EngineSlots, RunHandle
 from anvilcove.jobs.progress import ItemProgress
 from anvilcove.jobs.reward_calls import RewardCalls
-from anvilcove.jobs.types import Item, ItemResult, JobSpec
+from anvilcove.jobs.types import ItemResult, JobSpec
 from anvilcove.ports.engines import (
     NO_EVENT_LEFT,
     EngineClient,
@@ -133,7 +133,7 @@
             if route is None:
                 await self._pause(LONGEST_RETRY_S)
                 continue
-            need = self._need(spec, progress.item, route)
+            need = self._need(spec, progress, route)
             asked_s = self._clock.now()
             entry = await self._slots.take(need, rank)
             progress.waited_s += self._clock.now() - asked_s
@@ -144,9 +144,9 @@
             except ItemRejected:
                 return self._errored(spec, progress, 'rejected')
             except ItemFailed:
-                progress.failures += 1
-                progress.restart()
-                if progress.failures >= route.max_attempts:
+                self._slots.records.item_failed(entry.endpoint)
+                progress.failed_at(entry.endpoint)
+                if progress.failed_everywhere(route.max_attempts):
                     return self._errored(spec, progress, 'failed each time')
             except Moved:
                 progress.moves += 1
@@ -155,7 +155,7 @@
                 await self._pause(pause_s)
                 pause_s = min(pause_s * 2, LONGEST_RETRY_S)
             else:
-                self._slots.succeeded(entry.endpoint)
+                self._slots.records.succeeded(entry.endpoint)
                 return None
             finally:
                 self._slots.give_back(entry.endpoint)
@@ -219,7 +219,7 @@
                 progress.add(event)
                 handle.events = len(progress.texts)
                 if timeout_s == NEXT_EVENT_TIMEOUT_S:
-                    self._slots.event_took(handle.endpoint, now - at_s)
+                    self._slots.records.event_took(handle.endpoint, now - at_s)
                 timeout_s = NEXT_EVENT_TIMEOUT_S
             at_s = now
 
@@ -246,7 +246,9 @@
     ) -> None:
         if start.version == NO_EVENT_LEFT:
             return
-        self._slots.started(endpoint, spec.model, start.version, start.load)
+        self._slots.records.started(
+            endpoint, spec.model, start.version, start.load
+        )
         if start.version < spec.min_version:
             raise StaleEngine(f'engine holds version {start.version}')
 
@@ -280,13 +282,20 @@
         route = state.find(spec.host, spec.path) if state else None
         return route if route is not None and route.job else None
 
-    def _need(self, spec: JobSpec, item: Item, route: Route) -> EngineNeed:
+    def _need(
+        self, spec: JobSpec, progress: ItemProgress, route: Route
+    ) -> EngineNeed:
+        item = progress.item
+        service = route.targets[0].service
+        excluded = progress.failed_endpoints
+        if len(excluded) >= self._slots.count(service):
+            excluded = set()
         return EngineNeed(
-            service=route.targets[0].service,
+            service=service,
             model=item.model or spec.model,
             min_version=spec.min_version,
             group=f'{spec.job_id}/{item.group}',
-            excluded=set(),
+            excluded=excluded,
         )
 
     def _note(
@@ -297,11 +306,11 @@
         error: EndpointError,
     ) -> None:
         if isinstance(error, EndpointNotRun) and not error.unreachable:
-            self._slots.refused(entry.endpoint)
+            self._slots.records.refused(entry.endpoint)
         elif isinstance(error, StaleEngine):
-            self._slots.refused(entry.endpoint)
+            self._slots.records.refused(entry.endpoint)
         else:
-            self._slots.failed(entry.endpoint)
+            self._slots.records.failed(entry.endpoint)
         logger.bind(
             job=spec.job_id,
             request=progress.item.item_id,
--- a/anvilcove/jobs/progress.py
+++ b/anvilcove/jobs/progress.py
@@ -14,6 +14,7 @@
         'restarted',
         'attempts',
         'failures',
+        'failed_endpoints',
         'reward_failures',
         'endpoint',
         'moves',
@@ -36,7 +37,9 @@
         # Whether a text was dropped: what was kept of it is another run's.
         self.restarted = False
         self.attempts = 0
+        # Answers that said that the item failed, and where they came from.
         self.failures = 0
+        self.failed_endpoints: set[str] = set()
         self.reward_failures = 0
 
     def add(self, event: TokenEvent) -> None:
@@ -50,6 +53,19 @@
         self.texts = list(part.texts)
         self.versions = list(part.versions)
 
+    def failed_at(self, endpoint: str) -> None:
+        """Note an answer that says that the item failed."""
+        self.failures += 1
+        self.failed_endpoints.add(endpoint)
+
+    def failed_everywhere(self, max_attempts: int) -> bool:
+        """Tell whether the item, rather than an engine, is at fault."""
+        if self.failures < max_attempts:
+            return False
+        if len(self.failed_endpoints) >= max_attempts:
+            return True
+        return self.failures >= 2 * max_attempts
+
     def restart(self) -> None:
         """Drop the text."""
         self.texts = []
--- a/anvilcove/standins/memory_engines.py
+++ b/anvilcove/standins/memory_engines.py
@@ -51,6 +51,8 @@
         self.break_after: dict[str, int] = {}
         self.broken: set[str] = set()
         self.failing: dict[str, int] = {}
+        # Every item is answered with a failure, whatever it is.
+        self.faulty = False
         self.rejected: set[str] = set()
         self.late_orders: float = 0.0
         self.runs: list[tuple[str, int]] = []
@@ -98,6 +100,8 @@
         if engine.failing.get(item, 0):
             engine.failing[item] -= 1
             raise ItemFailed(item)
+        if engine.faulty:
+            raise ItemFailed(item)
         engine.running += 1
         try:
             yield GenerationStart(engine.version)
--- a/features/batch_jobs.feature
+++ b/features/batch_jobs.feature
@@ -119,6 +119,18 @@
     And 6 s go by
     Then items 2 and 5 of job j1 are errored and the others completed
 
+  Scenario: An engine fails every item and still announces itself as ready
+    Guards against a faulty engine that is always free and so draws items
+    until they are errored.
+    Given a platform with 6 engines and daemons a, b and c
+    And engine 0 fails every item
+    When daemon a accepts job j1 with 64 items
+    And daemon b accepts job j2 with 64 items
+    And 5 s go by
+    Then every daemon lists 64 completed results of job j1 in the same order
+    And every daemon lists 64 completed results of job j2 in the same order
+    And engine 0 was sent at most 12 items
+
   Scenario: A reward call that fails at first is sent again
     Guards against an item that is errored although its reward could be had.
     Given a platform with 4 engines and daemons a, b and c
--- a/features/steps/batch_job_steps.py
+++ b/features/steps/batch_job_steps.py
@@ -214,6 +214,19 @@
     context.memory.engines[number].dark = True
 
 
+@given('engine {number:d} fails every item')
+def faulty(context, number):
+    """Answer each item with a failure."""
+    context.memory.engines[number].faulty = True
+
+
+@then('engine {number:d} was sent at most {count:d} items')
+def few_sent(context, number, count):
+    """Check how many items the engine was sent."""
+    sent = len(context.memory.engines[number].runs)
+    assert sent <= count, sent
+
+
 @given('item {number:d} of job {job} is rejected by every engine')
 def rejected(context, number, job):
     """Let engines say that an item can never be done."""
