Reload settings on SIGHUP and when the file changes without a signal

Cause: SIGHUP wrote a line only; bounds, seeds and the memory limit held until the next start, and a change without a signal was never seen.

Ruled out: rebuilding the parts with new settings (open connections and leases would be lost); watching the file for events (no such library is declared, and reading it takes about a millisecond).

Change: the daemon reads its settings on SIGHUP and every two seconds, adopts bounds, seeds and the memory limit, and logs what it adopted and what needs a restart. A file that cannot be read is logged once and changes nothing.

--- a/anvilcove/cli/node.py
+++ b/anvilcove/cli/node.py
@@ -18,10 +18,12 @@
         print('usage: anvilcove node', file=sys.stderr)
         return 2
     try:
-        settings = load_node_settings(settings_path())
+        path = settings_path()
+        settings = load_node_settings(path)
     except SettingsError as error:
         print(error, file=sys.stderr)
         return 2
     adapters = PlatformAdapters(settings, random.Random())
-    asyncio.run(NodeDaemon(settings, adapters).run())
+    daemon = NodeDaemon(settings, adapters, lambda: load_node_settings(path))
+    asyncio.run(daemon.run())
     return 0
--- a/anvilcove/node/app.py
+++ b/anvilcove/node/app.py
@@ -4,7 +4,7 @@
 import random
 import secrets
 import signal
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from aiohttp import ClientSession, TCPConnector, web
@@ -15,7 +15,8 @@
 from anvilcove.node.gauges import set_gauges
 from anvilcove.node.logs import LogWriter
 from anvilcove.node.parts import NodeParts, Outside
-from anvilcove.settings.node import NodeSettings
+from anvilcove.settings.loader import SettingsError
+from anvilcove.settings.node import NodeSettings, adopt_changes
 from anvilcove.state.clock import SuspendAwareClock, SystemClock
 
 # Callers keep the addresses that they were told for a few seconds; a daemon
@@ -25,6 +26,8 @@
 CLOSE_S = 1.2
 POLL_S = 0.05
 HOUSEKEEPING_S = 0.2
+# Settings may change without a signal; reading them takes about 1 ms.
+RELOAD_LOOK_S = 2.0
 # The longest delay of the loop fades by this factor with each look.
 LAG_FADE = 0.95
 
@@ -32,9 +35,19 @@
 class NodeDaemon:
     """One daemon on the users' platform."""
 
-    def __init__(self, settings: NodeSettings, adapters: Adapters) -> None:
-        """Build nothing before `run`."""
+    def __init__(
+        self,
+        settings: NodeSettings,
+        adapters: Adapters,
+        load_settings: Callable[[], NodeSettings],
+    ) -> None:
+        """Build nothing before `run`; `load_settings` reads them again."""
         self.settings = settings
+        self._load_settings = load_settings
+        # The last reason for which settings could not be read, and what
+        # differs but holds from the next start on only.
+        self._refused_settings = ''
+        self._awaiting_restart: list[str] = []
         self._adapters = adapters
         self._clock = SystemClock()
         self._rng = random.Random()
@@ -56,7 +69,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
         async with (
             ClientSession(
                 connector=TCPConnector(limit=0), auto_decompress=False
@@ -114,7 +127,11 @@
             await web.TCPSite(self._peers, self.settings.ip, port).start()
 
     def _start_loops(self, logs: LogWriter) -> None:
-        loops = [*self.parts.loops(), self._housekeeping(logs)]
+        loops = [
+            *self.parts.loops(),
+            self._housekeeping(logs),
+            self._watch_settings(),
+        ]
         for loop in loops:
             self._tasks.append(asyncio.create_task(_logged(loop)))
 
@@ -153,8 +170,30 @@
         )
         return self.parts.metrics.render()
 
+    def _on_hangup(self) -> None:
+        logger.info('reload requested')
+        self._reload()
+
     def _reload(self) -> None:
-        logger.info('reload: the settings hold until the next start')
+        """Adopt what has changed in the settings and may change in a run."""
+        try:
+            new = self._load_settings()
+        except SettingsError as error:
+            if str(error) != self._refused_settings:
+                logger.bind(reason=str(error)).warning('settings not read')
+            self._refused_settings = str(error)
+            return
+        self._refused_settings = ''
+        adopted, left = adopt_changes(self.settings, new)
+        if left != self._awaiting_restart or adopted:
+            logger.bind(adopted=adopted, after_restart=left).info('reload')
+        self._awaiting_restart = left
+
+    async def _watch_settings(self) -> None:
+        """Look for changes of the settings that come without a signal."""
+        while True:
+            await self._clock.sleep(RELOAD_LOOK_S)
+            self._reload()
 
     async def _shut_down(self, listeners: Listeners, logs: LogWriter) -> None:
         """Hand everything over while requests are still answered."""
--- a/anvilcove/settings/node.py
+++ b/anvilcove/settings/node.py
@@ -49,3 +49,28 @@
     memory_mb: int = 0
     # Port of the metrics, next to that of the peers.
     metrics_port: int = 0
+
+
+# Settings whose new values hold without a restart of the process.
+RELOADED = ('bounds', 'seed_ips', 'memory_mb')
+
+
+def adopt_changes(
+    current: NodeSettings, new: NodeSettings
+) -> tuple[list[str], list[str]]:
+    """Take over new values; return the names that hold and that can't."""
+    adopted, left = [], []
+    for name in NodeSettings.__struct_fields__:
+        if getattr(current, name) == getattr(new, name):
+            continue
+        if name not in RELOADED:
+            left.append(name)
+            continue
+        adopted.append(name)
+        if name != 'bounds':
+            setattr(current, name, getattr(new, name))
+            continue
+        # The parts of the daemon share this object.
+        for bound in NodeBounds.__struct_fields__:
+            setattr(current.bounds, bound, getattr(new.bounds, bound))
+    return adopted, left
