Give silent calls to the store up after 0.4 s instead of 1.5 s

Ruled out: shorter time limits for all calls (a store that answers fifty times slower would get every write twice); longer leases on jobs (a dead owner would be replaced later).

Change: a direct call is given up once the store has answered no call at all for 0.4 s, or four times its usual time. A call given up goes on unheeded, so that its late answer shows how slow the store is. Calls that wait by their nature say so.

Before: a write to a silent store is lost after 1.5 s. After: 0.4 s, and the next goes to a peer at once; a slow store loses two writes at most until its pace is known.

--- a/anvilcove/control/relay.py
+++ b/anvilcove/control/relay.py
@@ -1,5 +1,6 @@
 """Store calls that go through a peer while the store cannot be reached."""
 
+import asyncio
 import random
 from collections.abc import Callable
 
@@ -20,6 +21,12 @@
 CONNECT_TIMEOUT_S = 0.3
 # After a failure calls go through peers; one in this time tries directly.
 PROBE_PERIOD_S = 0.5
+# A direct call is given up early if the store has answered nothing at all for
+# this long, or for so many times its usual time where that is more. Owners
+# must write again before their leases of 1.5 s run out.
+PATIENCE_S = 0.4
+PATIENCE_FACTOR = 4.0
+USUAL_STEP = 0.1
 NOTHING_DONE = 503
 ANSWER_LOST = 504
 
@@ -33,6 +40,7 @@
     timeout_s: float
     write: bool
     create: bool
+    expected_s: float = 0.0
 
 
 class RelayedStore:
@@ -47,6 +55,9 @@
         'count',
         '_failed',
         '_probe_at_s',
+        '_answered_at_s',
+        '_usual_s',
+        '_late',
     )
 
     def __init__(
@@ -67,6 +78,11 @@
         self.peers: Callable[[], list[str]] = list
         self._failed = False
         self._probe_at_s = 0.0
+        # When a direct call was answered last, and how long one takes.
+        self._answered_at_s = 0.0
+        self._usual_s = 0.0
+        # Calls that were given up and may still be answered.
+        self._late: set[asyncio.Future[StoreReply]] = set()
 
     @property
     def reachable(self) -> bool:
@@ -89,7 +105,7 @@
             return await self._through_peers(call, None)
         self._probe_at_s = now + PROBE_PERIOD_S
         try:
-            reply = await self._direct.send(call)
+            reply = await self._send_directly(call)
         except StoreUnavailable as error:
             self._note(error)
             return await self._through_peers(call, error)
@@ -101,6 +117,62 @@
         self._note(None)
         return reply
 
+    async def _send_directly(self, call: StoreCall) -> StoreReply:
+        """Send directly; give up early while the store answers nothing."""
+        started_s = self._clock.now()
+        sending = asyncio.ensure_future(self._direct.send(call))
+        try:
+            await self._wait(sending, call, started_s)
+        except asyncio.CancelledError:
+            sending.cancel()
+            raise
+        if sending.done():
+            reply = sending.result()
+            self._answered(call, started_s)
+            return reply
+        # The call goes on, since only its answer tells how slow the store is.
+        self._late.add(sending)
+        sending.add_done_callback(
+            lambda done: self._ended_late(done, call, started_s)
+        )
+        raise StoreAnswerLost(f'{call.path}: the store answers nothing')
+
+    async def _wait(
+        self,
+        sending: asyncio.Future[StoreReply],
+        call: StoreCall,
+        started_s: float,
+    ) -> None:
+        """Wait for an answer, as long as the store answers any call."""
+        while not sending.done():
+            patience_s = call.expected_s + max(
+                PATIENCE_S, PATIENCE_FACTOR * self._usual_s
+            )
+            since_s = max(started_s, self._answered_at_s)
+            left_s = since_s + patience_s - self._clock.now()
+            if left_s <= 0:
+                return
+            await asyncio.wait([sending], timeout=left_s)
+
+    def _answered(self, call: StoreCall, started_s: float) -> None:
+        self._answered_at_s = self._clock.now()
+        if call.expected_s == 0:
+            took_s = self._answered_at_s - started_s
+            self._usual_s += USUAL_STEP * (took_s - self._usual_s)
+
+    def _ended_late(
+        self,
+        sending: asyncio.Future[StoreReply],
+        call: StoreCall,
+        started_s: float,
+    ) -> None:
+        """Learn from a call that was given up."""
+        self._late.discard(sending)
+        if sending.cancelled() or sending.exception() is not None:
+            return
+        if call.expected_s == 0:
+            self._usual_s = max(self._usual_s, self._clock.now() - started_s)
+
     def _note(self, error: Exception | None) -> None:
         failed = error is not None
         if failed != self._failed:
@@ -131,6 +203,7 @@
                 call.timeout_s,
                 call.write,
                 call.create,
+                call.expected_s,
             )
         )
         try:
@@ -164,7 +237,7 @@
         if self._failed:
             return web.Response(status=NOTHING_DONE)
         try:
-            reply = await self._direct.send(
+            reply = await self._send_directly(
                 StoreCall(
                     call.method,
                     call.path,
@@ -172,6 +245,7 @@
                     call.timeout_s,
                     call.write,
                     call.create,
+                    call.expected_s,
                 )
             )
         except StoreUnavailable as error:
--- a/anvilcove/platform/store.py
+++ b/anvilcove/platform/store.py
@@ -28,6 +28,8 @@
 READ_TIMEOUT_S = 1.5
 WRITE_TIMEOUT_S = 1.5
 OBJECT_TIMEOUT_S = 3.0
+# Objects take the time of their transfer, up to this for the largest ones.
+OBJECT_EXPECTED_S = 0.6
 # Time that an answer may take beyond the time that a watch asked to wait.
 WATCH_MARGIN_S = 0.8
 
@@ -98,7 +100,9 @@
             'after': str(after),
             'wait-ms': str(int(wait_s * 1000)),
         }
-        data = await self._get('rows-feed', query, wait_s + WATCH_MARGIN_S)
+        data = await self._get(
+            'rows-feed', query, wait_s + WATCH_MARGIN_S, wait_s
+        )
         return _page(data)
 
     async def put_object(self, name: str, data: bytes) -> None:
@@ -111,6 +115,7 @@
                 OBJECT_TIMEOUT_S,
                 write=True,
                 create=True,
+                expected_s=OBJECT_EXPECTED_S,
             )
         )
         if reply.status == 412:
@@ -128,6 +133,7 @@
                 f'/-/blob-get/{quote(name, safe="")}',
                 b'',
                 OBJECT_TIMEOUT_S,
+                expected_s=OBJECT_EXPECTED_S,
             )
         )
         if reply.status == 404:
@@ -151,10 +157,20 @@
             raise _unexpected('blob-drop', reply.status)
 
     async def _get(
-        self, call: str, query: dict[str, str], timeout_s: float
+        self,
+        call: str,
+        query: dict[str, str],
+        timeout_s: float,
+        expected_s: float = 0.0,
     ) -> dict[str, Any]:
         reply = await self._transport.send(
-            StoreCall('GET', f'/-/{call}?{urlencode(query)}', b'', timeout_s)
+            StoreCall(
+                'GET',
+                f'/-/{call}?{urlencode(query)}',
+                b'',
+                timeout_s,
+                expected_s=expected_s,
+            )
         )
         if reply.status == 410:
             raise HistoryLost(call)
--- a/anvilcove/ports/transport.py
+++ b/anvilcove/ports/transport.py
@@ -9,7 +9,8 @@
     """One call of the store's protocol.
 
     `write` marks calls whose lost answer leaves their effect unknown;
-    `create` asks to refuse an object that exists.
+    `create` asks to refuse an object that exists. `expected_s` is the time
+    that the call takes by its nature, as one that waits for changes does.
     """
 
     method: str
@@ -18,6 +19,7 @@
     timeout_s: float
     write: bool = False
     create: bool = False
+    expected_s: float = 0.0
 
 
 class StoreReply(Struct):
