Let one daemon take over all that another has left

Cause: every daemon waited a random time before it took an abandoned job over, so the jobs of one lost owner were scattered over as many daemons, each with connections of its own to the same engines and none knowing what the others ran there. Every daemon also read the lease row about twice a second.

Ruled out: taking over only by the next home of new jobs (it is known 5 s after the loss, as no order may be given twice).

Change: a pure function orders the daemons: the home first, then by a hash of the host. Only the first three in line look at the lease often, the others every 1.5 to 3 s.

Before: three jobs of a killed home had three owners (scenario with eight daemons).

--- a/anvilcove/control/leases.py
+++ b/anvilcove/control/leases.py
@@ -1,6 +1,7 @@
 """Lease in the store for work that one daemon does at a time."""
 
 import random
+from collections.abc import Callable
 
 from loguru import logger
 from msgspec import Struct, msgpack
@@ -24,7 +25,11 @@
 # Added to the time after which a lease is taken over, for clocks that run
 # at different rates and calls that are on their way.
 MARGIN_S = 0.3
+# Those first in line look at the row of another holder often, the others
+# rarely, so that the calls don't grow with the number of daemons.
+FIRST_IN_LINE = 3
 LOOK_S = 0.3
+RARE_LOOK_S = 1.5
 
 
 class LeaseRow(Struct):
@@ -46,6 +51,7 @@
     __slots__ = (
         'name',
         'row',
+        'rank',
         '_host',
         '_nonce',
         '_quiet_s',
@@ -72,6 +78,8 @@
         """Want the lease; `clock` must count suspension."""
         self.name = name
         self.row: LeaseRow | None = None
+        # Returns how many daemons are before this one in line.
+        self.rank: Callable[[], int] = lambda: 0
         self._host = host
         self._nonce = nonce
         self._quiet_s = quiet_s
@@ -107,8 +115,12 @@
                 logger.bind(lease=self.name, reason=str(error)).info(
                     'lease not renewed'
                 )
-            pause_s = RENEW_S if held else LOOK_S + self._rng.uniform(0, 0.3)
-            await self._clock.sleep(pause_s)
+            await self._clock.sleep(RENEW_S if held else self._look_s())
+
+    def _look_s(self) -> float:
+        """Return the time until the next look at another's lease."""
+        look_s = LOOK_S if self.rank() < FIRST_IN_LINE else RARE_LOOK_S
+        return look_s * self._rng.uniform(1.0, 2.0)
 
     async def release(self) -> None:
         """Give the lease back; the successor still keeps the quiet time."""
--- a/anvilcove/control/nodes.py
+++ b/anvilcove/control/nodes.py
@@ -7,6 +7,7 @@
 from msgspec import Struct, msgpack
 
 from anvilcove.control.row_values import decode_value
+from anvilcove.decisions.succession import succession_rank
 from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
 from anvilcove.ports.store import (
     RowId,
@@ -139,6 +140,16 @@
                 return node
         return None
 
+    def succession_rank(self, left_by: str = '') -> int:
+        """Return how many daemons are before this one in taking over.
+
+        The host `left_by` that has left the work is not in line.
+        """
+        alive = [node for node in self.alive() if node.host != left_by]
+        home = next((node.host for node in alive if node.orders), '')
+        own = self._settings.host
+        return succession_rank(own, home, (node.host for node in alive))
+
     def caller_addresses(
         self, region: str, own_ready: bool, rng: random.Random
     ) -> list[str]:
--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -12,6 +12,7 @@
 from anvilcove.control.desired import DesiredStateView
 from anvilcove.control.nodes import NodeDirectory
 from anvilcove.control.watch import TableWatch
+from anvilcove.decisions.succession import takeover_delay_s
 from anvilcove.jobs.board import JobBoard
 from anvilcove.jobs.item_run import ItemRunner
 from anvilcove.jobs.job_run import JobRun
@@ -32,8 +33,6 @@
 BEGIN_S = 0.8
 # What the watch knows must be this fresh before a job is taken over.
 FRESH_S = 1.5
-# Daemons that see the same abandoned job take it over one after the other.
-SPREAD_S = 0.4
 # Items may be given up this long after their submission if the operator's
 # declaration cannot be found.
 DEFAULT_LIFETIME_S = 40.0
@@ -220,7 +219,10 @@
         job_id = held.head.job_id
         if job_id in self.runs:
             return
-        await self._clock.sleep(self._rng.uniform(0.0, SPREAD_S))
+        rank = 0
+        if not self._gives_orders():
+            rank = self._nodes.succession_rank(held.head.owner)
+        await self._clock.sleep(takeover_delay_s(rank, self._rng))
         current = self._board.by_id.get(job_id)
         if current is not None and current.version == held.version:
             await self._take_over(
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -239,6 +239,7 @@
             outside.lease_clock,
             outside.rng,
         )
+        self.lease.rank = self.nodes.succession_rank
         self.roller = VersionRoller(
             settings.host,
             self.lease,
--- a/features/batch_jobs.feature
+++ b/features/batch_jobs.feature
@@ -229,6 +229,20 @@
     Then every daemon lists 16 completed results of job j1 in the same order
     And no engine refused an item
 
+  Scenario: The home of several jobs dies
+    Guards against jobs that are scattered over daemons, each of which needs
+    connections of its own to the same engines.
+    Given a platform with 4 engines and daemons a, b, c, d, e, f, g and h
+    And every text has 100 events
+    When 2 s go by
+    And daemon a accepts job j1 with 16 items
+    And daemon b accepts job j2 with 16 items
+    And daemon c accepts job j3 with 16 items
+    And 1 s go by
+    And the home of the jobs is killed
+    And 3 s go by
+    Then the jobs j1, j2 and j3 have one owner, which lives
+
   Scenario: Jobs that nobody may read any more leave the store
     Guards against a store that fills up until it takes no job.
     Given a platform with 4 engines and daemons a, b and c
--- a/features/steps/batch_job_steps.py
+++ b/features/steps/batch_job_steps.py
@@ -20,12 +20,25 @@
 
 @given('a platform with {count:d} engines and daemons a, b and c')
 def platform(context, count):
+    """Start a small site."""
+    start_platform(context, count, 'abc')
+
+
+@given(
+    'a platform with {count:d} engines and daemons a, b, c, d, e, f, g and h'
+)
+def large_platform(context, count):
+    """Start a site of eight daemons."""
+    start_platform(context, count, 'abcdefgh')
+
+
+def start_platform(context, count, names):
     """Start a site and let its daemons read the store."""
     context.memory = MemorySite(engines=count)
     context.add_cleanup(context.memory.close)
     context.read = {}
     context.loading = 0
-    for seed, name in enumerate('abc'):
+    for seed, name in enumerate(names):
         context.memory.start(name, seed=seed + 1)
     context.memory.pass_time(1.0)
 
@@ -447,6 +460,15 @@
     assert owners == {home(context)}, owners
 
 
+@then('the jobs {one}, {two} and {three} have one owner, which lives')
+def living_owner(context, one, two, three):
+    """Check the rows of the jobs as a daemon that lives knows them."""
+    daemons = context.memory.daemons
+    by_id = next(iter(daemons.values())).board.by_id
+    owners = {by_id[job].head.owner for job in (one, two, three)}
+    assert len(owners) == 1 and owners <= set(daemons), owners
+
+
 @when('the home of the jobs is killed')
 def kill_home(context):
     """End the daemon that runs the jobs."""
