Show the platform's side in status and the metrics that were missing

Cause: `anvilcove status` knew the own interface only; nothing showed which host was behind with the desired state, which versions engines held against those wanted, or who owned a job. The share of requests on time, refusals by reason, retries and jobs by state were not in the metrics.

Ruled out: asking every daemon in turn (hosts that cannot be reached are the ones of interest): each one announces its desired state with its beat.

--- a/anvilcove/cli/status.py
+++ b/anvilcove/cli/status.py
@@ -1,4 +1,4 @@
-"""Show hosts, endpoints and classes as one daemon knows them."""
+"""Show the state of the service as one daemon knows it."""
 
 import json
 from typing import Any
@@ -7,22 +7,56 @@
 
 from anvilcove.cli.operator import CallError, call, report
 from anvilcove.cli.registry import program
+from anvilcove.node.status import STATUS_PATH
 
 FLAGS = flags.FLAGS
 flags.DEFINE_bool('json', False, 'Print the answer as JSON.')
+flags.DEFINE_bool(
+    'node',
+    False,
+    "Ask a daemon on the users' platform; --address is that of its metrics.",
+)
 
 
-@program('status', 'Show the state of the service: anvilcove status [--json]')
+@program(
+    'status',
+    'Show the state of the service: anvilcove status [--node] [--json]',
+)
 def status(arguments: list[str]) -> int:
     """Print the status of the daemon that the flags name."""
     try:
-        answer = call('GET', '/v1/status')
+        answer = call('GET', STATUS_PATH if FLAGS.node else '/v1/status')
     except CallError as error:
         return report(error)
-    print(json.dumps(answer, indent=2) if FLAGS.json else as_text(answer))
+    as_tables = node_text if FLAGS.node else as_text
+    print(json.dumps(answer, indent=2) if FLAGS.json else as_tables(answer))
     return 0
 
 
+def node_text(answer: dict[str, Any]) -> str:
+    """Return the status of a daemon on the users' platform as tables."""
+    ages = ', '.join(
+        f'{table} {age_s:.2f} s'
+        for table, age_s in answer['age_by_table'].items()
+    )
+    newest = max(
+        [
+            answer['desired_state'],
+            *(host['desired_state'] for host in answer['hosts'].values()),
+        ]
+    )
+    parts = [
+        f'{answer["host"]} ({answer["data_centre"]}): {answer["state"]}, '
+        f'desired state {answer["desired_state"]}, newest known {newest}\n'
+        f'age of what it knows: {ages}',
+        _table('host', answer['hosts']),
+        _table('endpoint', answer['endpoints']),
+        _table('model', answer['models']),
+        _table('job', answer['jobs']),
+    ]
+    return '\n\n'.join(part for part in parts if part)
+
+
 def as_text(answer: dict[str, Any]) -> str:
     """Return a status report as tables."""
     newest = max(
--- a/anvilcove/control/nodes.py
+++ b/anvilcove/control/nodes.py
@@ -42,6 +42,9 @@
     leaving: bool
     # Whether the daemon gives the orders to the engines.
     orders: bool
+    # Version of the desired state in force, and the age of that knowledge.
+    desired_state: int = 0
+    desired_state_age_s: float = 0.0
 
 
 class NodeDirectory:
@@ -106,6 +109,10 @@
                 found.append(node)
         return found
 
+    def silent_s(self, host: str, now: float) -> float:
+        """Return for how long a daemon's row has stood still."""
+        return round(self._watch.stood_s(host, now), 2)
+
     def _note(self, host: str, silent: bool) -> None:
         if silent == (host in self._lost):
             return
@@ -168,7 +175,7 @@
 class Announcer:
     """Write the row of this daemon."""
 
-    __slots__ = ('_row', '_store', '_clock', '_gives_orders')
+    __slots__ = ('_row', '_store', '_clock', '_gives_orders', '_desired_state')
 
     def __init__(
         self,
@@ -177,8 +184,13 @@
         store: StorePort,
         clock: Clock,
         gives_orders: Callable[[], bool],
+        desired_state: Callable[[], tuple[int, float]],
     ) -> None:
-        """Announce nothing before `run`."""
+        """Announce nothing before `run`.
+
+        `desired_state` returns the version in force and the age of that
+        knowledge in seconds.
+        """
         self._row = NodeRow(
             host=settings.host,
             nonce=nonce,
@@ -191,6 +203,7 @@
             orders=False,
         )
         self._gives_orders = gives_orders
+        self._desired_state = desired_state
         self._store = store
         self._clock = clock
 
@@ -210,6 +223,9 @@
         """Write the row once; return whether it was acknowledged."""
         self._row.beat += 1
         self._row.orders = self._gives_orders()
+        version, age_s = self._desired_state()
+        self._row.desired_state = version
+        self._row.desired_state_age_s = round(age_s, 2)
         row_id = RowId(NODES_TABLE, '', self._row.host)
         value = msgpack.encode(self._row)
         try:
--- a/anvilcove/decisions/version_roll.py
+++ b/anvilcove/decisions/version_roll.py
@@ -47,7 +47,9 @@
 
     A load stops the runs of an engine for its time. Steps accept the version
     before the newest one too, so an engine that has it is ordered when it is
-    idle, once half of the model's engines have the newest.
+    idle, once half of the model's engines have the newest. The next step comes
+    just after its version is named: no more than half of the engines load at
+    once, so that its longest items can start on the others.
     """
     model_by_endpoint = assign(needs, engines)
     room = max(int(len(engines) * LOADING_SHARE), 1)
@@ -73,16 +75,20 @@
     def lag(engine: EngineHolding) -> int:
         return need.target - engine.version_by_model.get(need.model, 0)
 
-    new = sum(1 for engine in own if lag(engine) <= 0 or engine.busy)
-    wanted = (len(own) + 1) // 2 - new
+    half = (len(own) + 1) // 2
+    loading = sum(engine.busy for engine in own)
+    wanted = half - sum(lag(engine) <= 0 or engine.busy for engine in own)
     due: list[EngineHolding] = []
     for engine in sorted(
         own, key=lambda e: (e.in_flight, -lag(e), e.endpoint)
     ):
         if lag(engine) <= 0 or engine.busy or engine.retry_at_s > now:
             continue
-        idle = not engine.in_flight
-        if lag(engine) > USABLE_LAG or idle or len(due) < wanted:
+        if lag(engine) > USABLE_LAG:
+            due.append(engine)
+        elif not engine.in_flight and loading + len(due) < half:
+            due.append(engine)
+        elif len(due) < wanted:
             due.append(engine)
     return due
 
--- a/anvilcove/node/app.py
+++ b/anvilcove/node/app.py
@@ -15,6 +15,7 @@
 from anvilcove.node.gauges import set_gauges
 from anvilcove.node.logs import LogWriter
 from anvilcove.node.parts import NodeParts, Outside
+from anvilcove.node.status import STATUS_PATH, status_of
 from anvilcove.settings.loader import SettingsError
 from anvilcove.settings.node import NodeSettings, adopt_changes
 from anvilcove.state.clock import SuspendAwareClock, SystemClock
@@ -109,7 +110,7 @@
         return listeners
 
     async def _serve_peers(self) -> None:
-        """Listen for relayed store calls and for readers of metrics."""
+        """Listen for relayed store calls and for operators."""
 
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
             if request.path == RELAY_PATH:
@@ -118,6 +119,10 @@
                 return web.Response(
                     body=self._render_metrics(), content_type='text/plain'
                 )
+            if request.path == STATUS_PATH:
+                return web.json_response(
+                    status_of(self.parts, self._clock.now())
+                )
             return web.Response(status=404)
 
         server = web.Server(handle, access_log=None)
--- a/anvilcove/node/gauges.py
+++ b/anvilcove/node/gauges.py
@@ -35,9 +35,34 @@
         {},
         float(len(parts.nodes.alive())),
     )
+    for route, share in parts.metrics.on_time_by_route.items():
+        gauge(
+            'on_time_share',
+            'Smoothed share of requests answered within their objective.',
+            {'route': route},
+            share,
+        )
+    gauge(
+        'orders_fence',
+        'Generation number of the lease for orders, 0 where not held.',
+        {},
+        float(parts.lease.fence() or 0),
+    )
+    _set_jobs(parts)
     _set_endpoints(parts)
 
 
+def _set_jobs(parts: NodeParts) -> None:
+    counts = {'running': 0, 'finished': 0, 'ended': 0}
+    for job_id, held in parts.board.by_id.items():
+        state = 'finished' if held.head.finished else 'running'
+        counts['ended' if job_id in parts.board.ended else state] += 1
+    for state, count in counts.items():
+        parts.metrics.gauge(
+            'jobs', 'Known jobs by state.', {'state': state}, float(count)
+        )
+
+
 def _set_endpoints(parts: NodeParts) -> None:
     gauge = parts.metrics.gauge
     for model, named in parts.desired.model_versions.items():
--- a/anvilcove/node/metrics.py
+++ b/anvilcove/node/metrics.py
@@ -5,17 +5,28 @@
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+# Step of the smoothed share of requests on time: the mean of about as many
+# requests as its inverse.
+SHARE_STEP = 0.02
 LATENCY_BUCKETS_S = [0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0]
 
 
 class NodeMetrics:
     """What the parts of a daemon count."""
 
-    __slots__ = ('registry', '_counters', '_gauges', '_latency')
+    __slots__ = (
+        'registry',
+        'on_time_by_route',
+        '_counters',
+        '_gauges',
+        '_latency',
+    )
 
     def __init__(self) -> None:
         """Start all counters at zero."""
         self.registry = Registry()
+        # Smoothed share of requests that were answered within the objective.
+        self.on_time_by_route: dict[str, float] = {}
         self._counters: dict[str, Counter] = {}
         self._gauges: dict[str, Gauge] = {}
         self._latency = Histogram(
@@ -41,6 +52,24 @@
                 {'route': route},
             )
         self._latency.observe({'route': route}, latency_s)
+        share = self.on_time_by_route.get(route, 1.0)
+        self.on_time_by_route[route] = share + SHARE_STEP * (on_time - share)
+
+    def request_refused(self, route: str, reason: str) -> None:
+        """Count a request that was refused without having run."""
+        self._count(
+            'refusals_total',
+            'Refusals by route and reason.',
+            {'route': route, 'reason': reason},
+        )
+
+    def request_repeated(self, route: str) -> None:
+        """Count a further attempt of a request."""
+        self._count(
+            'retries_total',
+            'Attempts of requests after the first, by route.',
+            {'route': route},
+        )
 
     def attempt_failed(self, service: str, outcome: str) -> None:
         """Count a failed attempt at an endpoint."""
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -229,6 +229,7 @@
             outside.store,
             outside.clock,
             self._gives_orders,
+            self._desired_state,
         )
         self.lease = Lease(
             ORDERS_LEASE,
@@ -253,15 +254,21 @@
 
     def _knowledge(self) -> dict[str, float]:
         """Return version and age of what decisions rest on, for the log."""
-        current = self.desired.current
+        version, age_s = self._desired_state()
         return {
-            'config': current.version if current else 0,
-            'config_age_ms': round(self.watches['operator'].age_s() * 1000),
+            'config': version,
+            'config_age_ms': round(age_s * 1000),
             'endpoints_age_ms': round(
                 self.watches['endpoints'].age_s() * 1000
             ),
         }
 
+    def _desired_state(self) -> tuple[int, float]:
+        """Return the version in force and the age of that knowledge."""
+        current = self.desired.current
+        version = current.version if current else 0
+        return version, self.watches['operator'].age_s()
+
     def _gives_orders(self) -> bool:
         return self.lease.fence() is not None
 
--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -81,6 +81,7 @@
         'server_failures',
         'running',
         'hedge_at_s',
+        'refusal',
     )
 
     def __init__(
@@ -103,6 +104,8 @@
         self.server_failures = 0
         self.running: list[Attempt] = []
         self.hedge_at_s = float('inf')
+        # Why the request was refused, empty if it was not.
+        self.refusal = ''
 
     def may_send(self) -> bool:
         """Tell whether another send is allowed."""
@@ -233,6 +236,8 @@
             self._pools.release(state)
             return False
         now = self._clock.now()
+        if progress.tried:
+            self._metrics.request_repeated(route.name)
         progress.tried.add(state.endpoint)
         task = asyncio.create_task(
             self._servers.send(
@@ -357,8 +362,14 @@
             )
         if progress.maybe_run or progress.running:
             return timed_out() if late else bad_gateway()
+        progress.refusal = self._refusal_reason(progress)
         return refusal(progress.route.objective_s, self._rng)
 
+    def _refusal_reason(self, progress: Progress) -> str:
+        if self._pools.size(progress.service) == 0:
+            return 'no endpoint'
+        return 'refused by endpoints' if progress.refused else 'no room'
+
     def _first_wait_s(self, progress: Progress, end_s: float) -> float:
         """Return how long the request may wait for room at an endpoint."""
         if self._pools.size(progress.service) == 0:
@@ -373,6 +384,8 @@
         self._metrics.request_finished(
             route.name, answer.status, latency_s, on_time
         )
+        if progress.refusal:
+            self._metrics.request_refused(route.name, progress.refusal)
         logger.bind(
             request=request.request_id,
             route=route.name,
@@ -384,6 +397,7 @@
             left_ms=round((request.deadline_at_s - self._clock.now()) * 1000),
             endpoints=self._pools.size(progress.service),
             retry_after_s=answer.retry_after_s,
+            refusal=progress.refusal,
             **self._knowledge(),
         ).info('request answered')
 
--- a/anvilcove/state/leases.py
+++ b/anvilcove/state/leases.py
@@ -25,6 +25,11 @@
             return False
         return now - seen[1] >= self.lease_s
 
+    def stood_s(self, key: str, now: float) -> float:
+        """Return how long the mark of a lease has not moved."""
+        seen = self._seen_by_key.get(key)
+        return now - seen[1] if seen is not None else 0.0
+
     def forget(self, key: str) -> None:
         """Stop watching a lease."""
         self._seen_by_key.pop(key, None)
--- a/features/steps/version_plan_steps.py
+++ b/features/steps/version_plan_steps.py
@@ -94,3 +94,63 @@
         assert any(
             e.version_by_model[model] == newest for e in context.engines
         )
+
+
+@given('{count:d} idle engines that hold version 1 of three models')
+def idle_engines(context, count):
+    """Describe engines that all hold the same."""
+    context.engines = [
+        EngineHolding(f'e{i}', dict.fromkeys(('m', 'n', 'o'), 1))
+        for i in range(count)
+    ]
+
+
+@when('version {version:d} of the first model is named')
+def name_one(context, version):
+    """Keep what each model should have."""
+    context.needs = [
+        ModelNeed('m', version),
+        ModelNeed('n', 1),
+        ModelNeed('o', 1),
+    ]
+
+
+@then('{count:d} of its {total:d} engines are ordered to load')
+def ordered(context, count, total):
+    """Plan the loads of this moment."""
+    own = [
+        endpoint
+        for endpoint, model in assign(context.needs, context.engines).items()
+        if model == 'm'
+    ]
+    assert len(own) == total, own
+    orders = plan_loads(0.0, context.needs, context.engines)
+    assert len(orders) == count, orders
+    context.ordered = {order.endpoint for order in orders}
+
+
+@then('none of its engines is ordered to load')
+def none_ordered(context):
+    """Plan the loads of this moment."""
+    orders = plan_loads(0.0, context.needs, context.engines)
+    assert not orders, orders
+
+
+def ordered_engines(context):
+    """Return the engines that the last orders named."""
+    return [e for e in context.engines if e.endpoint in context.ordered]
+
+
+@when('these are loading')
+def are_loading(context):
+    """Let the ordered engines load."""
+    for engine in ordered_engines(context):
+        engine.busy = True
+
+
+@when('these have loaded')
+def have_loaded(context):
+    """Let the ordered engines hold the version."""
+    for engine in ordered_engines(context):
+        engine.busy = False
+        engine.version_by_model['m'] = context.needs[0].target
--- a/features/version_orders.feature
+++ b/features/version_orders.feature
@@ -75,3 +75,14 @@
     And every engine of the first model is lost
     And each model gets 1 more versions, each loaded before the next
     Then both models are held in their newest version somewhere
+
+  Scenario: A step comes just after its version was named
+    Guards against long items that wait for a load, and so end too late,
+    although engines with a version that will do were idle.
+    Given 12 idle engines that hold version 1 of three models
+    When version 2 of the first model is named
+    Then 2 of its 4 engines are ordered to load
+    When these are loading
+    Then none of its engines is ordered to load
+    When these have loaded
+    Then 2 of its 4 engines are ordered to load
