Measure the processor time of a log line

Cause: the cost of the log and its share of a request had not been measured.

Change: `anvilcove bench logs` measures a line through the writer that the daemons use, and a request at a real daemon on loopback (2,000 requests at 80 a second, two plain servers, idle time taken off).

--- a/anvilcove/cli/bench.py
+++ b/anvilcove/cli/bench.py
@@ -14,6 +14,7 @@
 from anvilcove.bench.capacity import write_page, write_plots
 from anvilcove.bench.compare import MEASURES, write
 from anvilcove.bench.compare import compare as run_comparison
+from anvilcove.bench.log_cost import measure as measure_log_cost
 from anvilcove.bench.slopes import fit, measure_all
 from anvilcove.bench.subsets import measure_loss
 from anvilcove.cli.registry import program
@@ -67,14 +68,27 @@
     return 0
 
 
+def logs() -> int:
+    """Measure the processor time of a log line."""
+    with tempfile.TemporaryDirectory(prefix='anvilcove-') as run:
+        cost = asyncio.run(measure_log_cost(Path(run)))
+    print(
+        f'line {cost.line_s * 1e6:.0f} us, request {cost.request_s * 1e6:.0f} '
+        f'us of processor time, share {cost.share():.3f}; idle daemon '
+        f'{cost.idle_core_share:.4f} of a core'
+    )
+    return 0
+
+
 COMMANDS: dict[str, Callable[[], int]] = {
     'slopes': slopes,
     'page': page,
     'compare': compare,
+    'logs': logs,
 }
 
 
-@program('bench', 'Measure: anvilcove bench slopes|page|compare [FLAGS]')
+@program('bench', 'Measure: anvilcove bench slopes|page|compare|logs [FLAGS]')
 def bench(arguments: list[str]) -> int:
     """Run one of the measurements."""
     name = arguments[0] if arguments else ''
