Group the commands by topic and untie the imports of the daemon

Cause: `commands/` held 33 modules in one folder; metrics of the daemon imported the context that imports them; jobs and proxy imported counters from the node package that is built from them, and control imported jobs.

Ruled out: one module for all metrics of both interfaces (they count other things).

Change: `commands/` is divided into requests, rollouts and control. Gauges read from the context stand in `daemon/gauges.py`, as they do for the node. Metrics and logs of the node move to `telemetry/`, below all that uses them. The roller of versions names what it needs of the work at the engines as a protocol. Gauges of endpoints that have left are dropped.

Before: 4 modules in a circle. After: no circle of modules in the package.

--- a/anvilcove/bench/log_cost.py
+++ b/anvilcove/bench/log_cost.py
@@ -10,7 +10,6 @@
 from loguru import logger
 from msgspec import Struct
 
-from anvilcove.node.logs import LogWriter
 from anvilcove.platform.standin_wire import request_headers
 from anvilcove.soak.site import (
     CALLERS_PORT,
@@ -20,6 +19,7 @@
     LoopbackSite,
 )
 from anvilcove.state.clock import Clock, SystemClock
+from anvilcove.telemetry.logs import LogWriter
 
 LINES = 5_000
 REQUESTS = 2_000
--- /dev/null
+++ b/anvilcove/commands/control/__init__.py
@@ -0,0 +1,1 @@
+"""Keep hosts, declarations, leases and weights in order."""
--- a/anvilcove/commands/drain.py
+++ b/anvilcove/commands/control/drain.py
@@ -3,7 +3,7 @@
 from aiohttp import web
 from loguru import logger
 
-from anvilcove.commands.announce import AnnouncePart
+from anvilcove.commands.control.announce import AnnouncePart
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
 from anvilcove.daemon.replies import read_message, reply
--- a/anvilcove/commands/gossip.py
+++ b/anvilcove/commands/control/gossip.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 from loguru import logger
 
-from anvilcove.commands.reports import merge_reports, report_digests
+from anvilcove.commands.control.reports import merge_reports, report_digests
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
 from anvilcove.daemon.peer_client import PeerError, call_peer
--- a/anvilcove/commands/leases.py
+++ b/anvilcove/commands/control/leases.py
@@ -7,7 +7,7 @@
 from loguru import logger
 from msgspec import convert, structs
 
-from anvilcove.commands.steps import new_nonce
+from anvilcove.commands.rollouts.steps import new_nonce
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
 from anvilcove.messages.base import Message
--- a/anvilcove/commands/membership.py
+++ b/anvilcove/commands/control/membership.py
@@ -5,7 +5,7 @@
 
 from loguru import logger
 
-from anvilcove.commands.announce import AnnouncePart
+from anvilcove.commands.control.announce import AnnouncePart
 from anvilcove.daemon.context import Part
 from anvilcove.daemon.parts import part
 from anvilcove.messages.peers import Announce
--- a/anvilcove/commands/prune.py
+++ b/anvilcove/commands/control/prune.py
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from anvilcove.commands.leases import LeaseKeeper
+from anvilcove.commands.control.leases import LeaseKeeper
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
 from anvilcove.messages.table import Check, Row, Transaction
--- a/anvilcove/commands/rollout.py
+++ b/anvilcove/commands/control/rollout.py
@@ -6,9 +6,9 @@
 
 from loguru import logger
 
-from anvilcove.commands.leases import LeaseKeeper
-from anvilcove.commands.samples import SampleRunner
-from anvilcove.commands.weights import WeightsPart, trainer_classes
+from anvilcove.commands.control.leases import LeaseKeeper
+from anvilcove.commands.control.weights import WeightsPart, trainer_classes
+from anvilcove.commands.rollouts.samples import SampleRunner
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
 from anvilcove.decisions.rollout import RolloutState, ServerView, SwapOrder
--- /dev/null
+++ b/anvilcove/commands/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Serve requests: admission, attempts, streams and isolation."""
--- a/anvilcove/commands/attempts.py
+++ b/anvilcove/commands/requests/attempts.py
@@ -6,9 +6,9 @@
 
 from loguru import logger
 
-from anvilcove.commands.dispatch import Dispatcher, NoSlot, Slot
-from anvilcove.commands.job import OVERLOAD_STATUS, GivenUp, Job
-from anvilcove.commands.sending import result_of, send
+from anvilcove.commands.requests.dispatch import Dispatcher, NoSlot, Slot
+from anvilcove.commands.requests.sending import result_of, send
+from anvilcove.commands.rollouts.job import OVERLOAD_STATUS, GivenUp, Job
 from anvilcove.daemon.context import Context
 from anvilcove.decisions.types import (
     CANCELLED,
--- a/anvilcove/commands/claim.py
+++ b/anvilcove/commands/requests/claim.py
@@ -10,14 +10,14 @@
 from loguru import logger
 from msgspec import UNSET
 
-from anvilcove.commands.job import (
+from anvilcove.commands.control.row_writer import RowWrite, RowWriter
+from anvilcove.commands.rollouts.job import (
     CONFLICT_STATUS,
     RETRY_AFTER_S,
     GivenUp,
     Job,
     conflict,
 )
-from anvilcove.commands.row_writer import RowWrite, RowWriter
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
 from anvilcove.daemon.peer_client import PeerError, call_peer
--- a/anvilcove/commands/crashes.py
+++ b/anvilcove/commands/requests/crashes.py
@@ -4,7 +4,7 @@
 
 from loguru import logger
 
-from anvilcove.commands.announce import AnnouncePart
+from anvilcove.commands.control.announce import AnnouncePart
 from anvilcove.daemon.context import Context
 from anvilcove.decisions.types import CRASH, OK
 from anvilcove.ports.errors import EndpointError, EndpointNotRun
--- a/anvilcove/commands/dispatch.py
+++ b/anvilcove/commands/requests/dispatch.py
@@ -7,10 +7,10 @@
 from msgspec.structs import replace
 from reactivex.abc import DisposableBase
 
-from anvilcove.commands.capacity import Capacity
-from anvilcove.commands.crashes import CrashAccounting
-from anvilcove.commands.isolation import Isolation
-from anvilcove.commands.pool_queue import PoolQueue, Waiter
+from anvilcove.commands.control.capacity import Capacity
+from anvilcove.commands.requests.crashes import CrashAccounting
+from anvilcove.commands.requests.isolation import Isolation
+from anvilcove.commands.requests.pool_queue import PoolQueue, Waiter
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
 from anvilcove.decisions.limits import queue_ratio
--- a/anvilcove/commands/fixing.py
+++ b/anvilcove/commands/requests/fixing.py
@@ -7,8 +7,8 @@
 from msgspec import structs
 from xxhash import xxh3_128_hexdigest
 
-from anvilcove.commands.steps import Steps
-from anvilcove.commands.weights import WeightsPart
+from anvilcove.commands.control.weights import WeightsPart
+from anvilcove.commands.rollouts.steps import Steps
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
 from anvilcove.daemon.replies import read_message, reply
--- a/anvilcove/commands/non_repeatable.py
+++ b/anvilcove/commands/requests/non_repeatable.py
@@ -1,8 +1,8 @@
 """Run a not-repeatable request at most once, under a claim."""
 
-from anvilcove.commands.attempts import Attempts
-from anvilcove.commands.claim import ClaimPart
-from anvilcove.commands.job import GivenUp, Job
+from anvilcove.commands.requests.attempts import Attempts
+from anvilcove.commands.requests.claim import ClaimPart
+from anvilcove.commands.rollouts.job import GivenUp, Job
 from anvilcove.daemon.context import Context
 from anvilcove.messages.callers import NOT_RUN, Outcome
 from anvilcove.ports.errors import EndpointFailed, EndpointNotRun
--- a/anvilcove/commands/sending.py
+++ b/anvilcove/commands/requests/sending.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Any
 
-from anvilcove.commands.job import Job
+from anvilcove.commands.rollouts.job import Job
 from anvilcove.daemon.context import Context
 from anvilcove.decisions.types import CRASH, ERROR, OVERLOADED
 from anvilcove.messages.callers import ANSWERED, Outcome, VersionRange
--- a/anvilcove/commands/submit.py
+++ b/anvilcove/commands/requests/submit.py
@@ -6,10 +6,13 @@
 from loguru import logger
 from msgspec.structs import replace
 
-from anvilcove.commands.attempts import Attempts
-from anvilcove.commands.claim import ClaimPart
-from anvilcove.commands.dispatch import Dispatcher
-from anvilcove.commands.job import (
+from anvilcove.commands.requests.attempts import Attempts
+from anvilcove.commands.requests.claim import ClaimPart
+from anvilcove.commands.requests.dispatch import Dispatcher
+from anvilcove.commands.requests.non_repeatable import run_claimed
+from anvilcove.commands.requests.streaming import caller_gone, stream_record
+from anvilcove.commands.requests.validation import faults, generation_faults
+from anvilcove.commands.rollouts.job import (
     CONFLICT_STATUS,
     OVERLOAD_STATUS,
     STATUS_BY_OUTCOME,
@@ -17,9 +20,6 @@
     Job,
     conflict,
 )
-from anvilcove.commands.non_repeatable import run_claimed
-from anvilcove.commands.streaming import caller_gone, stream_record
-from anvilcove.commands.validation import faults, generation_faults
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
 from anvilcove.daemon.replies import (
--- a/anvilcove/commands/validation.py
+++ b/anvilcove/commands/requests/validation.py
@@ -3,7 +3,7 @@
 import re
 from collections.abc import Iterator
 
-from anvilcove.commands.sending import DEFAULT_MAX_TOKENS
+from anvilcove.commands.requests.sending import DEFAULT_MAX_TOKENS
 from anvilcove.messages.callers import SubmitRequest
 
 # Identifiers appear in paths and log lines.
--- a/anvilcove/commands/viability.py
+++ b/anvilcove/commands/requests/viability.py
@@ -1,6 +1,6 @@
 """Which engines and tokens keep a sample inside its staleness bound."""
 
-from anvilcove.commands.weights import WeightsPart
+from anvilcove.commands.control.weights import WeightsPart
 from anvilcove.daemon.context import Context
 from anvilcove.decisions.groups import SampleView
 from anvilcove.messages.callers import VersionRange
--- /dev/null
+++ b/anvilcove/commands/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Run the steps and batches of trainers."""
--- a/anvilcove/commands/batches.py
+++ b/anvilcove/commands/rollouts/batches.py
@@ -5,9 +5,9 @@
 from aiohttp import web
 from loguru import logger
 
-from anvilcove.commands.fixing import MAX_WAIT_MS, Fixing
-from anvilcove.commands.steps import Steps
-from anvilcove.commands.weights import WeightsPart, trainer_classes
+from anvilcove.commands.control.weights import WeightsPart, trainer_classes
+from anvilcove.commands.requests.fixing import MAX_WAIT_MS, Fixing
+from anvilcove.commands.rollouts.steps import Steps
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
 from anvilcove.daemon.peer_client import PeerError, call_peer
--- a/anvilcove/commands/sample_attempts.py
+++ b/anvilcove/commands/rollouts/sample_attempts.py
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from anvilcove.commands.dispatch import Dispatcher, NoSlot, Slot
+from anvilcove.commands.requests.dispatch import Dispatcher, NoSlot, Slot
 from anvilcove.daemon.context import Context
 from anvilcove.decisions.groups import StepNeed
 from anvilcove.decisions.types import (
--- a/anvilcove/commands/samples.py
+++ b/anvilcove/commands/rollouts/samples.py
@@ -6,9 +6,15 @@
 
 from loguru import logger
 
-from anvilcove.commands.content_gate import ContentGate
-from anvilcove.commands.dispatch import NoSlot, Slot
-from anvilcove.commands.sample_attempts import (
+from anvilcove.commands.control.weights import WeightsPart
+from anvilcove.commands.requests.content_gate import ContentGate
+from anvilcove.commands.requests.dispatch import NoSlot, Slot
+from anvilcove.commands.requests.viability import (
+    Viability,
+    content_of,
+    waiting_views,
+)
+from anvilcove.commands.rollouts.sample_attempts import (
     AttemptFailed,
     accept_nothing,
     acquire_slot,
@@ -19,12 +25,6 @@
     outcome_of,
     score,
 )
-from anvilcove.commands.viability import (
-    Viability,
-    content_of,
-    waiting_views,
-)
-from anvilcove.commands.weights import WeightsPart
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
 from anvilcove.decisions.types import (
--- a/anvilcove/commands/steps.py
+++ b/anvilcove/commands/rollouts/steps.py
@@ -11,7 +11,7 @@
 from msgspec import structs
 from xxhash import xxh3_128_hexdigest
 
-from anvilcove.commands.samples import SampleRunner
+from anvilcove.commands.rollouts.samples import SampleRunner
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
 from anvilcove.daemon.replies import read_message, refusal, reply
--- a/anvilcove/commands/stragglers.py
+++ b/anvilcove/commands/rollouts/stragglers.py
@@ -6,10 +6,10 @@
 
 from loguru import logger
 
-from anvilcove.commands.dispatch import NoSlot, Slot
-from anvilcove.commands.sample_attempts import acquire_slot
-from anvilcove.commands.samples import SampleRunner
-from anvilcove.commands.viability import content_of
+from anvilcove.commands.requests.dispatch import NoSlot, Slot
+from anvilcove.commands.requests.viability import content_of
+from anvilcove.commands.rollouts.sample_attempts import acquire_slot
+from anvilcove.commands.rollouts.samples import SampleRunner
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
 from anvilcove.decisions.groups import Move, Rerun, StragglerView, Wait
--- a/anvilcove/control/versions.py
+++ b/anvilcove/control/versions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Protocol
 
 from loguru import logger
 
@@ -14,7 +15,6 @@
     ModelNeed,
     plan_loads,
 )
-from anvilcove.jobs.engine_slots import EngineSlots
 from anvilcove.ports.engines import (
     CARRIED_OUT,
     HOLDS,
@@ -35,6 +35,16 @@
 ORDER_TIMEOUT_S = 0.8
 
 
+class EngineWork(Protocol):
+    """What the daemon's own work at the engines tells and has to know."""
+
+    def in_flight(self, endpoint: str) -> int:
+        """Return the items that run at an engine."""
+
+    def load_ordered(self, endpoint: str, model: str, version: int) -> None:
+        """Use an engine again, with its new weights, when it has loaded."""
+
+
 class OrderRecord:
     """The last order to one engine and whether it was accepted."""
 
@@ -66,7 +76,7 @@
         '_registry',
         '_engines',
         '_clock',
-        '_slots',
+        '_work',
         '_work_of',
         '_orders',
         '_count_by_endpoint',
@@ -80,12 +90,12 @@
         registry: EndpointRegistry,
         engines: EngineClient,
         clock: Clock,
-        slots: EngineSlots,
+        work: EngineWork,
         work_of: Callable[[str], float],
     ) -> None:
         """Give no order yet.
 
-        `slots` hold this daemon's work at the engines; `work_of` tells the
+        `work` is what this daemon runs at the engines; `work_of` tells the
         work that a model has lately had.
         """
         self._host = host
@@ -94,7 +104,7 @@
         self._registry = registry
         self._engines = engines
         self._clock = clock
-        self._slots = slots
+        self._work = work
         self._work_of = work_of
         self._orders: dict[str, OrderRecord] = {}
         # Orders that an engine has accepted, where it told more than its
@@ -149,7 +159,7 @@
                     version_by_model=entry.version_by_model,
                     busy=record is not None and record.loading(entry, now),
                     retry_at_s=record.at_s + RETRY_S if record else 0.0,
-                    in_flight=self._slots.in_flight(entry.endpoint),
+                    in_flight=self._work.in_flight(entry.endpoint),
                 )
             )
         return found
@@ -177,7 +187,7 @@
         outcome = await self._give(entry, order)
         record.accepted = outcome in (CARRIED_OUT, HOLDS)
         if record.accepted:
-            self._slots.records.load_ordered(
+            self._work.load_ordered(
                 entry.endpoint, wanted.model, wanted.version
             )
         # An order without a clear answer may have been accepted, so the count
--- a/anvilcove/daemon/app.py
+++ b/anvilcove/daemon/app.py
@@ -9,7 +9,7 @@
 from aiohttp import ClientSession, ClientTimeout, TCPConnector, web
 from loguru import logger
 
-from anvilcove.commands.drain import start_draining
+from anvilcove.commands.control.drain import start_draining
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.control_traffic import SKIPPED_HEADERS, control_trace
 from anvilcove.daemon.listeners import Listener, client_tls
@@ -20,25 +20,25 @@
 from anvilcove.state.clock import SystemClock, random_source
 
 PART_MODULES = (
-    'anvilcove.commands.dispatch',
-    'anvilcove.commands.submit',
-    'anvilcove.commands.claim',
+    'anvilcove.commands.requests.dispatch',
+    'anvilcove.commands.requests.submit',
+    'anvilcove.commands.requests.claim',
     'anvilcove.queries.attach',
-    'anvilcove.commands.membership',
-    'anvilcove.commands.apply',
-    'anvilcove.commands.weights',
-    'anvilcove.commands.steps',
-    'anvilcove.commands.samples',
-    'anvilcove.commands.stragglers',
-    'anvilcove.commands.fixing',
-    'anvilcove.commands.batches',
-    'anvilcove.commands.leases',
-    'anvilcove.commands.rollout',
-    'anvilcove.commands.prune',
-    'anvilcove.commands.announce',
-    'anvilcove.commands.gossip',
-    'anvilcove.commands.drain',
-    'anvilcove.commands.reports',
+    'anvilcove.commands.control.membership',
+    'anvilcove.commands.control.apply',
+    'anvilcove.commands.control.weights',
+    'anvilcove.commands.rollouts.steps',
+    'anvilcove.commands.rollouts.samples',
+    'anvilcove.commands.rollouts.stragglers',
+    'anvilcove.commands.requests.fixing',
+    'anvilcove.commands.rollouts.batches',
+    'anvilcove.commands.control.leases',
+    'anvilcove.commands.control.rollout',
+    'anvilcove.commands.control.prune',
+    'anvilcove.commands.control.announce',
+    'anvilcove.commands.control.gossip',
+    'anvilcove.commands.control.drain',
+    'anvilcove.commands.control.reports',
     'anvilcove.queries.entries',
     'anvilcove.queries.status',
 )
--- a/anvilcove/daemon/metrics.py
+++ b/anvilcove/daemon/metrics.py
@@ -1,7 +1,6 @@
 """Metrics of one daemon in the Prometheus text format."""
 
-import resource
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from aiohttp import web
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
@@ -9,9 +8,6 @@
 
 from anvilcove.messages.callers import ANSWERED
 
-if TYPE_CHECKING:
-    from anvilcove.daemon.context import Context
-
 CONTROL_PATHS = ('/peer/gossip', '/peer/announce', '/peer/config')
 LATENCY_BUCKETS_S = [0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 10.0, 60.0]
 STALENESS_BUCKETS = [0.0, 1.0, 2.0, 4.0, 8.0]
@@ -103,7 +99,7 @@
 
     def retry_budget(self, left: float) -> None:
         """Set the retries that the budget still allows."""
-        self._gauge(
+        self.gauge(
             'retry_budget', 'Retries that the budget still allows.', {}, left
         )
 
@@ -158,11 +154,9 @@
         share = on_time / finished if finished else None
         return {'outcomes': outcomes, 'on_time_share': share}
 
-    def render(self, context: 'Context', newest: dict[str, int]) -> bytes:
-        """Return all metrics as text; `newest` is by model."""
+    def render(self) -> bytes:
+        """Return all metrics as text."""
         self._collect_control()
-        self._collect(context)
-        self._collect_endpoints(context, newest)
         text: bytes = render(self.registry, [])[0]
         return text
 
@@ -173,87 +167,24 @@
             self._bytes.set({'kind': kind, 'direction': 'sent'}, sent)
             self._bytes.set({'kind': kind, 'direction': 'received'}, received)
 
-    def _collect(self, context: 'Context') -> None:
-        now = context.clock.now()
-        config = context.config
-        self._gauge(
-            'configuration_revision', 'Revision in force.', {}, config.revision
-        )
-        self._gauge(
-            'configuration_age_seconds',
-            'Time since the revision came into force.',
-            {},
-            now - config.adopted_at_s,
-        )
-        self._gauge(
-            'confirmed',
-            'Whether new work is taken.',
-            {},
-            float(context.confirmation.holds(now)),
-        )
-        for target in config.document.classes:
-            share = self.class_summary(target.name)['on_time_share']
-            if share is not None:
-                self._gauge(
-                    'requests_on_time_ratio',
-                    'Share of requests answered before the deadline.',
-                    {'class': target.name},
-                    share,
-                )
-        usage = resource.getrusage(resource.RUSAGE_SELF)
-        self._gauge(
-            'processor_seconds',
-            'Processor time of the process.',
-            {},
-            usage.ru_utime + usage.ru_stime,
-        )
-        self._gauge(
-            'resident_memory_bytes',
-            'Largest resident memory of the process.',
-            {},
-            usage.ru_maxrss * 1024,
-        )
-
-    def _collect_endpoints(
-        self, context: 'Context', newest: dict[str, int]
-    ) -> None:
-        for name in ('endpoint_in_flight', 'endpoint_limit', 'version_skew'):
-            if name in self._gauges:
-                self._gauges[name].values.clear()
-        for state in context.endpoints.by_id.values():
-            labels = {'endpoint': state.endpoint}
-            self._gauge(
-                'endpoint_in_flight',
-                'Attempts in flight by endpoint.',
-                labels,
-                state.in_flight,
-            )
-            self._gauge(
-                'endpoint_limit',
-                'Attempts that may be in flight by endpoint.',
-                labels,
-                state.limit,
-            )
-            if state.version:
-                self._gauge(
-                    'version_skew',
-                    'Weight versions behind the newest by endpoint.',
-                    labels,
-                    max(newest.get(state.pool, 0) - state.version, 0),
-                )
-
     def _counter(self, name: str, meaning: str) -> Counter:
         return Counter(f'anvilcove_{name}', meaning, registry=self.registry)
 
-    def _gauge(
+    def gauge(
         self, name: str, meaning: str, labels: dict[str, str], value: float
     ) -> None:
+        """Set a gauge."""
         if name not in self._gauges:
             self._gauges[name] = Gauge(
                 f'anvilcove_{name}', meaning, registry=self.registry
             )
         self._gauges[name].set(labels, value)
 
+    def clear(self, name: str) -> None:
+        """Drop all values of a gauge."""
+        if name in self._gauges:
+            self._gauges[name].values.clear()
+
     @staticmethod
     def _count(counter: Counter, labels: dict[str, str]) -> float:
         try:
--- a/anvilcove/jobs/engine_slots.py
+++ b/anvilcove/jobs/engine_slots.py
@@ -146,6 +146,10 @@
         """Return the items that run at an engine."""
         return self.records.of(endpoint).in_flight
 
+    def load_ordered(self, endpoint: str, model: str, version: int) -> None:
+        """Use an engine again, with its new weights, when it has loaded."""
+        self.records.load_ordered(endpoint, model, version)
+
     def give_back(self, endpoint: str) -> None:
         """Free a slot."""
         self.records.of(endpoint).in_flight -= 1
--- a/anvilcove/jobs/job_run.py
+++ b/anvilcove/jobs/job_run.py
@@ -21,9 +21,9 @@
     JobSpec,
     TextPart,
 )
-from anvilcove.node.metrics import NodeMetrics
 from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
 from anvilcove.state.clock import Clock
+from anvilcove.telemetry.metrics import NodeMetrics
 
 # Results wait this long for others to share a commit.
 COMMIT_WINDOW_S = 0.08
--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -18,7 +18,6 @@
 from anvilcove.jobs.job_run import JobRun
 from anvilcove.jobs.records import CommitConflict, JobRecords
 from anvilcove.jobs.types import Commit, HeldJob, JobHead, JobSpec, TextPart
-from anvilcove.node.metrics import NodeMetrics
 from anvilcove.ports.errors import (
     ObjectNotFound,
     StoreAnswerLost,
@@ -26,6 +25,7 @@
 )
 from anvilcove.settings.node import NodeSettings
 from anvilcove.state.clock import Clock
+from anvilcove.telemetry.metrics import NodeMetrics
 
 LOOK_S = 0.1
 # A job that its home has not begun after this time is taken over by the
--- a/anvilcove/jobs/sweep.py
+++ b/anvilcove/jobs/sweep.py
@@ -8,10 +8,10 @@
 from anvilcove.jobs.board import JobBoard
 from anvilcove.jobs.records import JobRecords
 from anvilcove.jobs.types import JobHead
-from anvilcove.node.metrics import NodeMetrics
 from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
 from anvilcove.settings.node import NodeBounds
 from anvilcove.state.clock import Clock
+from anvilcove.telemetry.metrics import NodeMetrics
 
 SWEEP_S = 5.0
 # Jobs removed in one round; each costs about five calls of the store.
--- a/anvilcove/node/app.py
+++ b/anvilcove/node/app.py
@@ -13,12 +13,12 @@
 from anvilcove.control.relay import RELAY_PATH, RelayedStore
 from anvilcove.node.adapters import Adapters, EndpointClients, Listeners
 from anvilcove.node.gauges import set_gauges
-from anvilcove.node.logs import LogWriter
 from anvilcove.node.parts import NodeParts, Outside
 from anvilcove.node.status import STATUS_PATH, status_of
 from anvilcove.settings.loader import SettingsError
 from anvilcove.settings.node import NodeSettings, adopt_changes
 from anvilcove.state.clock import SuspendAwareClock, SystemClock
+from anvilcove.telemetry.logs import LogWriter
 
 # Callers keep the addresses that they were told for a few seconds; a daemon
 # that stops goes on answering for this long.
--- a/anvilcove/node/gauges.py
+++ b/anvilcove/node/gauges.py
@@ -72,6 +72,9 @@
             {'model': model},
             float(named),
         )
+    # Those of endpoints that have left would stay for ever.
+    for name in ('endpoint_in_flight', 'endpoint_limit', 'endpoint_version'):
+        parts.metrics.clear(name)
     for endpoint, entry in parts.registry.entry_by_endpoint.items():
         state = parts.registry.view.by_id.get(endpoint)
         if state is not None:
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -22,7 +22,6 @@
 from anvilcove.jobs.reward_calls import RewardCalls
 from anvilcove.jobs.reward_gate import RewardGate
 from anvilcove.jobs.sweep import JobSweeper
-from anvilcove.node.metrics import NodeMetrics
 from anvilcove.node.service import NodeService, NodeState
 from anvilcove.ports.engines import EngineClient
 from anvilcove.ports.rows import RowReader
@@ -34,6 +33,7 @@
 from anvilcove.proxy.streams import StreamForwarder
 from anvilcove.settings.node import NodeSettings
 from anvilcove.state.clock import Clock
+from anvilcove.telemetry.metrics import NodeMetrics
 
 # After the store was away, entries that are missing are held back until the
 # whole table has been read again.
--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -18,7 +18,6 @@
     OVERLOADED,
     RouteRequest,
 )
-from anvilcove.node.metrics import NodeMetrics
 from anvilcove.ports.errors import (
     EndpointCrashed,
     EndpointError,
@@ -35,6 +34,7 @@
 from anvilcove.settings.daemon import HostSettings
 from anvilcove.state.clock import Clock
 from anvilcove.state.endpoints import EndpointState
+from anvilcove.telemetry.metrics import NodeMetrics
 
 # Sends of one request that ended with "not run" and don't count as attempts.
 MAX_REFUSED_SENDS = 4
--- a/anvilcove/proxy/pools.py
+++ b/anvilcove/proxy/pools.py
@@ -5,7 +5,7 @@
 
 from loguru import logger
 
-from anvilcove.commands.pool_queue import PoolQueue
+from anvilcove.commands.requests.pool_queue import PoolQueue
 from anvilcove.control.endpoints import EndpointRegistry
 from anvilcove.decisions.ejection import OutlierEjection
 from anvilcove.decisions.limits import GradientLimit, queue_ratio
@@ -17,11 +17,11 @@
     RouteRequest,
 )
 from anvilcove.messages.engines import LoadReport
-from anvilcove.node.metrics import NodeMetrics
 from anvilcove.ports.engines import EngineLoad
 from anvilcove.settings.daemon import HostSettings
 from anvilcove.state.clock import Clock
 from anvilcove.state.endpoints import EndpointState
+from anvilcove.telemetry.metrics import NodeMetrics
 
 
 class EndpointPools:
--- a/anvilcove/queries/attach.py
+++ b/anvilcove/queries/attach.py
@@ -8,7 +8,7 @@
 from msgspec import UNSET, UnsetType
 from msgspec.structs import replace
 
-from anvilcove.commands.job import STATUS_BY_OUTCOME
+from anvilcove.commands.rollouts.job import STATUS_BY_OUTCOME
 from anvilcove.daemon.context import Context, Part
 from anvilcove.daemon.parts import part
 from anvilcove.daemon.peer_client import PEER_TIMEOUT_S, PeerError, call_peer
--- a/anvilcove/queries/status.py
+++ b/anvilcove/queries/status.py
@@ -7,6 +7,7 @@
 from msgspec import to_builtins
 
 from anvilcove.daemon.context import Part
+from anvilcove.daemon.gauges import set_gauges
 from anvilcove.daemon.parts import part
 from anvilcove.daemon.replies import read_message, reply
 from anvilcove.messages.operators import LogLevel, StatusReport
@@ -111,8 +112,8 @@
         return reply(change)
 
     async def _metrics(self, request: web.Request) -> web.Response:
-        versions = self.context.newest_versions
+        set_gauges(self.context, self.context.newest_versions)
         return web.Response(
-            body=self.context.metrics.render(self.context, versions),
+            body=self.context.metrics.render(),
             headers={'Content-Type': 'text/plain; version=0.0.4'},
         )
--- /dev/null
+++ b/anvilcove/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics and logs of a daemon on the users' platform."""
--- a/anvilcove/node/metrics.py
+++ b/anvilcove/telemetry/metrics.py
@@ -116,6 +116,11 @@
             )
         self._gauges[name].set(labels, value)
 
+    def clear(self, name: str) -> None:
+        """Drop all values of a gauge."""
+        if name in self._gauges:
+            self._gauges[name].values.clear()
+
     def render(self) -> bytes:
         """Return all metrics as text."""
         usage = resource.getrusage(resource.RUSAGE_SELF)
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 from msgspec.structs import replace
 
-from anvilcove.commands.crashes import CrashAccounting
+from anvilcove.commands.requests.crashes import CrashAccounting
 from anvilcove.decisions.quarantine import ContentQuarantine
 from anvilcove.decisions.types import CRASH, Allow, Isolate, Reject
 from anvilcove.messages.membership import ENGINE, EndpointMember
--- a/features/steps/explaining_steps.py
+++ b/features/steps/explaining_steps.py
@@ -11,7 +11,6 @@
 from loopback_calls import post
 from msgspec import json
 
-from anvilcove.node.logs import LogWriter
 from anvilcove.platform.names import RETRY_AFTER, WAIT_MS
 from anvilcove.soak.callers import Callers
 from anvilcove.soak.site import (
@@ -23,6 +22,7 @@
     LoopbackSite,
 )
 from anvilcove.state.clock import SystemClock
+from anvilcove.telemetry.logs import LogWriter
 
 READY_LIMIT_S = 30.0
 READ_LIMIT_S = 20.0
--- a/features/steps/in_process_steps.py
+++ b/features/steps/in_process_steps.py
@@ -9,7 +9,7 @@
 from request_steps import claim_states, post, remember
 from site_steps import host_url, run, wait_for
 
-from anvilcove.commands.dispatch import Dispatcher
+from anvilcove.commands.requests.dispatch import Dispatcher
 from anvilcove.decisions.types import RouteRequest
 
 
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -5,8 +5,8 @@
 from behave import given, then, when
 from site_steps import run
 
-from anvilcove.commands.leases import LeaseKeeper
-from anvilcove.commands.prune import ClaimPruning
+from anvilcove.commands.control.leases import LeaseKeeper
+from anvilcove.commands.control.prune import ClaimPruning
 from anvilcove.messages.table import Row, TransactionResult
 
 LEASE = 'claims'
