Move items off slow engines although the others are full

Ruled out: keeping slow engines empty of new items (they were fast when these items started); reserving slots (held for nobody most of the time).

Change: a moved item is first in line, so besides free slots the share of running items counts that end before the next look, 5 in 100.

Before: with all other engines full, none of the items moves. After: 2 of 8 each 50 ms, those with the most events.

--- a/anvilcove/decisions/item_moves.py
+++ b/anvilcove/decisions/item_moves.py
@@ -5,6 +5,10 @@
 # An engine whose time per event is this many times the pool's median holds a
 # step up. Full engines are up to a fifth slower than idle ones.
 SLOW_PACE = 2.0
+# Share of the running items that end before the next look: a moved item is
+# first in line, so it need not find a free slot. Short items last about a
+# second, and moves are looked for every 50 ms.
+ENDING_SHARE = 0.05
 
 
 class RunningEngine(Struct):
@@ -32,8 +36,12 @@
 def slow_moves(
     engines: list[RunningEngine], items: list[RunningItem]
 ) -> list[RunningItem]:
-    """Return the items to move away from slow engines, within the room."""
-    room = _room([e for e in engines if e.pace < SLOW_PACE])
+    """Return the items to move away from slow engines.
+
+    No more are moved than find a slot soon, free ones and those whose items
+    are about to end.
+    """
+    room = _room([e for e in engines if e.pace < SLOW_PACE and e.usable])
     slow = {e.endpoint for e in engines if e.pace >= SLOW_PACE}
     # A move costs a connection, so each item is moved once.
     waiting = [i for i in items if i.endpoint in slow and not i.moves]
@@ -43,4 +51,5 @@
 
 
 def _room(engines: list[RunningEngine]) -> int:
-    return sum(max(e.slots - e.in_flight, 0) for e in engines if e.usable)
+    free = sum(max(e.slots - e.in_flight, 0) for e in engines)
+    return free + int(ENDING_SHARE * sum(e.in_flight for e in engines))
--- /dev/null
+++ b/features/steps/item_move_steps.py
@@ -0,0 +1,50 @@
+"""Steps that call the decision on moves of items."""
+
+from behave import given, then, when
+
+from anvilcove.decisions.item_moves import (
+    RunningEngine,
+    RunningItem,
+    slow_moves,
+)
+
+
+@given('{count:d} engines with {slots:d} slots, all full')
+def full_engines(context, count, slots):
+    """Describe engines that run as much as they can."""
+    used_engines(context, count, slots, slots)
+
+
+@given('{count:d} engines with {slots:d} slots, of which {used:d} are in use')
+def used_engines(context, count, slots, used):
+    """Describe engines and their items; later items have more events."""
+    context.engines = [
+        RunningEngine(f'e{n}', slots, used) for n in range(count)
+    ]
+    context.items = [
+        RunningItem(f'e{engine}-{n}', f'e{engine}', events=n + 1)
+        for engine in range(count)
+        for n in range(used)
+    ]
+
+
+@when('engine {number:d} takes {pace:g} times as long for an event')
+def slow(context, number, pace):
+    """Set the pace of an engine over the median."""
+    context.engines[number].pace = pace
+
+
+@when('the other engines cannot be used')
+def unusable(context):
+    """Leave all engines but the first out."""
+    for engine in context.engines[1:]:
+        engine.usable = False
+
+
+@then('{count:d} of its items are moved, those with the most events')
+def moved(context, count):
+    """Compare with the items of the first engine."""
+    moves = slow_moves(context.engines, context.items)
+    own = [item for item in context.items if item.endpoint == 'e0']
+    expected = sorted(own, key=lambda item: -item.events)[:count]
+    assert moves == expected, moves
