Restore the steps of the relay and wait for both hosts in the status scenario

Cause: the steps of the way to the store were written to relay_steps.py, which held the steps of the stand-ins' relay, so three scenarios had no steps. The status scenario read the first beat of a host, which it wrote before it knew a desired state, with an infinite age.

A host without a desired state announces age 0, and the scenario waits until both hosts have told their state.

--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -266,8 +266,9 @@
     def _desired_state(self) -> tuple[int, float]:
         """Return the version in force and the age of that knowledge."""
         current = self.desired.current
-        version = current.version if current else 0
-        return version, self.watches['operator'].age_s()
+        if current is None:
+            return 0, 0.0
+        return current.version, self.watches['operator'].age_s()
 
     def _gives_orders(self) -> bool:
         return self.lease.fence() is not None
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -1,187 +1,209 @@
-"""Steps on the way to the store, on virtual time."""
+"""Steps of the relay and of sites behind it."""
 
 import asyncio
-import random
+import socket
+import time
 
 from behave import given, then, when
+from site_steps import run, wait_for
+from standin_steps import (
+    attempt,
+    call_service,
+    lines,
+    session_from,
+    start_standin,
+    stop_later,
+)
+
+from anvilcove.demo.processes import free_port
+from anvilcove.demo.site import Site, SiteShape
+from anvilcove.native.services import HttpService
+from anvilcove.standins.network import Network, NetworkOptions, Relayed
 
-from anvilcove.control.relay import RelayedStore
-from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
-from anvilcove.ports.transport import StoreCall, StoreReply
-from anvilcove.standins.virtual_loop import LoopClock, VirtualLoop
-
-SILENCE_S = 3600.0
-TOLERANCE_S = 0.05
-
-
-class TimedTransport:
-    """Answer each call after a time."""
-
-    def __init__(self, answer_s):
-        """Start with the same time for all calls."""
-        self.answer_s = answer_s
-        self.time_by_path = {}
-
-    async def send(self, call):
-        """Answer, or lose the answer when the time of the call is over."""
-        time_s = self.time_by_path.get(call.path, self.answer_s)
-        try:
-            async with asyncio.timeout(call.timeout_s):
-                await asyncio.sleep(time_s)
-        except TimeoutError as error:
-            raise StoreAnswerLost('no answer') from error
-        return StoreReply(200, b'')
-
-
-class Outcome:
-    """How a call ended, and when."""
-
-    def __init__(self, error, took_s):
-        """Keep the error, if any, and the time that it took."""
-        self.error = error
-        self.took_s = took_s
-
-
-async def outcome(context, path='/write', timeout_s=1.5, **fields):
-    """Send a call and return its outcome."""
-    loop = asyncio.get_running_loop()
-    started_s = loop.time()
-    error = None
-    call = StoreCall('POST', path, b'', timeout_s, **fields)
-    try:
-        await context.relayed.send(call)
-    except (StoreAnswerLost, StoreUnavailable) as raised:
-        error = raised
-    return Outcome(error, loop.time() - started_s)
-
-
-def write(context):
-    """Send a write and return its outcome."""
-    return context.virtual.run_until_complete(outcome(context, write=True))
-
-
-def close_loop(loop):
-    """End the calls that are still waiting, then the loop."""
-    pending = asyncio.all_tasks(loop)
-    for task in pending:
-        task.cancel()
-    if pending:
-        loop.run_until_complete(asyncio.wait(pending))
-    loop.close()
-
-
-@given('a way to a store that answers within {seconds:g} s')
-def way(context, seconds):
-    """Build the way on a virtual loop, without any peer."""
-    context.virtual = VirtualLoop()
-    context.add_cleanup(close_loop, context.virtual)
-    context.transport = TimedTransport(seconds)
-    context.relayed = RelayedStore(
-        context.transport, None, LoopClock(context.virtual), random.Random(1)
+
+@given('a relay between casa-ain and casa-sidi')
+def start_relay(context):
+    """Put a relay in front of a service in the first data centre."""
+    start_standin(context, 'service', '{}')
+    relayed = Relayed(
+        advertised=f'127.1.0.1:{free_port("127.1.0.1")}',
+        real=context.address,
+        data_centre='casa-ain',
+    )
+    options = NetworkOptions(
+        data_centres=['casa-ain', 'casa-sidi'],
+        listeners=[relayed],
+        client_latency_s=0.01,
     )
+    context.network = Network(options)
+    context.address = relayed.advertised
+    stop_later(context, context.network.stop)
 
+    async def listening():
+        return context.network.listeners[0].is_open()
 
-@when('{count:d} writes are sent one after another')
-def write_many(context, count):
-    """Check that all of them are answered."""
-    for _ in range(count):
-        assert write(context).error is None
+    run(context, context.network.start())
+    run(context, wait_for(listening))
 
 
-@when('the store answers nothing any more')
-def silence(context):
-    """Keep every later call waiting."""
-    context.transport.answer_s = SILENCE_S
+async def relayed_call(context, ip):
+    """Call the service through the relay and name how the call ends."""
+    async with session_from(ip) as session:
+        context.service = HttpService(context.address, session)
+        return await attempt(context, call_service(context, {}))
 
 
-@when('a write is sent')
-@when('another write is sent')
-def send_write(context):
-    """Keep the outcome."""
-    context.outcome = write(context)
+@then('a relayed call from {ip} takes at least {seconds:f} s')
+def check_latency(context, ip, seconds):
+    """Measure one call; only the lower limit is certain."""
+    start = time.monotonic()
+    assert run(context, relayed_call(context, ip)) == 'success'
+    assert time.monotonic() - start >= seconds
 
 
-@then('its answer is lost after {seconds:g} s')
-def lost(context, seconds):
-    """Check that the effect counts as unknown."""
-    assert isinstance(context.outcome.error, StoreAnswerLost)
-    took_s = context.outcome.took_s
-    assert abs(took_s - seconds) < TOLERANCE_S, took_s
+@then('a relayed call from {ip} ends with {result}')
+def check_relayed_call(context, ip, result):
+    """Check the classification of a relayed call."""
+    ended = run(context, relayed_call(context, ip))
+    assert ended == result, ended
 
 
-@then('it goes to a peer at once')
-def to_peer(context):
-    """Check that the lack of peers, and no silence, ended the call."""
-    assert isinstance(context.outcome.error, StoreUnavailable)
-    assert 'no peer' in str(context.outcome.error), context.outcome.error
-    assert context.outcome.took_s < TOLERANCE_S
+@when('casa-ain is cut off during a call from {ip}, which breaks')
+def cut_during_call(context, ip):
+    """Cut the data centre of the server while a call runs."""
 
+    async def second_started():
+        return len(lines(context, 'started')) == 2
 
-@when(
-    'a write takes {seconds:g} s while others are answered every {pause:g} s'
-)
-def slow_write(context, seconds, pause):
-    """Send others until the slow one has ended."""
-    context.transport.time_by_path['/slow'] = seconds
-
-    async def play():
-        slow = asyncio.create_task(outcome(context, '/slow', write=True))
-        while not slow.done():
-            assert (await outcome(context, write=True)).error is None
-            await asyncio.sleep(pause)
-        return slow.result()
-
-    context.outcome = context.virtual.run_until_complete(play())
-
-
-@then('it is answered after {seconds:g} s')
-def answered(context, seconds):
-    """Check the outcome."""
-    assert context.outcome.error is None, context.outcome.error
-    took_s = context.outcome.took_s
-    assert abs(took_s - seconds) < TOLERANCE_S, took_s
-
-
-@when('it becomes slower step by step, up to {limit:g} s for each write')
-def slower(context, limit):
-    """Add a tenth of a second after each few writes."""
-    context.outcomes = []
-    while context.transport.answer_s < limit:
-        context.transport.answer_s = min(
-            context.transport.answer_s + 0.1, limit
-        )
-        context.outcomes += [write(context) for _ in range(5)]
-
-
-@when('it becomes slow at once, with {seconds:g} s for each write')
-def slow_at_once(context, seconds):
-    """Send a write each second, the first ones at the usual speed."""
-    context.outcomes = []
-    for number in range(13):
-        if number == 3:
-            context.transport.answer_s = seconds
-        context.outcomes.append(write(context))
-        context.virtual.run_until_complete(asyncio.sleep(1.0))
-
-
-@then('writes are answered again after at most {count:d} that are lost')
-def soon_answered(context, count):
-    """Check that losses are few and none of them is late."""
-    failed = [n for n, o in enumerate(context.outcomes) if o.error]
-    assert len(failed) <= count, failed
-    assert context.outcomes[-1].error is None
-
-
-@then('every write is answered')
-def all_answered(context):
-    """Check that none was given up."""
-    assert not [o.error for o in context.outcomes if o.error]
-
-
-@when('a watch of {seconds:g} s is sent and no change comes')
-def watch(context, seconds):
-    """Send a call that waits by its nature."""
-    context.transport.answer_s = seconds
-    context.outcome = context.virtual.run_until_complete(
-        outcome(context, '/feed', seconds + 0.8, expected_s=seconds)
+    async def cut():
+        context.standin.sleep = lambda _: context.released.wait()
+        call = asyncio.ensure_future(relayed_call(context, ip))
+        await wait_for(second_started)
+        context.network.cut('casa-ain')
+        context.ended = await call
+        context.released.set()
+
+    run(context, cut())
+    assert context.ended == 'EndpointCrashed', context.ended
+
+
+@when('the relay heals')
+def heal(context):
+    """Connect the data centres again."""
+    context.network.heal()
+
+
+@when('the relayed server stops')
+def stop_relayed(context):
+    """Stop the server and wait until the relay has noticed."""
+
+    async def closed():
+        return not context.network.listeners[0].is_open()
+
+    run(context, context.runner.cleanup())
+    context.network.listeners[0].check()
+    run(context, wait_for(closed))
+
+
+@given('a relayed site')
+def start_relayed_site(context):
+    """Start a small site with all options of the harness."""
+    shape = SiteShape(
+        'test',
+        ['casa-ain', 'casa-sidi'],
+        1,
+        ('advisor-llm', 2),
+        ('account-app', 1),
+        scoring=1,
     )
+    context.site = Site(shape, context.folder, relay=True, mixed_speeds=True)
+    context.site.plan()
+    run(context, context.site.start(context.session))
+
+
+def site_lines(context, name, event):
+    """Return the lines of an event in a journal file."""
+    return [x for x in context.site.journal(name) if x['event'] == event]
+
+
+@then('endpoint {name} was called from {ip}')
+def check_source(context, name, ip):
+    """Check that the relay keeps the address of the source."""
+    received = site_lines(context, name, 'received')
+    sources = {line['source'].partition(':')[0] for line in received}
+    assert sources == {ip}, sources
+
+
+@when('endpoint {name} crashes on the call {body} at host {host}')
+def crash_endpoint(context, name, body, host):
+    """Set the switch and send the content that triggers it."""
+    context.name = name
+    switches = {'crash_on': 'poison'}
+    run(context, context.site.set_faults(context.session, name, switches))
+    context.execute_steps(
+        f'When a caller sends {body} to class lookup at host {host}'
+    )
+    run(context, context.site.processes.by_name[name].wait())
+
+
+@then('its journal file tells the crash and it serves after a restart')
+def check_crash_line(context):
+    """Read the journal after the process is gone; restart the endpoint."""
+    assert len(site_lines(context, context.name, 'crashed')) == 1
+    run(context, context.site.restart(context.session, context.name))
+
+
+@then('cutting {data_centre} off makes its host unreachable until it heals')
+def check_host_cut(context, data_centre):
+    """Connect from an address of the other data centre."""
+    address = context.site.members.hosts[0].address
+
+    async def reach():
+        async with session_from('127.2.0.99') as session:
+            service = HttpService(address, session)
+            return await attempt(context, service.load())
+
+    context.crashed = asyncio.Event()
+    run(context, context.site.cut(context.session, data_centre))
+    ended = run(context, reach())
+    assert ended == 'EndpointNotRun', ended
+    run(context, context.site.heal(context.session))
+    ended = run(context, reach())
+    assert ended == 'EndpointFailed', ended
+
+
+@given('a relayed server whose advertised port is taken')
+def start_relay_without_port(context):
+    """Hold the advertised port with a socket that does not listen."""
+    start_standin(context, 'service', '{}')
+    context.holder = socket.socket()
+    context.holder.bind(('127.1.0.1', 0))
+    port = context.holder.getsockname()[1]
+    relayed = Relayed(
+        advertised=f'127.1.0.1:{port}',
+        real=context.address,
+        data_centre='casa-ain',
+    )
+    options = NetworkOptions(data_centres=['casa-ain'], listeners=[relayed])
+    context.network = Network(options)
+    context.address = relayed.advertised
+    stop_later(context, context.network.stop)
+    run(context, context.network.start())
+    run(context, asyncio.sleep(0.1))
+    assert not context.network.listeners[0].is_open()
+
+
+@when('the port becomes free')
+def free_the_port(context):
+    """Close the socket that held the port."""
+    context.holder.close()
+
+
+@then('the relay accepts connections at the advertised port')
+def check_relay_open(context):
+    """Wait until a call passes the relay."""
+
+    async def passes():
+        return await relayed_call(context, '127.1.0.9') == 'success'
+
+    run(context, wait_for(passes))
--- a/features/steps/status_steps.py
+++ b/features/steps/status_steps.py
@@ -36,12 +36,20 @@
     return context.finish(run())
 
 
-def row_of(text, name):
-    """Return the cells of the first table row that a name begins."""
+def rows_of(text):
+    """Return the cells of the rows of all tables by their first cell."""
+    rows = {}
     for line in text.splitlines()[2:]:
-        if line.split()[:1] == [name]:
-            return line.split()
-    raise AssertionError(f'{name} is not in {text}')
+        if line:
+            rows.setdefault(line.split()[0], line.split())
+    return rows
+
+
+def row_of(text, name):
+    """Return the cells of the row that a name begins."""
+    rows = rows_of(text)
+    assert name in rows, f'{name} is not in {text}'
+    return rows[name]
 
 
 @when('a job is submitted and run to its end')
@@ -58,9 +66,19 @@
     context.finish(send())
 
 
+def told_all(context):
+    """Tell whether both hosts have a desired state and the job has ended."""
+    rows = rows_of(context.printed)
+    for daemon in context.loopback.daemons:
+        row = rows.get(daemon.name)
+        if row is None or row[2] == 'silent' or row[4] == '0':
+            return False
+    return 'finished' in context.printed
+
+
 @when('the status of the first daemon is printed')
 def print_status(context):
-    """Print until the job has ended and both hosts are known."""
+    """Print until the job has ended and both hosts have told their state."""
 
     async def pause():
         await asyncio.sleep(0.3)
@@ -68,7 +86,7 @@
     end_s = context.loop.time() + DEADLINE_S
     while context.loop.time() < end_s:
         context.printed = printed_status(context)
-        if 'finished' in context.printed and 'silent' not in context.printed:
+        if told_all(context):
             return
         context.finish(pause())
     raise AssertionError(context.printed)
