Check configuration, leaving and planned stops in the soak

Cause: the soak checked no promise on desired states, servers that leave or planned stops, and named fields and kinds of the platform itself.

Ruled out: checking their bounds while faults overlap (which daemons are in touch would have to be worked out as the bench does).

Change: when all faults have ended a new desired state must be in force at every daemon within its bound, servers that drain must get nothing more, and a daemon that gets SIGTERM must answer what it has taken and end. During the run no daemon may forget a route within one life. Servers that drop idle connections are a kind of fault. Results and kinds of route are decoded in the platform's folder.

--- a/anvilcove/platform/standin_wire.py
+++ b/anvilcove/platform/standin_wire.py
@@ -5,10 +5,12 @@
 
 from msgspec import DecodeError, Struct, json
 
+from anvilcove.control.desired import JOB
 from anvilcove.platform.names import ATTEMPT_ID, DEADLINE_MS, WAIT_MS
 from anvilcove.platform.rows import (
     CONFIG_KEY,
     ENDPOINT_TABLE,
+    KIND_BY_TYPE,
     OPERATOR_TABLE,
     VERSION_PREFIX,
 )
@@ -16,6 +18,7 @@
 from anvilcove.ports.store import RowId
 
 TIMEOUT_MS = 4000
+TYPE_BY_KIND = {kind: name for name, kind in KIND_BY_TYPE.items()}
 
 
 class HostAddresses(Struct):
@@ -52,11 +55,21 @@
     reward_path: str
 
 
+class SeenResult(Struct, frozen=True):
+    """One result of a job as a requester reads it."""
+
+    item_id: str
+    completed: bool
+    output: str = ''
+    versions: tuple[int, ...] = ()
+    score: str = ''
+
+
 class SeenPage(Struct):
     """Results of a job as a requester reads them."""
 
     total: int
-    results: list[dict[str, Any]]
+    results: list[SeenResult]
 
 
 def settings_text(host: HostAddresses) -> str:
@@ -191,11 +204,22 @@
     """Return the results of an answer; None if it is none."""
     try:
         data = json.decode(body)
-        return SeenPage(data['total'], data['results'])
+        results = [_result(result) for result in data['results']]
+        return SeenPage(data['total'], results)
     except (DecodeError, KeyError, TypeError):
         return None
 
 
+def _result(data: dict[str, Any]) -> SeenResult:
+    return SeenResult(
+        item_id=data['id'],
+        completed=data['state'] == 'completed',
+        output=data.get('output', ''),
+        versions=tuple(data.get('versions', ())),
+        score=data.get('score', ''),
+    )
+
+
 def reward_id(item_id: str) -> str:
     """Return the id of the reward call of an item."""
     return f'r-{item_id}'
@@ -206,14 +230,14 @@
         'name': route.name,
         'host': host,
         'prefix': route.prefix,
-        'type': route.kind,
+        'type': TYPE_BY_KIND[route.kind],
         'timeout-ms': TIMEOUT_MS,
         'latency-goal-ms': route.objective_ms,
         'priority': 1,
         'service': route.service,
         'max-attempts': route.max_attempts,
     }
-    if route.kind == 'rollout':
+    if route.kind == JOB:
         data |= {'result-goal-ms': 7500, 'item-ttl-s': 60}
     return data
 
--- a/anvilcove/soak/callers.py
+++ b/anvilcove/soak/callers.py
@@ -4,13 +4,13 @@
 import hashlib
 import itertools
 import random
-from typing import Any
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 from msgspec import Struct, field
 
 from anvilcove.platform.standin_wire import (
     ItemSpec,
+    SeenResult,
     lookup_path,
     read_addresses,
     read_page,
@@ -50,6 +50,8 @@
     status: int
     at_s: float
     daemon: str
+    # Which start of the daemon answered, -1 if it ended meanwhile.
+    life: int
     intact: bool = True
 
 
@@ -60,7 +62,7 @@
     min_version: int
     item_ids: list[str]
     accepted: bool = False
-    results: list[dict[str, Any]] = field(default_factory=list)
+    results: list[SeenResult] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
 
 
@@ -122,7 +124,7 @@
             address = self._rng.choice(self._addresses)
             body = request_id.encode() * 3
             digest = hashlib.sha256(body).hexdigest()[:8]
-            status, intact = 0, True
+            status, intact, life = 0, True, self._life(address)
             try:
                 async with session.post(
                     f'http://{address}{prefix}{request_id}',
@@ -137,10 +139,17 @@
                 # No answer promises nothing; the checks count it as such.
                 pass
             at_s = asyncio.get_running_loop().time()
+            if life != self._life(address):
+                life = -1
             self.seen.append(
-                Seen(request_id, kind, status, at_s, address, intact)
+                Seen(request_id, kind, status, at_s, address, life, intact)
             )
 
+    def _life(self, address: str) -> int:
+        """Return how often the daemon of an address has been started."""
+        ip = address.rpartition(':')[0]
+        return next((d.starts for d in self._site.daemons if d.ip == ip), -1)
+
     async def _train(self, session: ClientSession) -> None:
         for step in itertools.count():
             if self.trainer_stopped:
--- a/anvilcove/soak/checks.py
+++ b/anvilcove/soak/checks.py
@@ -3,10 +3,12 @@
 from collections import Counter
 
 from anvilcove.platform.standin import whole_text
-from anvilcove.platform.standin_wire import reward_id
+from anvilcove.platform.standin_wire import SeenResult, reward_id
 from anvilcove.soak.callers import Callers, JobSeen
 from anvilcove.soak.site import LoopbackSite
 
+# Time for which an answer may be on its way.
+OVERTAKE_S = 0.5
 REFUSED = (408, 421, 429, 503)
 
 
@@ -16,6 +18,7 @@
         *_answers(callers),
         *_refusals(site, callers),
         *_runs(site),
+        *_regressions(callers),
         *_own_ends(site),
     ]
     for job in callers.jobs:
@@ -59,6 +62,24 @@
     ]
 
 
+def _regressions(callers: Callers) -> list[str]:
+    """Check that no daemon forgot a route that it had served in its life."""
+    served_s: dict[tuple[str, int], float] = {}
+    found = []
+    for seen in sorted(callers.seen, key=lambda seen: seen.at_s):
+        if seen.kind != 'extra' or seen.life < 0:
+            continue
+        life = (seen.daemon, seen.life)
+        if seen.status == 200:
+            served_s.setdefault(life, seen.at_s)
+        elif seen.status == 404 and life in served_s:
+            # The answers of two requests may overtake each other.
+            late_s = seen.at_s - served_s[life]
+            if late_s > OVERTAKE_S:
+                found.append(f'configuration: {seen.daemon} forgot a route')
+    return found
+
+
 def _own_ends(site: LoopbackSite) -> list[str]:
     return [
         f'{daemon.name} ended by itself'
@@ -70,7 +91,7 @@
 def _job(site: LoopbackSite, job: JobSeen) -> list[str]:
     """Check a job and its results."""
     found = [f'exactly_once: {fault}' for fault in job.faults]
-    ids = [result['id'] for result in job.results]
+    ids = [result.item_id for result in job.results]
     if len(ids) != len(set(ids)) or not set(ids) <= set(job.item_ids):
         found.append('exactly_once: an item is listed twice or unknown')
     for result in job.results:
@@ -78,20 +99,17 @@
     return found
 
 
-def _result(
-    site: LoopbackSite, job: JobSeen, result: dict[str, object]
-) -> list[str]:
-    item = str(result['id'])
-    if result['state'] != 'completed':
-        return [f'{item} is {result["state"]}']
+def _result(site: LoopbackSite, job: JobSeen, result: SeenResult) -> list[str]:
+    item = result.item_id
+    if not result.completed:
+        return [f'exactly_once: {item} is errored']
     found = []
-    if result['output'] != whole_text(item):
+    if result.output != whole_text(item):
         found.append(f'whole_answers: the text of {item}')
-    if not str(result['score']).endswith(f'.{reward_id(item)}'):
+    if not result.score.endswith(f'.{reward_id(item)}'):
         found.append(f'whole_answers: the score of {item}')
-    versions = result['versions']
-    assert isinstance(versions, list)
-    if min(versions) < job.min_version:
+    versions = result.versions
+    if not versions or min(versions) < job.min_version:
         found.append(f'staleness: {item} of {versions}')
     made: set[int] = set()
     for engine in site.engines:
--- a/anvilcove/soak/faults.py
+++ b/anvilcove/soak/faults.py
@@ -150,6 +150,19 @@
     proxy.mode = PASS
 
 
+@fault('servers drop idle connections')
+async def forget_idle(
+    site: LoopbackSite, rng: random.Random, for_s: float
+) -> None:
+    """Let all servers drop connections that have carried a request."""
+    servers = [*site.servers, *site.engines]
+    for one in servers:
+        one.faults.drops_idle = True
+    await asyncio.sleep(for_s)
+    for one in servers:
+        one.faults.drops_idle = False
+
+
 @fault('server fails')
 async def server(site: LoopbackSite, rng: random.Random, for_s: float) -> None:
     """Let a plain server fail, refuse or keep its answers."""
@@ -162,10 +175,9 @@
 
 @fault('desired states in quick succession')
 async def storm(site: LoopbackSite, rng: random.Random, for_s: float) -> None:
-    """Write desired states; the last one has the additional route."""
-    newest = site.config_version
+    """Write desired states; they keep or add the additional route."""
     for _ in range(rng.randint(1, 6)):
-        newest += rng.randint(1, 3)
-        site.config_version = newest
-        site.write_config(newest, extra=site.config_extra)
+        version = site.config_version + rng.randint(1, 3)
+        extra = site.config_extra or rng.random() < 0.5
+        site.write_config(version, extra)
         await asyncio.sleep(0.1)
--- a/anvilcove/soak/run.py
+++ b/anvilcove/soak/run.py
@@ -11,6 +11,7 @@
 
 from anvilcove.soak.callers import Callers
 from anvilcove.soak.checks import broken_promises, unfinished
+from anvilcove.soak.closing import closing_promises
 from anvilcove.soak.faults import plan, play
 from anvilcove.soak.site import LoopbackSite
 
@@ -52,6 +53,7 @@
     )
     callers = Callers(site, random.Random(settings.seed))
     calling: asyncio.Task[None] | None = None
+    broken: list[str] = []
     try:
         await site.start()
         await asyncio.sleep(START_S)
@@ -60,12 +62,13 @@
         await asyncio.gather(
             play(site, planned), asyncio.sleep(settings.seconds)
         )
+        broken += await closing_promises(site)
         await _settle(callers)
     finally:
         if calling is not None:
             calling.cancel()
             await asyncio.wait([calling])
-        broken = broken_promises(site, callers)
+        broken += broken_promises(site, callers)
         await site.stop()
     broken += [f'exactly_once: {line}' for line in unfinished(callers)]
     keep = settings.keep_logs or bool(broken)
--- a/anvilcove/soak/site.py
+++ b/anvilcove/soak/site.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from anvilcove.control.desired import JOB, SAFE, STREAM, UNSAFE
 from anvilcove.platform.standin import (
     ServerStandin,
     StoreStandin,
@@ -44,11 +45,11 @@
 GRACE_S = 5.0
 SLOTS = 8
 ROUTES = (
-    RouteSpec('shop', SHOP, 'safe', 'app', 300, 2),
-    RouteSpec('once', ONCE, 'unsafe', 'app', 300, 2),
-    RouteSpec('reward', REWARDS, 'safe', 'app', 500, 4),
-    RouteSpec('job', JOBS, 'rollout', 'llm', 400, 3),
-    RouteSpec('stream', STREAMS, 'streaming', 'llm', 400, 2),
+    RouteSpec('shop', SHOP, SAFE, 'app', 300, 2),
+    RouteSpec('once', ONCE, UNSAFE, 'app', 300, 2),
+    RouteSpec('reward', REWARDS, SAFE, 'app', 500, 4),
+    RouteSpec('job', JOBS, JOB, 'llm', 400, 3),
+    RouteSpec('stream', STREAMS, STREAM, 'llm', 400, 2),
 )
 
 
@@ -97,6 +98,10 @@
             )
         self.processes.append(self.process)
 
+    def expect_end(self) -> None:
+        """Note that the process is about to be ended."""
+        self._expected_end = True
+
     def signal(self, number: int) -> None:
         """Send a signal to the process that this object started."""
         if self.process is not None and self.process.returncode is None:
@@ -207,10 +212,12 @@
             await runner.cleanup()
 
     def write_config(self, version: int, extra: bool = False) -> None:
-        """Write a desired state; `extra` adds one more route."""
+        """Write a desired state; `extra` adds one more route for good."""
         routes = list(ROUTES)
         if extra:
-            routes.append(RouteSpec('extra', EXTRA, 'safe', 'app', 300, 2))
+            routes.append(RouteSpec('extra', EXTRA, SAFE, 'app', 300, 2))
+        self.config_version = max(self.config_version, version)
+        self.config_extra = extra
         state = desired_state(version, HOST, routes, MODEL, SLOTS)
         self._put(config_row(), state)
 
