Give new jobs to one stand-in while their home is lost

Ruled out: a shorter lease for orders (no order may be given by two holders within `lease-ms`).

Change: a home counts only if its beat is younger than 1.8 s. Without a home all daemons choose the same stand-in, the first in line of succession; a job that its owner has not begun after 0.8 s is given to that one, too.

Before: jobs accepted at three daemons after the loss had three owners. After: one, both right after the loss and when it is known.

--- a/anvilcove/control/nodes.py
+++ b/anvilcove/control/nodes.py
@@ -7,7 +7,7 @@
 from msgspec import Struct, msgpack
 
 from anvilcove.control.row_values import decode_value
-from anvilcove.decisions.succession import succession_rank
+from anvilcove.decisions.succession import first_in_line, succession_rank
 from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
 from anvilcove.ports.store import (
     RowId,
@@ -25,6 +25,9 @@
 RETRY_S = 0.3
 # A daemon whose row has stood still this long gets no new callers.
 SILENT_S = 3.2
+# The home of new jobs must have beaten within this time: a job that is given
+# to a lost daemon starts about a second late.
+HOME_BEAT_S = 1.8
 # Callers accept up to this many addresses in an answer.
 MAX_ADDRESSES = 64
 
@@ -142,11 +145,23 @@
         store goes on through its peers. None is known for a while after that
         daemon was lost.
         """
+        now = self.known_at()
         for node in self.alive():
-            if node.orders:
+            beat_s = self._watch.stood_s(node.host, now)
+            if node.orders and beat_s < HOME_BEAT_S:
                 return node
         return None
 
+    def stand_in(self, lost: str = '', own: bool = True) -> NodeRow | None:
+        """Return the daemon that runs new jobs while there is no home.
+
+        All daemons choose the same one, but for the host `lost`. None stands
+        for this daemon, which is left out unless `own` is set.
+        """
+        by_host = {n.host: n for n in self.alive() if n.host != lost}
+        hosts = [*by_host, self._settings.host] if own else list(by_host)
+        return by_host.get(first_in_line(hosts))
+
     def succession_rank(self, left_by: str = '') -> int:
         """Return how many daemons are before this one in taking over.
 
--- a/anvilcove/decisions/succession.py
+++ b/anvilcove/decisions/succession.py
@@ -24,6 +24,11 @@
     return before + bool(home)
 
 
+def first_in_line(hosts: Iterable[str]) -> str:
+    """Return the daemon that stands in for a lost home, '' without any."""
+    return min(hosts, key=_key, default='')
+
+
 def takeover_delay_s(rank: int, rng: random.Random) -> float:
     """Return how long a daemon waits before it takes work over."""
     if rank == 0:
--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -10,7 +10,7 @@
 from msgspec.structs import replace
 
 from anvilcove.control.desired import DesiredStateView
-from anvilcove.control.nodes import NodeDirectory
+from anvilcove.control.nodes import NodeDirectory, NodeRow
 from anvilcove.control.watch import TableWatch
 from anvilcove.decisions.succession import takeover_delay_s
 from anvilcove.jobs.board import JobBoard
@@ -168,7 +168,11 @@
 
     def _home(self) -> tuple[str, str]:
         """Return host and nonce of the daemon that should run a new job."""
-        home = None if self._gives_orders() else self._nodes.home()
+        if self._gives_orders() and not self._closing:
+            return self._settings.host, self._nonce
+        home = self._nodes.home() or self._nodes.stand_in(
+            own=not self._closing
+        )
         if home is not None:
             return home.host, home.nonce
         if self._closing:
@@ -176,7 +180,7 @@
         return self._settings.host, self._nonce
 
     async def _guard(self, held: HeldJob) -> None:
-        """Take a job over if the daemon that should run it does not begin."""
+        """Give a job to another daemon if its owner does not begin."""
         job_id = held.head.job_id
         end_s = self._clock.now() + BEGIN_S
         while self._clock.now() < end_s:
@@ -184,8 +188,37 @@
             current = self._board.by_id.get(job_id)
             if current is None or current.version != held.version:
                 return
-        if not self._closing and job_id not in self._board.ended:
+        if self._closing or job_id in self._board.ended:
+            return
+        other = self._nodes.stand_in(lost=held.head.owner)
+        if other is None:
             await self._take_over(held, 'its home did not begin')
+        else:
+            await self._give(held, other)
+
+    async def _give(self, held: HeldJob, other: NodeRow) -> None:
+        """Make another daemon the owner of a job that nobody has begun."""
+        head = replace(
+            held.head,
+            owner=other.host,
+            nonce=other.nonce,
+            commit_id=secrets.token_hex(8),
+        )
+        try:
+            self._board.adopt(await self._records.commit(held, Commit(head)))
+        except CommitConflict as conflict:
+            if conflict.current is not None:
+                self._board.adopt(conflict.current)
+            return
+        except (StoreUnavailable, StoreAnswerLost) as error:
+            # The job stands still, so it will be taken over.
+            logger.bind(job=head.job_id, reason=str(error)).info(
+                'job not given to another daemon'
+            )
+            return
+        logger.bind(
+            job=head.job_id, owner=other.host, former=held.head.owner
+        ).info('job given to another daemon: its home did not begin')
 
     async def _create(
         self, spec: JobSpec, head: JobHead, end_s: float
--- a/features/batch_jobs.feature
+++ b/features/batch_jobs.feature
@@ -243,6 +243,22 @@
     And 3 s go by
     Then the jobs j1, j2 and j3 have one owner, which lives
 
+  Scenario: Jobs come right after their home has died
+    Guards against jobs that start late, each at the daemon that accepted it,
+    while nobody gives the orders to the engines.
+    Given a platform with 4 engines and daemons a, b, c, d, e, f, g and h
+    And every text has 100 events
+    When 2 s go by
+    And the home of the jobs is killed
+    And 0.4 s go by
+    And 3 living daemons accept the jobs j1, j2 and j3 with 16 items
+    And 1.4 s go by
+    Then the jobs j1, j2 and j3 have one owner, which lives
+    When 2 s go by
+    And 3 living daemons accept the jobs j4, j5 and j6 with 16 items
+    And 0.2 s go by
+    Then the jobs j4, j5 and j6 have one owner, which lives
+
   Scenario: Jobs that nobody may read any more leave the store
     Guards against a store that fills up until it takes no job.
     Given a platform with 4 engines and daemons a, b and c
--- a/features/steps/batch_job_steps.py
+++ b/features/steps/batch_job_steps.py
@@ -469,6 +469,17 @@
     assert len(owners) == 1 and owners <= set(daemons), owners
 
 
+@when(
+    '{count:d} living daemons accept the jobs {one}, {two} and {three} with '
+    '{items:d} items'
+)
+def accept_apart(context, count, one, two, three, items):
+    """Submit each job to another daemon."""
+    names = sorted(context.memory.daemons)[:count]
+    for name, job in zip(names, (one, two, three), strict=True):
+        accept(context, name, job, items)
+
+
 @when('the home of the jobs is killed')
 def kill_home(context):
     """End the daemon that runs the jobs."""
