Split the intake of batch jobs from their ownership

Change: JobIntake accepts, chooses the home and guards the start; JobOwner runs and takes over. No behaviour changes; the scenarios are the same.

--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -10,7 +10,7 @@
 from msgspec.structs import replace
 
 from anvilcove.control.desired import DesiredStateView
-from anvilcove.control.nodes import NodeDirectory, NodeRow
+from anvilcove.control.nodes import NodeDirectory
 from anvilcove.control.watch import TableWatch
 from anvilcove.decisions.succession import takeover_delay_s
 from anvilcove.jobs.board import JobBoard
@@ -28,9 +28,6 @@
 from anvilcove.telemetry.metrics import NodeMetrics
 
 LOOK_S = 0.1
-# A job that its home has not begun after this time is taken over by the
-# daemon that accepted it.
-BEGIN_S = 0.8
 # What the watch knows must be this fresh before a job is taken over.
 FRESH_S = 1.5
 # Items may be given up this long after their submission if the operator's
@@ -41,15 +38,6 @@
 LIFETIME_MARGIN_S = 1.0
 
 
-class NotAccepted(Exception):
-    """Raised when a job was not accepted; `uncertain` if it may be later."""
-
-    def __init__(self, reason: str, uncertain: bool) -> None:
-        """Keep whether a write may still be applied."""
-        super().__init__(reason)
-        self.uncertain = uncertain
-
-
 class JobOwner:
     """Jobs that this daemon runs."""
 
@@ -68,8 +56,8 @@
         '_gives_orders',
         'runs',
         'tasks',
-        '_closing',
-        '_taking',
+        'closing',
+        'taking',
     )
 
     def __init__(
@@ -102,58 +90,16 @@
         self._rng = rng
         self.runs: dict[str, JobRun] = {}
         self.tasks: set[asyncio.Task[None]] = set()
-        self._closing = False
+        self.closing = False
         # Jobs that are being taken over.
-        self._taking: set[str] = set()
-
-    async def accept(self, spec: JobSpec, end_s: float) -> None:
-        """Keep a job for good and run it, or raise NotAccepted."""
-        owner, nonce = self._home()
-        head = JobHead(
-            job_id=spec.job_id,
-            owner=owner,
-            nonce=nonce,
-            beat=0,
-            commit_id=secrets.token_hex(8),
-            listed=0,
-            total=len(spec.items),
-            submitted_ms=self._watch.store_now_ms(),
-            host=spec.host,
-            path=spec.path,
-            model=spec.model,
-            tokens=sum(item.tokens for item in spec.items),
-        )
-        # The watch may deliver the row before the store's answer arrives.
-        fresh = spec.job_id not in self._taking
-        self._taking.add(spec.job_id)
-        try:
-            held = await self._create(spec, head, end_s)
-        finally:
-            if fresh:
-                self._taking.discard(spec.job_id)
-        self._board.adopt(held)
-        own = held.head.commit_id == head.commit_id
-        logger.bind(
-            job=spec.job_id,
-            step=spec.step,
-            model=spec.model,
-            min_version=spec.min_version,
-            items=len(spec.items),
-            first=own,
-            owner=held.head.owner,
-        ).info('job accepted')
-        self._metrics.job_event('accepted' if own else 'repeated')
-        if own and nonce == self._nonce and spec.job_id not in self.runs:
-            self._begin(spec, held, [], {})
-        elif own:
-            self._spawn(self._guard(held))
+        self.taking: set[str] = set()
 
     async def run(self) -> None:
         """Take over abandoned jobs and stop ended ones, for ever."""
         while True:
             await self._clock.sleep(LOOK_S)
             self._stop_ended()
-            if self._closing or self._watch.age_s() > FRESH_S:
+            if self.closing or self._watch.age_s() > FRESH_S:
                 continue
             await self._take_own()
             for held in self._board.abandoned():
@@ -161,81 +107,11 @@
 
     async def close(self) -> None:
         """Hand every job over."""
-        self._closing = True
+        self.closing = True
         await asyncio.gather(
             *(run.hand_over() for run in list(self.runs.values()))
         )
 
-    def _home(self) -> tuple[str, str]:
-        """Return host and nonce of the daemon that should run a new job."""
-        if self._gives_orders() and not self._closing:
-            return self._settings.host, self._nonce
-        home = self._nodes.home() or self._nodes.stand_in(
-            own=not self._closing
-        )
-        if home is not None:
-            return home.host, home.nonce
-        if self._closing:
-            return '', ''
-        return self._settings.host, self._nonce
-
-    async def _guard(self, held: HeldJob) -> None:
-        """Give a job to another daemon if its owner does not begin."""
-        job_id = held.head.job_id
-        end_s = self._clock.now() + BEGIN_S
-        while self._clock.now() < end_s:
-            await self._board.changed(job_id, end_s - self._clock.now())
-            current = self._board.by_id.get(job_id)
-            if current is None or current.version != held.version:
-                return
-        if self._closing or job_id in self._board.ended:
-            return
-        other = self._nodes.stand_in(lost=held.head.owner)
-        if other is None:
-            await self._take_over(held, 'its home did not begin')
-        else:
-            await self._give(held, other)
-
-    async def _give(self, held: HeldJob, other: NodeRow) -> None:
-        """Make another daemon the owner of a job that nobody has begun."""
-        head = replace(
-            held.head,
-            owner=other.host,
-            nonce=other.nonce,
-            commit_id=secrets.token_hex(8),
-        )
-        try:
-            self._board.adopt(await self._records.commit(held, Commit(head)))
-        except CommitConflict as conflict:
-            if conflict.current is not None:
-                self._board.adopt(conflict.current)
-            return
-        except (StoreUnavailable, StoreAnswerLost) as error:
-            # The job stands still, so it will be taken over.
-            logger.bind(job=head.job_id, reason=str(error)).info(
-                'job not given to another daemon'
-            )
-            return
-        logger.bind(
-            job=head.job_id, owner=other.host, former=held.head.owner
-        ).info('job given to another daemon: its home did not begin')
-
-    async def _create(
-        self, spec: JobSpec, head: JobHead, end_s: float
-    ) -> HeldJob:
-        uncertain = False
-        while True:
-            try:
-                return await self._records.create(spec, head)
-            except StoreUnavailable as error:
-                reason = str(error)
-            except StoreAnswerLost as error:
-                uncertain = True
-                reason = str(error)
-            if self._clock.now() >= end_s:
-                raise NotAccepted(reason, uncertain)
-            await self._clock.sleep(self._rng.uniform(0.05, 0.15))
-
     async def _take_own(self) -> None:
         """Begin jobs that name this daemon, also an earlier start of it."""
         for held in list(self._board.by_id.values()):
@@ -246,7 +122,7 @@
                 continue
             same = head.nonce == self._nonce
             reason = 'assigned' if same else 'an earlier start owned it'
-            await self._take_over(held, reason)
+            await self.take_over(held, reason)
 
     async def _consider(self, held: HeldJob) -> None:
         job_id = held.head.job_id
@@ -258,20 +134,20 @@
         await self._clock.sleep(takeover_delay_s(rank, self._rng))
         current = self._board.by_id.get(job_id)
         if current is not None and current.version == held.version:
-            await self._take_over(
+            await self.take_over(
                 held, 'given back' if not held.head.owner else 'stood still'
             )
 
-    async def _take_over(self, held: HeldJob, reason: str) -> None:
+    async def take_over(self, held: HeldJob, reason: str) -> None:
         """Become the owner of a job and run it, unless that is under way."""
         job_id = held.head.job_id
-        if job_id in self._taking or job_id in self.runs:
+        if job_id in self.taking or job_id in self.runs:
             return
-        self._taking.add(job_id)
+        self.taking.add(job_id)
         try:
             await self._become_owner(held, reason)
         finally:
-            self._taking.discard(job_id)
+            self.taking.discard(job_id)
 
     async def _become_owner(self, held: HeldJob, reason: str) -> None:
         head = replace(
@@ -305,9 +181,9 @@
         spec = await self._records.load(held.head.job_id)
         listed = await self._records.results(held.head.job_id, 0)
         texts = await self._records.texts(held.head.job_id)
-        self._begin(spec, held, [result.item_id for result in listed], texts)
+        self.begin(spec, held, [result.item_id for result in listed], texts)
 
-    def _begin(
+    def begin(
         self,
         spec: JobSpec,
         held: HeldJob,
@@ -326,9 +202,9 @@
             self._clock,
         )
         self.runs[spec.job_id] = run
-        self._spawn(self._run(run))
+        self.spawn(self._run(run))
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -15,6 +15,7 @@
 from anvilcove.control.watch import OnGap, OnRows, TableWatch
 from anvilcove.jobs.board import JobBoard
 from anvilcove.jobs.engine_slots import EngineSlots
+from anvilcove.jobs.intake import JobIntake
 from anvilcove.jobs.item_run import ItemRunner
 from anvilcove.jobs.owner import JobOwner
 from anvilcove.jobs.reader import JobReader
@@ -88,7 +89,7 @@
             self.nodes,
             self.forwarder,
             self.streams,
-            self.owner,
+            self.intake,
             self.reader,
             outside.clock,
             outside.rng,
@@ -210,6 +211,19 @@
             outside.rng,
             self._gives_orders,
         )
+        self.intake = JobIntake(
+            self.settings,
+            self.nonce,
+            records,
+            self.board,
+            watch,
+            self.nodes,
+            self.owner,
+            self.metrics,
+            outside.clock,
+            outside.rng,
+            self._gives_orders,
+        )
         self.reader = JobReader(records, self.board, watch, outside.clock)
         self.sweeper = JobSweeper(
             self.settings.bounds,
--- a/anvilcove/node/service.py
+++ b/anvilcove/node/service.py
@@ -7,7 +7,7 @@
 
 from anvilcove.control.desired import JOB, DesiredStateView, Route
 from anvilcove.control.nodes import NodeDirectory
-from anvilcove.jobs.owner import JobOwner, NotAccepted
+from anvilcove.jobs.intake import JobIntake, NotAccepted
 from anvilcove.jobs.reader import JobReader
 from anvilcove.jobs.types import JobSpec
 from anvilcove.ports.servers import CallerAnswer, CallerRequest
@@ -38,7 +38,7 @@
         '_nodes',
         '_forwarder',
         '_streams',
-        '_owner',
+        '_intake',
         '_clock',
         '_rng',
     )
@@ -50,7 +50,7 @@
         nodes: NodeDirectory,
         forwarder: Forwarder,
         streams: StreamForwarder,
-        owner: JobOwner,
+        intake: JobIntake,
         jobs: JobReader,
         clock: Clock,
         rng: random.Random,
@@ -62,7 +62,7 @@
         self._nodes = nodes
         self._forwarder = forwarder
         self._streams = streams
-        self._owner = owner
+        self._intake = intake
         self._clock = clock
         self._rng = rng
 
@@ -110,7 +110,7 @@
             return not_found()
         end_s = self._clock.now() + route.objective_s * ACCEPT_SHARE
         try:
-            await self._owner.accept(spec, end_s)
+            await self._intake.accept(spec, end_s)
         except NotAccepted as error:
             logger.bind(
                 job=spec.job_id,
--- a/features/steps/batch_job_steps.py
+++ b/features/steps/batch_job_steps.py
@@ -48,7 +48,7 @@
     """Submit a job."""
     daemon = context.memory.daemons[name]
     spec = job_spec(job, count)
-    context.memory.run(daemon.owner.accept(spec, end_s=1e9))
+    context.memory.run(daemon.intake.accept(spec, end_s=1e9))
 
 
 @when(
@@ -59,7 +59,7 @@
     """Submit a job that needs new weights."""
     daemon = context.memory.daemons[name]
     spec = job_spec(job, count, min_version=version)
-    context.memory.run(daemon.owner.accept(spec, end_s=1e9))
+    context.memory.run(daemon.intake.accept(spec, end_s=1e9))
 
 
 @when('{seconds:g} s go by')
