Never leave decisions out of the log

Ruled out: warnings for all of them (they are usual events, and on-call alerts go by warnings).

Change: these lines have a level of their own, DECISION, which the budget never leaves out. Slow readers still cost lines, which are counted.

Before: of 200 decisions among 20,000 lines, the budget left most out. After: all 200 are in the log, with fewer than 1,000 of the other lines.

--- a/anvilcove/control/leases.py
+++ b/anvilcove/control/leases.py
@@ -17,6 +17,7 @@
 )
 from anvilcove.state.clock import Clock
 from anvilcove.state.leases import LeaseWatch
+from anvilcove.telemetry.logs import DECISION
 
 LEASES_TABLE = 'leases'
 RENEW_S = 0.7
@@ -169,7 +170,9 @@
                 return
         taken = LeaseRow(self._host, self._nonce, fence + 1, 0)
         if await self._act_after(taken):
-            logger.bind(lease=self.name, fence=taken.fence).info('lease taken')
+            logger.bind(lease=self.name, fence=taken.fence).log(
+                DECISION, 'lease taken'
+            )
 
     async def _act_after(self, row: LeaseRow) -> bool:
         """Write the row and act from the start of that write on.
@@ -211,4 +214,4 @@
     def _lose(self, reason: str) -> None:
         self.row = None
         self._acting_until_s = float('-inf')
-        logger.bind(lease=self.name, reason=reason).info('lease lost')
+        logger.bind(lease=self.name, reason=reason).log(DECISION, 'lease lost')
--- a/anvilcove/control/versions.py
+++ b/anvilcove/control/versions.py
@@ -23,6 +23,7 @@
 )
 from anvilcove.ports.errors import EndpointError
 from anvilcove.state.clock import Clock
+from anvilcove.telemetry.logs import DECISION
 
 LOOK_S = 0.1
 # An order that was not answered may still be carried out; by then the engine
@@ -203,7 +204,7 @@
             fence=fence,
             order_count=count,
             outcome=outcome,
-        ).info('version order')
+        ).log(DECISION, 'version order')
 
     async def _give(self, entry: EndpointEntry, order: VersionOrder) -> str:
         try:
--- a/anvilcove/jobs/engine_records.py
+++ b/anvilcove/jobs/engine_records.py
@@ -7,6 +7,7 @@
 from anvilcove.control.endpoints import EndpointEntry, EndpointRegistry
 from anvilcove.ports.engines import EngineLoad
 from anvilcove.state.clock import Clock
+from anvilcove.telemetry.logs import DECISION
 
 # Times between events whose median is an engine's pace.
 MEASURED_GAPS = 9
@@ -152,7 +153,7 @@
             record.failing /= 2
         logger.bind(
             endpoint=endpoint, for_s=out_s, failures=record.failures
-        ).info('engine ejected')
+        ).log(DECISION, 'engine ejected')
 
     def out_until_s(self, endpoint: str) -> float:
         """Return when an engine may be used again."""
--- a/anvilcove/jobs/engine_slots.py
+++ b/anvilcove/jobs/engine_slots.py
@@ -22,6 +22,7 @@
 )
 from anvilcove.jobs.engine_records import EngineRecords
 from anvilcove.state.clock import Clock
+from anvilcove.telemetry.logs import DECISION
 
 # Waiting items look again after this time, for engines that have become
 # usable without a slot being given back.
@@ -203,7 +204,7 @@
                     endpoint=item.endpoint,
                     events=item.events,
                     pace=round(paces.get(item.endpoint, UNKNOWN_PACE), 2),
-                ).info('item moved off a slow engine')
+                ).log(DECISION, 'item moved off a slow engine')
                 self._runs[item.item_id].move()
 
     def _services_with_runs(self) -> set[str]:
--- a/anvilcove/jobs/intake.py
+++ b/anvilcove/jobs/intake.py
@@ -16,6 +16,7 @@
 from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
 from anvilcove.settings.node import NodeSettings
 from anvilcove.state.clock import Clock
+from anvilcove.telemetry.logs import DECISION
 from anvilcove.telemetry.metrics import NodeMetrics
 
 # A job that its owner has not begun after this time is given to another
@@ -111,7 +112,7 @@
             items=len(spec.items),
             first=own,
             owner=held.head.owner,
-        ).info('job accepted')
+        ).log(DECISION, 'job accepted')
         self._metrics.job_event('accepted' if own else 'repeated')
         if (
             own
@@ -174,7 +175,7 @@
             return
         logger.bind(
             job=head.job_id, owner=other.host, former=held.head.owner
-        ).info('job given to another daemon: its home did not begin')
+        ).log(DECISION, 'job given to another daemon: its home did not begin')
 
     async def _create(
         self, spec: JobSpec, head: JobHead, end_s: float
--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -25,6 +25,7 @@
 )
 from anvilcove.settings.node import NodeSettings
 from anvilcove.state.clock import Clock
+from anvilcove.telemetry.logs import DECISION
 from anvilcove.telemetry.metrics import NodeMetrics
 
 LOOK_S = 0.1
@@ -166,7 +167,7 @@
                 owner=held.head.owner,
                 listed=head.listed,
                 total=head.total,
-            ).info('job taken over')
+            ).log(DECISION, 'job taken over')
             self._metrics.job_event('taken over')
             await self._resume(taken)
         except CommitConflict as conflict:
--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -34,6 +34,7 @@
 from anvilcove.settings.daemon import HostSettings
 from anvilcove.state.clock import Clock
 from anvilcove.state.endpoints import EndpointState
+from anvilcove.telemetry.logs import DECISION
 from anvilcove.telemetry.metrics import NodeMetrics
 
 # Sends of one request that ended with "not run" and don't count as attempts.
@@ -399,7 +400,7 @@
             retry_after_s=answer.retry_after_s,
             refusal=progress.refusal,
             **self._knowledge(),
-        ).info('request answered')
+        ).log(DECISION if progress.refusal else 'INFO', 'request answered')
 
 
 def choose_service(route: Route, request_id: str) -> str:
--- a/anvilcove/proxy/pools.py
+++ b/anvilcove/proxy/pools.py
@@ -21,6 +21,7 @@
 from anvilcove.settings.daemon import HostSettings
 from anvilcove.state.clock import Clock
 from anvilcove.state.endpoints import EndpointState
+from anvilcove.telemetry.logs import DECISION
 from anvilcove.telemetry.metrics import NodeMetrics
 
 
@@ -145,7 +146,7 @@
             state.ejected_until_s = until_s
             logger.bind(
                 endpoint=state.endpoint, outcome=outcome, for_s=until_s - now
-            ).info('endpoint ejected')
+            ).log(DECISION, 'endpoint ejected')
             self._metrics.ejected(state.pool)
         self._routing.finished(now, result, state.pool, kind)
         self._serve(state.pool)
--- a/anvilcove/telemetry/logs.py
+++ b/anvilcove/telemetry/logs.py
@@ -18,8 +18,11 @@
 # Bytes that wait for a reader of standard output.
 WAITING_BYTES = 262_144
 STDOUT = 1
-# Lines of at least this level are written whatever the budget says.
-ALWAYS_LEVEL = 30
+# Level of refusals, ejections, placements and changes of ownership. Lines of
+# at least this level are written whatever the budget says.
+DECISION = 'DECISION'
+ALWAYS_LEVEL = 25
+logger.level(DECISION, no=ALWAYS_LEVEL)
 
 
 class LogWriter:
--- a/features/explaining.feature
+++ b/features/explaining.feature
@@ -22,3 +22,10 @@
     When 20000 lines are logged
     Then logging never waited
     And the lines that were left out are counted
+
+  Scenario: More lines are logged than the budget allows
+    Guards against decisions that are left out just when many things happen.
+    Given a log writer that writes to a file
+    When 20000 lines are logged and a decision after every 100
+    Then the log holds all 200 decisions and fewer than 1000 other lines
+    And the lines that were left out are counted
--- a/features/steps/explaining_steps.py
+++ b/features/steps/explaining_steps.py
@@ -21,8 +21,9 @@
     STREAMS,
     LoopbackSite,
 )
+from anvilcove.standins.virtual_loop import LoopClock, VirtualLoop
 from anvilcove.state.clock import SystemClock
-from anvilcove.telemetry.logs import LogWriter
+from anvilcove.telemetry.logs import DECISION, LogWriter
 
 READY_LIMIT_S = 30.0
 READ_LIMIT_S = 20.0
@@ -207,3 +208,36 @@
 def counted(context):
     """Check the count."""
     assert context.writer.left_out > 0
+
+
+@given('a log writer that writes to a file')
+def file_writer(context):
+    """Log into a file of the scenario."""
+    context.log = Path(context.folder) / 'budget.log'
+    file = os.open(context.log, os.O_WRONLY | os.O_CREAT)
+    context.add_cleanup(os.close, file)
+    context.add_cleanup(logger.remove)
+    context.writer = LogWriter('h', LoopClock(VirtualLoop()), file)
+    context.writer.install()
+
+
+@when('{count:d} lines are logged and a decision after every {step:d}')
+def log_decisions(context, count, step):
+    """Write many lines at one moment."""
+    for number in range(1, count + 1):
+        logger.info('line')
+        if number % step == 0:
+            logger.log(DECISION, 'endpoint ejected')
+
+
+@then(
+    'the log holds all {count:d} decisions and fewer than {most:d} other lines'
+)
+def decisions_kept(context, count, most):
+    """Count the lines by their level."""
+    levels = [
+        json.decode(line)['level']
+        for line in context.log.read_text().splitlines()
+    ]
+    assert levels.count(DECISION) == count, levels.count(DECISION)
+    assert len(levels) - count < most, len(levels)
