Send no item to a slow engine while there are others

Ruled out: more moves alone (each lands on the slow engine again); ejecting it (it may be the half of a pool that is merely older).

Change: an item waits for a slot at an engine of usual pace, and uses slow ones only where there are no others. A pace that is older than 3 s counts as not measured, so that an engine is tried again. An item may move three times.

Before: with free slots at the slow engine only, it is chosen. After: the item waits; an engine that has recovered gets items again.

--- a/anvilcove/decisions/item_moves.py
+++ b/anvilcove/decisions/item_moves.py
@@ -2,9 +2,10 @@
 
 from msgspec import Struct
 
-# An engine whose time per event is this many times the pool's median holds a
-# step up. Full engines are up to a fifth slower than idle ones.
-SLOW_PACE = 2.0
+from anvilcove.decisions.item_placement import SLOW_PACE
+
+# A move costs a connection.
+MOST_MOVES = 3
 # Share of the running items that end before the next look: a moved item is
 # first in line, so it need not find a free slot. Short items last about a
 # second, and moves are looked for every 50 ms.
@@ -43,8 +44,7 @@
     """
     room = _room([e for e in engines if e.pace < SLOW_PACE and e.usable])
     slow = {e.endpoint for e in engines if e.pace >= SLOW_PACE}
-    # A move costs a connection, so each item is moved once.
-    waiting = [i for i in items if i.endpoint in slow and not i.moves]
+    waiting = [i for i in items if i.endpoint in slow and i.moves < MOST_MOVES]
     # What has run longest is the most likely to hold its group up.
     waiting.sort(key=lambda item: -item.events)
     return waiting[:room]
--- a/anvilcove/decisions/item_placement.py
+++ b/anvilcove/decisions/item_placement.py
@@ -9,6 +9,9 @@
 GROUP_BONUS = 0.15
 # Random part of a score; decides between equal engines only.
 NOISE = 0.02
+# An engine whose time per event is this many times the pool's median holds a
+# step up. Full engines are up to a fifth slower than idle ones.
+SLOW_PACE = 2.0
 # Pace of an engine that has not been measured, relative to the others.
 UNKNOWN_PACE = 1.0
 
@@ -32,8 +35,13 @@
 def choose_engine(
     engines: list[EngineSlotView], rng: random.Random
 ) -> EngineSlotView | None:
-    """Return the engine where an item is expected to end first."""
-    free = [e for e in engines if e.in_flight < e.slots]
+    """Return the engine where an item is expected to end first.
+
+    A slow engine always has free slots and would hold up the step of each
+    item; while there are others, even full ones, an item waits for these.
+    """
+    fast = [e for e in engines if e.pace < SLOW_PACE]
+    free = [e for e in fast or engines if e.in_flight < e.slots]
     if not free:
         return None
     return min(free, key=lambda engine: _score(engine, rng))
--- a/anvilcove/jobs/engine_records.py
+++ b/anvilcove/jobs/engine_records.py
@@ -11,6 +11,9 @@
 
 # Times between events whose median is an engine's pace.
 MEASURED_GAPS = 9
+# An engine that has run nothing for this long counts as not measured, so that
+# one that was slow is tried again.
+PACE_LIFE_S = 3.0
 # A longer time between events is a load of weights, which stops all runs.
 PAUSE_S = 0.6
 # Time after which an engine that was ordered to load is tried again; its
@@ -34,6 +37,7 @@
         'in_flight',
         'others',
         'gaps_s',
+        'gap_at_s',
         'out_until_s',
         'loading_until_s',
         'failures',
@@ -47,6 +51,7 @@
         self.others = 0
         # Times between events; their median ignores the pauses of loads.
         self.gaps_s: deque[float] = deque(maxlen=MEASURED_GAPS)
+        self.gap_at_s = 0.0
         self.loading_until_s = float('-inf')
         self.out_until_s = 0.0
         # Failed runs since the last whole one.
@@ -56,8 +61,10 @@
         # Versions that its answers have named, by model.
         self.versions: dict[str, int] = {}
 
-    def event_s(self) -> float:
+    def event_s(self, now: float) -> float:
         """Return the median time between events, 0 while not measured."""
+        if now - self.gap_at_s > PACE_LIFE_S:
+            self.gaps_s.clear()
         if len(self.gaps_s) < MEASURED_GAPS // 2:
             return 0.0
         return sorted(self.gaps_s)[len(self.gaps_s) // 2]
@@ -101,7 +108,9 @@
     def event_took(self, endpoint: str, seconds: float) -> None:
         """Learn the time between two events; pauses of loads don't count."""
         if seconds < PAUSE_S:
-            self.of(endpoint).gaps_s.append(seconds)
+            record = self.of(endpoint)
+            record.gaps_s.append(seconds)
+            record.gap_at_s = self._clock.now()
 
     def load_ordered(self, endpoint: str, model: str, version: int) -> None:
         """Use an engine again, with its new weights, when it has loaded."""
@@ -169,8 +178,9 @@
 
     def pace_by_endpoint(self) -> dict[str, float]:
         """Return times per event over the median; unmeasured ones left out."""
+        now = self._clock.now()
         known = {
-            endpoint: record.event_s()
+            endpoint: record.event_s(now)
             for endpoint, record in self._by_endpoint.items()
             if endpoint in self._registry.entry_by_endpoint
         }
--- a/features/batch_jobs.feature
+++ b/features/batch_jobs.feature
@@ -216,6 +216,22 @@
     And 6 s go by
     Then every daemon lists 16 completed results of job j1 in the same order
 
+  Scenario: An engine that was slow is used again
+    Guards against an engine that is left out for ever for a pace of the past.
+    Given a platform with 3 engines and daemons a, b and c
+    And every text has 60 events
+    When 2 s go by
+    And daemon a accepts job j1 with 24 items
+    And 0.5 s go by
+    And engine 1 works 10 times slower
+    And 4 s go by
+    And engine 1 works 1 times slower
+    And 4 s go by
+    And daemon a accepts job j2 with 24 items
+    And 4 s go by
+    Then every daemon lists 24 completed results of job j2 in the same order
+    And engine 1 has run items of job j2
+
   Scenario: Engines load while they run items
     Guards against items that stand still for each load of their engine, and
     items that are refused by engines that are known to load.
--- a/features/item_moves.feature
+++ b/features/item_moves.feature
@@ -27,3 +27,19 @@
     Given 6 engines with 8 slots, of which 4 are in use
     When engine 0 takes 1.5 times as long for an event
     Then 0 of its items are moved, those with the most events
+
+  Scenario: Only the slow engine has free slots
+    Guards against a moved item that comes back to the slow engine, since that
+    one alone is never full.
+    Given 6 engines with 8 slots, all full
+    When engine 0 takes 2.8 times as long for an event
+    And 2 of its items are gone
+    Then a waiting item is not sent to any engine
+    When 1 item of engine 3 is gone
+    Then a waiting item is sent to engine 3
+
+  Scenario: Only slow engines are left
+    Guards against items that wait for engines that do not exist.
+    Given 1 engines with 8 slots, of which 4 are in use
+    When engine 0 takes 2.8 times as long for an event
+    Then a waiting item is sent to engine 0
--- a/features/steps/batch_job_steps.py
+++ b/features/steps/batch_job_steps.py
@@ -508,6 +508,13 @@
     context.memory.engines[number].pace = float(factor)
 
 
+@then('engine {number:d} has run items of job {job}')
+def has_run(context, number, job):
+    """Check that the engine got a part of the job."""
+    runs = [item for item, _ in context.memory.engines[number].runs]
+    assert any(item.startswith(job) for item in runs), runs
+
+
 @then('no engine refused an item')
 def no_refusal(context):
     """Check that no item met an engine that loads or is full."""
--- a/features/steps/item_move_steps.py
+++ b/features/steps/item_move_steps.py
@@ -1,5 +1,7 @@
 """Steps that call the decision on moves of items."""
 
+import random
+
 from behave import given, then, when
 
 from anvilcove.decisions.item_moves import (
@@ -7,6 +9,7 @@
     RunningItem,
     slow_moves,
 )
+from anvilcove.decisions.item_placement import EngineSlotView, choose_engine
 
 
 @given('{count:d} engines with {slots:d} slots, all full')
@@ -48,3 +51,36 @@
     own = [item for item in context.items if item.endpoint == 'e0']
     expected = sorted(own, key=lambda item: -item.events)[:count]
     assert moves == expected, moves
+
+
+@when('{count:d} of its items are gone')
+def gone(context, count):
+    """Free slots of the first engine."""
+    context.engines[0].in_flight -= count
+
+
+@when('{count:d} item of engine {number:d} is gone')
+def gone_elsewhere(context, count, number):
+    """Free slots of another engine."""
+    context.engines[number].in_flight -= count
+
+
+def chosen(context):
+    """Return the engine for a waiting item."""
+    views = [
+        EngineSlotView(e.endpoint, e.slots, e.in_flight, pace=e.pace)
+        for e in context.engines
+    ]
+    return choose_engine(views, random.Random(1))
+
+
+@then('a waiting item is not sent to any engine')
+def waits(context):
+    """Check that the item waits for a slot."""
+    assert chosen(context) is None
+
+
+@then('a waiting item is sent to engine {number:d}')
+def placed(context, number):
+    """Check the choice."""
+    assert chosen(context).endpoint == f'e{number}'
