Start the items of all open steps in the order of their latest start

The older step went first as a whole, so the longest items of the newer one, which take 6.6 s of the 7.5 s, waited 1.5 to 1.7 s behind short items of the older step, and the newer step was late.

Ruled out: more engines per model (loads beyond the free ones are charged); holding slots for long items (empty most of the time).

Change: a pure function ranks items by the time at which they must start: the submission plus the objective less the expected run. The expected run is the hint times a learned median of seconds per hinted token, at most 0.9 of the objective, since some hints are several times too high.

--- a/anvilcove/jobs/job_run.py
+++ b/anvilcove/jobs/job_run.py
@@ -6,6 +6,7 @@
 from loguru import logger
 from msgspec.structs import replace
 
+from anvilcove.decisions.item_order import HintScale, latest_start_s
 from anvilcove.jobs.item_run import ItemRunner
 from anvilcove.jobs.progress import ItemProgress
 from anvilcove.jobs.records import (
@@ -52,6 +53,8 @@
         '_metrics',
         '_clock',
         '_end_s',
+        '_objective_s',
+        '_scale',
         '_tasks',
         '_ready',
         '_wake',
@@ -72,12 +75,20 @@
         listed: list[str],
         texts: dict[str, TextPart],
         end_s: float,
+        objective_s: float,
+        scale: HintScale,
         records: JobRecords,
         runner: ItemRunner,
         metrics: NodeMetrics,
         clock: Clock,
     ) -> None:
-        """Start no item; `end_s` is when items may be given up."""
+        """Start no item.
+
+        `end_s` is when items may be given up, `objective_s` the time in which
+        all results are due; `scale` is shared by the jobs of the daemon.
+        """
+        self._objective_s = objective_s
+        self._scale = scale
         self.spec = spec
         self.held = held
         self.owned = True
@@ -132,11 +143,15 @@
         self.stop()
 
     def _start(self, items: list[Item]) -> None:
-        """Start the items, those of the first groups and long ones first."""
+        """Start the items, those first that must start first."""
+        submitted_s = self.held.head.submitted_ms / 1000
         position = {item.item_id: i for i, item in enumerate(items)}
         for item in sorted(items, key=lambda i: -i.length_hint):
+            expected_s = self._scale.expected_s(
+                item.length_hint, self._objective_s
+            )
             rank = (
-                self.held.head.submitted_ms,
+                latest_start_s(submitted_s, self._objective_s, expected_s),
                 -float(item.length_hint),
                 float(position[item.item_id]),
             )
@@ -152,6 +167,8 @@
         self._running[item.item_id] = progress
         result = await self._runner.run(self.spec, progress, rank, self._end_s)
         self._metrics.item_listed(result.completed, progress.attempts)
+        if result.completed and progress.attempts == 1 and kept is None:
+            self._scale.observe(item.length_hint, progress.run_s())
         del self._running[item.item_id]
         self._ready.append(result)
         self._wake.set()
--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -12,6 +12,7 @@
 from anvilcove.control.desired import DesiredStateView
 from anvilcove.control.nodes import NodeDirectory
 from anvilcove.control.watch import TableWatch
+from anvilcove.decisions.item_order import HintScale
 from anvilcove.decisions.succession import takeover_delay_s
 from anvilcove.jobs.board import JobBoard
 from anvilcove.jobs.item_run import ItemRunner
@@ -34,6 +35,8 @@
 # Items may be given up this long after their submission if the operator's
 # declaration cannot be found.
 DEFAULT_LIFETIME_S = 40.0
+# Time in which results are due where no declaration tells.
+DEFAULT_OBJECTIVE_S = 7.5
 # Added to the lifetime of items, since the store's clock is known only
 # through its answers.
 LIFETIME_MARGIN_S = 1.0
@@ -60,6 +63,7 @@
         'closing',
         'taking',
         '_considering',
+        '_scale',
     )
 
     def __init__(
@@ -93,6 +97,7 @@
         self.runs: dict[str, JobRun] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.closing = False
+        self._scale = HintScale()
         # Abandoned jobs that this daemon waits to take over.
         self._considering: set[str] = set()
         # Jobs that are being taken over.
@@ -209,6 +214,8 @@
             listed,
             texts,
             self._items_end_s(held.head),
+            self._objective_s(held.head),
+            self._scale,
             self._records,
             self._runner,
             self._metrics,
@@ -243,6 +250,13 @@
         left_s = lifetime_s + LIFETIME_MARGIN_S - max(age_s, 0.0)
         return self._clock.now() + left_s
 
+    def _objective_s(self, head: JobHead) -> float:
+        state = self._desired.current
+        route = state.find(head.host, head.path) if state else None
+        if route is None or route.job is None:
+            return DEFAULT_OBJECTIVE_S
+        return route.job.result_objective_s
+
     def _stop_ended(self) -> None:
         for job_id, run in list(self.runs.items()):
             if job_id in self._board.ended and run.owned:
--- a/anvilcove/jobs/progress.py
+++ b/anvilcove/jobs/progress.py
@@ -72,6 +72,10 @@
         self.versions = []
         self.restarted = True
 
+    def run_s(self) -> float:
+        """Return how long the text was being made."""
+        return self.generated_s - self.started_s - self.waited_s
+
     def completed(self, score: str) -> ItemResult:
         """Return the result of the whole text."""
         return ItemResult(
