Place long items on the fastest engines and move items by expected gain

Cause: the last items of most late steps ran on engines that take 52 ms an event where others take 40; SLOW_PACE (2.0) treats none of them as slow. Change: items that a length hint or their run time shows to be long take the engines within 1.15 of the best time per event and wait briefly for a slot there; short ones leave those engines free. A running item moves when it is expected to end 0.3 s sooner elsewhere. The pace of an engine is a low quantile of its event intervals. Ruled out: an exponentially smoothed interval as the pace.

--- a/anvilcove/decisions/item_moves.py
+++ b/anvilcove/decisions/item_moves.py
@@ -2,7 +2,7 @@
 
 from msgspec import Struct
 
-from anvilcove.decisions.item_placement import SLOW_PACE
+from anvilcove.decisions.item_placement import FAST_PACE, SLOW_PACE
 
 # Each move costs a new connection.
 MAX_MOVES_PER_ITEM = 3
@@ -10,12 +10,19 @@
 # Moved items can use their slots, as they are put at the head of the queue.
 # Short items take about a second, and the check runs every 50 ms.
 ENDING_SOON_SHARE = 0.05
+# Time that a move must save. The other engine reads the prompt and the text
+# made so far again, which takes some tens of milliseconds.
+MIN_GAIN_S = 0.3
+# Items without a usable hint are expected to make this share of their events
+# once more: the longer an item runs, the longer it will probably go on.
+REMAINING_SHARE = 0.7
 
 
 class EngineUtilization(Struct):
     """Load and speed of one engine.
 
-    `pace` is its time per event relative to the median of the pool.
+    `pace` is its time per event relative to the median of the pool,
+    `interval_s` that time in seconds, 0 if unknown.
     """
 
     endpoint: str
@@ -23,38 +30,81 @@
     in_flight: int
     pace: float = 1.0
     usable: bool = True
+    interval_s: float = 0.0
 
 
 class RunningItem(Struct):
     """A running item that has emitted at least one event.
 
-    `events` and `moves` count its events and its moves so far.
+    `events` and `moves` count its events and its moves so far;
+    `expected_events` is its length by its hint, 0 if unknown.
     """
 
     item_id: str
     endpoint: str
     events: int
     moves: int = 0
+    expected_events: float = 0.0
 
 
 def select_items_to_move(
     engines: list[EngineUtilization], items: list[RunningItem]
 ) -> list[RunningItem]:
-    """Return the items to move away from slow engines.
+    """Return the items to move to engines that would finish them sooner.
 
-    At most as many are returned as other engines have slots that are free now
-    or will probably become free before the next check.
+    Items leave slow engines even if the others are full, and only as many as
+    slots will probably become free before the next check. Other moves need a
+    free slot and a gain of MIN_GAIN_S.
     """
-    available_slots = _available_slots(
-        [e for e in engines if e.pace < SLOW_PACE and e.usable]
-    )
+    movable = [item for item in items if item.moves < MAX_MOVES_PER_ITEM]
     slow = {e.endpoint for e in engines if e.pace >= SLOW_PACE}
-    movable = [
-        i for i in items if i.endpoint in slow and i.moves < MAX_MOVES_PER_ITEM
-    ]
+    others = [e for e in engines if e.pace < SLOW_PACE and e.usable]
     # The items with the most events are the most likely to delay their groups.
-    movable.sort(key=lambda item: -item.events)
-    return movable[:available_slots]
+    leaving = sorted(
+        (item for item in movable if item.endpoint in slow),
+        key=lambda item: -item.events,
+    )[: _available_slots(others)]
+    rest = [item for item in movable if item.endpoint not in slow]
+    return leaving + _gaining_moves(others, rest, len(leaving))
+
+
+def expected_remaining_events(item: RunningItem) -> float:
+    """Return how many events an item will probably still make."""
+    return max(
+        item.expected_events - item.events, item.events * REMAINING_SHARE
+    )
+
+
+def _gaining_moves(
+    engines: list[EngineUtilization],
+    items: list[RunningItem],
+    reserved_slots: int,
+) -> list[RunningItem]:
+    """Return the items that another engine with a free slot ends sooner."""
+    by_endpoint = {e.endpoint: e for e in engines}
+    targets = sorted(
+        (e for e in engines if e.interval_s > 0 and e.in_flight < e.slots),
+        key=lambda engine: engine.interval_s,
+    )
+    if not targets:
+        return []
+    best_s = targets[0].interval_s
+    gains = []
+    for item in items:
+        source = by_endpoint.get(item.endpoint)
+        if source is None or source.interval_s < best_s * FAST_PACE:
+            continue
+        saved_s = source.interval_s - best_s
+        gain_s = saved_s * expected_remaining_events(item)
+        if gain_s >= MIN_GAIN_S:
+            gains.append((gain_s, item))
+    gains.sort(key=lambda pair: -pair[0])
+    free = sum(
+        e.slots - e.in_flight
+        for e in targets
+        if e.interval_s < best_s * FAST_PACE
+    )
+    return [item for _, item in gains[: max(free - reserved_slots, 0)]]
 
 
 def _available_slots(engines: list[EngineUtilization]) -> int:
--- a/anvilcove/decisions/item_order.py
+++ b/anvilcove/decisions/item_order.py
@@ -8,25 +8,33 @@
 
 
 class HintCalibration:
-    """Running median of seconds per hinted token, 0 before any sample."""
+    """Running medians of time and events per hinted token.
 
-    __slots__ = ('seconds_per_token',)
+    Both are 0 before any sample.
+    """
+
+    __slots__ = ('seconds_per_token', 'events_per_token')
 
     def __init__(self) -> None:
         """Start without samples."""
         self.seconds_per_token = 0.0
+        self.events_per_token = 0.0
 
-    def observe(self, hint: int, took_s: float) -> None:
-        """Update the median with an item that ran without interruption."""
+    def observe(self, hint: int, took_s: float, events: int = 0) -> None:
+        """Update the medians with an item that ran without interruption."""
         if hint <= 0 or took_s <= 0:
             return
-        ratio = took_s / hint
-        known = self.seconds_per_token
-        if not known:
-            self.seconds_per_token = ratio
-        else:
-            factor = 1 + MEDIAN_STEP if ratio > known else 1 - MEDIAN_STEP
-            self.seconds_per_token = known * factor
+        self.seconds_per_token = _updated_median(
+            self.seconds_per_token, took_s / hint
+        )
+        if events > 0:
+            self.events_per_token = _updated_median(
+                self.events_per_token, events / hint
+            )
+
+    def expected_events(self, hint: int) -> float:
+        """Return the expected number of events of an item, 0 if unknown."""
+        return max(hint, 0) * self.events_per_token
 
     def expected_s(self, hint: int, objective_s: float) -> float:
         """Return the expected time of an item in seconds."""
@@ -34,6 +42,13 @@
         return min(expected_s, objective_s * MAX_HINT_SHARE)
 
 
+def _updated_median(known: float, sample: float) -> float:
+    if not known:
+        return sample
+    factor = 1 + MEDIAN_STEP if sample > known else 1 - MEDIAN_STEP
+    return known * factor
+
+
 def latest_start_s(
     submitted_s: float, objective_s: float, expected_s: float
 ) -> float:
--- a/anvilcove/decisions/item_placement.py
+++ b/anvilcove/decisions/item_placement.py
@@ -1,6 +1,7 @@
 """Choice of an engine for an item of a batch job."""
 
 import random
+from statistics import median
 
 from msgspec import Struct
 
@@ -16,6 +17,14 @@
 SLOW_PACE = 2.0
 # Relative time per event assumed for an engine that has not been measured.
 UNKNOWN_PACE = 1.0
+# Long items go to engines whose time per event is at most this multiple of the
+# best one's.
+FAST_PACE = 1.15
+# An item is long if it is expected to take this share of its step's objective.
+LONG_ITEM_SHARE = 0.25
+# Without an expected time, an item is long if its length hint is this multiple
+# of the median hint of its job.
+LONG_HINT_FACTOR = 2.0
 
 
 class EngineSlotView(Struct):
@@ -23,7 +32,7 @@
 
     `pace` is its time per event relative to the median of the pool. `others`
     is the number of requests that other daemons run there, as its last answer
-    reported.
+    reported; `long_items` is the number of long items of this daemon there.
     """
 
     endpoint: str
@@ -32,23 +41,52 @@
     others: int = 0
     pace: float = UNKNOWN_PACE
     holds_group: bool = False
-    same_data_centre: bool = False
+    long_items: int = 0
+
+
+def is_long_item(
+    hint: int, expected_s: float, objective_s: float, median_hint: float
+) -> bool:
+    """Tell whether an item will probably decide when its step ends.
+
+    `expected_s` is 0 while the time per hinted token is unknown.
+    """
+    if expected_s > 0:
+        return expected_s >= objective_s * LONG_ITEM_SHARE
+    return 0 < median_hint * LONG_HINT_FACTOR <= hint
+
+
+def median_hint(hints: list[int]) -> float:
+    """Return the median of the positive length hints of a job, 0 if none."""
+    positive = [hint for hint in hints if hint > 0]
+    return median(positive) if positive else 0.0
 
 
 def choose_engine(
-    engines: list[EngineSlotView], rng: random.Random
+    engines: list[EngineSlotView], rng: random.Random, long_item: bool = True
 ) -> EngineSlotView | None:
-    """Return the engine where an item is expected to end first.
+    """Return the engine where an item should run, or None if it should wait.
 
-    Return None if the item should wait. Slow engines, which tend to have free
-    slots and would delay the steps of their items, are used only when there
-    are no others, not even fully loaded ones.
+    Long items decide when their step ends. They take the fastest engines, and
+    wait while all slots of those are taken but some by short items, which end
+    soon. Short items leave the fastest engines to them where others are free.
+    Engines of SLOW_PACE, which tend to have free slots, are used only when
+    there are no others, not even fully loaded ones.
     """
-    fast = [e for e in engines if e.pace < SLOW_PACE]
-    free = [e for e in fast or engines if e.in_flight < e.slots]
+    usable = [e for e in engines if e.pace < SLOW_PACE] or engines
+    free = [e for e in usable if e.in_flight < e.slots]
     if not free:
         return None
-    return min(free, key=lambda engine: _score(engine, rng))
+    limit = min(e.pace for e in usable) * FAST_PACE
+    fast = [e for e in usable if e.pace <= limit]
+    free_fast = [e for e in free if e.pace <= limit]
+    if long_item:
+        if not free_fast and any(e.long_items < e.in_flight for e in fast):
+            return None
+        candidates = free_fast or free
+    else:
+        candidates = [e for e in free if e.pace > limit] or free
+    return min(candidates, key=lambda engine: _score(engine, rng))
 
 
 def _score(engine: EngineSlotView, rng: random.Random) -> float:
--- a/anvilcove/jobs/engine_records.py
+++ b/anvilcove/jobs/engine_records.py
@@ -14,6 +14,14 @@
 # Measurements expire this long after the last event, so that an engine that
 # was slow is tried again.
 PACE_TTL_S = 3.0
+# The usual interval of an engine is this quantile of its event intervals. It
+# is low because prompts of new items lengthen the intervals of all others.
+USUAL_QUANTILE = 0.25
+# Relative step of the usual interval per sample.
+QUANTILE_STEP = 0.04
+# An engine has turned slow if its recent intervals are this multiple of the
+# usual one.
+TURNED_SLOW_FACTOR = 1.6
 # A longer event interval is attributed to a load of weights, which pauses
 # all runs of the engine.
 MIN_LOAD_PAUSE_S = 0.6
@@ -42,11 +50,14 @@
 
     __slots__ = (
         'in_flight',
+        'in_flight_by_model',
+        'long_items',
         'other_daemons_load',
         'event_intervals_s',
         'last_interval_at_s',
+        'usual_interval_s',
         'ejected_until_s',
-        'loading_until_s',
+        'loading_until_s_by_model',
         'failures',
         'failure_share',
         'versions',
@@ -55,11 +66,17 @@
     def __init__(self) -> None:
         """Start without observations."""
         self.in_flight = 0
+        self.in_flight_by_model: dict[str, int] = {}
+        # Items in flight that were placed as long ones.
+        self.long_items = 0
         self.other_daemons_load = 0
         # Event intervals; their median ignores the pauses during loads.
         self.event_intervals_s: deque[float] = deque(maxlen=PACE_SAMPLES)
         self.last_interval_at_s = 0.0
-        self.loading_until_s = float('-inf')
+        # Running low quantile of the event intervals, 0 before any; unlike
+        # the median it doesn't expire.
+        self.usual_interval_s = 0.0
+        self.loading_until_s_by_model: dict[str, float] = {}
         self.ejected_until_s = 0.0
         # Failed runs since the last completed one.
         self.failures = 0
@@ -76,6 +93,35 @@
             return 0.0
         return sorted(self.event_intervals_s)[len(self.event_intervals_s) // 2]
 
+    def interval_s(self, now: float) -> float:
+        """Return the usual event interval, or the recent one if it is slow."""
+        recent_s = self.median_interval_s(now)
+        if recent_s > TURNED_SLOW_FACTOR * self.usual_interval_s:
+            return recent_s
+        return self.usual_interval_s
+
+    def add_interval(self, seconds: float, now: float) -> None:
+        """Record an event interval."""
+        self.event_intervals_s.append(seconds)
+        self.last_interval_at_s = now
+        usual_s = self.usual_interval_s or seconds
+        if seconds > usual_s:
+            self.usual_interval_s = usual_s * (
+                1 + QUANTILE_STEP * USUAL_QUANTILE
+            )
+        else:
+            self.usual_interval_s = usual_s * (
+                1 - QUANTILE_STEP * (1 - USUAL_QUANTILE)
+            )
+
+    def add_item(self, model: str, long_item: bool, count: int = 1) -> None:
+        """Add an item in flight; `count` of -1 removes it."""
+        self.in_flight += count
+        self.in_flight_by_model[model] = (
+            self.in_flight_by_model.get(model, 0) + count
+        )
+        self.long_items += count * long_item
+
 
 class EngineRecords:
     """Statistics of all registered engines."""
@@ -115,14 +161,16 @@
     def on_event_interval(self, endpoint: str, seconds: float) -> None:
         """Record an event interval unless weights were loaded meanwhile."""
         if seconds < MIN_LOAD_PAUSE_S:
-            record = self.get_or_create(endpoint)
-            record.event_intervals_s.append(seconds)
-            record.last_interval_at_s = self._clock.now()
+            self.get_or_create(endpoint).add_interval(
+                seconds, self._clock.now()
+            )
 
     def mark_loading(self, endpoint: str, model: str, version: int) -> None:
-        """Skip an engine until it has probably loaded its new version."""
+        """Skip an engine for a model until its version is probably loaded."""
         record = self.get_or_create(endpoint)
-        record.loading_until_s = self._clock.now() + LOAD_TIME_S
+        record.loading_until_s_by_model[model] = (
+            self._clock.now() + LOAD_TIME_S
+        )
         record.versions[model] = max(record.versions.get(model, 0), version)
 
     def on_success(self, endpoint: str) -> None:
@@ -174,10 +222,16 @@
             endpoint=endpoint, for_s=ejection_s, failures=record.failures
         ).log(DECISION, 'engine ejected')
 
-    def unusable_until_s(self, endpoint: str) -> float:
-        """Return the time from which an engine may be used."""
+    def unusable_until_s(self, endpoint: str, model: str = '') -> float:
+        """Return the time from which an engine may be used for a model.
+
+        Without a model, loads are left out.
+        """
         record = self.get_or_create(endpoint)
-        return max(record.ejected_until_s, record.loading_until_s)
+        loading_until_s = record.loading_until_s_by_model.get(
+            model, float('-inf')
+        )
+        return max(record.ejected_until_s, loading_until_s)
 
     def version(self, entry: EndpointEntry, model: str) -> int:
         """Return the newest known version of a model on an engine.
@@ -189,19 +243,24 @@
             self.get_or_create(entry.endpoint).versions.get(model, 0),
         )
 
-    def pace_by_endpoint(self) -> dict[str, float]:
-        """Return event intervals relative to the median of all engines.
+    def interval_by_endpoint(self) -> dict[str, float]:
+        """Return the event intervals of the registered engines in seconds.
 
-        Engines without enough data are omitted.
+        Engines without data are omitted.
         """
         now = self._clock.now()
         known = {
-            endpoint: record.median_interval_s(now)
+            endpoint: record.interval_s(now)
             for endpoint, record in self._by_endpoint.items()
             if endpoint in self._registry.entry_by_endpoint
         }
-        measured = sorted(seconds for seconds in known.values() if seconds)
-        if not measured:
-            return {}
-        median_s = measured[(len(measured) - 1) // 2]
-        return {e: s / median_s for e, s in known.items() if s}
+        return {e: s for e, s in known.items() if s}
+
+
+def relative_paces(interval_by_endpoint: dict[str, float]) -> dict[str, float]:
+    """Return event intervals relative to their median."""
+    if not interval_by_endpoint:
+        return {}
+    measured = sorted(interval_by_endpoint.values())
+    median_s = measured[(len(measured) - 1) // 2]
+    return {e: s / median_s for e, s in interval_by_endpoint.items()}
--- a/anvilcove/jobs/engine_slots.py
+++ b/anvilcove/jobs/engine_slots.py
@@ -20,7 +20,7 @@
     EngineSlotView,
     choose_engine,
 )
-from anvilcove.jobs.engine_records import EngineRecords
+from anvilcove.jobs.engine_records import EngineRecords, relative_paces
 from anvilcove.state.clock import Clock
 from anvilcove.telemetry.logs import DECISION
 
@@ -34,7 +34,8 @@
     """Requirements of an item for its engine.
 
     `excluded` holds the endpoints at which the item has failed. `group` names
-    the items that share a prompt, which one engine may have cached.
+    the items that share a prompt, which one engine may have cached. A
+    `long_item` will probably decide when its step ends.
     """
 
     service: str
@@ -42,6 +43,8 @@
     min_version: int
     group: str
     excluded: set[str]
+    long_item: bool = True
+    expected_events: float = 0.0
 
 
 class RunHandle:
@@ -49,6 +52,7 @@
 
     __slots__ = (
         'item_id',
+        'requirements',
         'endpoint',
         'events',
         'moves',
@@ -57,10 +61,16 @@
     )
 
     def __init__(
-        self, item_id: str, endpoint: str, events: int, moves: int
+        self,
+        item_id: str,
+        requirements: EngineRequirements,
+        endpoint: str,
+        events: int,
+        moves: int,
     ) -> None:
         """Start with the events and moves of earlier runs of the item."""
         self.item_id = item_id
+        self.requirements = requirements
         self.endpoint = endpoint
         self.events = events
         self.moves = moves
@@ -125,9 +135,7 @@
         The caller must call `release` afterwards.
         """
         if not self._waiting:
-            entry = self._try_assign(
-                requirements, self.engine_records.pace_by_endpoint()
-            )
+            entry = self._try_assign(requirements, self._paces())
             if entry is not None:
                 return entry
         future: asyncio.Future[EndpointEntry] = (
@@ -139,7 +147,7 @@
             return await future
         except asyncio.CancelledError:
             if future.done() and not future.cancelled():
-                self.release(future.result().endpoint)
+                self.release(future.result().endpoint, requirements)
             raise
 
     def engine_count(self, service: str) -> int:
@@ -157,18 +165,20 @@
         """Skip an engine until it has probably loaded its new version."""
         self.engine_records.mark_loading(endpoint, model, version)
 
-    def release(self, endpoint: str) -> None:
-        """Free a slot and assign it to a waiting item."""
-        self.engine_records.get_or_create(endpoint).in_flight -= 1
+    def release(self, endpoint: str, requirements: EngineRequirements) -> None:
+        """Free the slot of an item and assign it to a waiting one."""
+        self.engine_records.get_or_create(endpoint).add_item(
+            requirements.model, requirements.long_item, -1
+        )
         self.assign_waiting()
 
     def assign_waiting(self) -> None:
         """Assign free slots to waiting items."""
         if not self._waiting:
             return
-        paces = self.engine_records.pace_by_endpoint()
+        paces = self._paces()
         unassigned = []
-        unavailable: set[tuple[str, str, int]] = set()
+        unavailable: set[tuple[str, str, int, bool]] = set()
         while self._waiting:
             waiter = heapq.heappop(self._waiting)
             _, _, requirements, future = waiter
@@ -178,6 +188,7 @@
                 requirements.service,
                 requirements.model,
                 requirements.min_version,
+                requirements.long_item,
             )
             entry = None
             if key not in unavailable or requirements.excluded:
@@ -200,56 +211,52 @@
         if self._runs.get(handle.item_id) is handle:
             del self._runs[handle.item_id]
 
+    def _paces(self) -> dict[str, float]:
+        return relative_paces(self.engine_records.interval_by_endpoint())
+
     def _move_stragglers(self) -> None:
         if not self._runs:
             return
-        paces = self.engine_records.pace_by_endpoint()
-        for service in self._services_with_runs():
+        intervals = self.engine_records.interval_by_endpoint()
+        handles_by_model: dict[tuple[str, str, int], list[RunHandle]] = {}
+        for handle in self._runs.values():
+            if handle.events and not handle.move_requested:
+                needs = handle.requirements
+                key = (needs.service, needs.model, needs.min_version)
+                handles_by_model.setdefault(key, []).append(handle)
+        for handles in handles_by_model.values():
+            engines = self._engine_utilizations(
+                handles[0].requirements, intervals
+            )
             moves = select_items_to_move(
-                self._engine_utilizations(service, paces),
-                self._running_items(),
+                engines, [_running_item(handle) for handle in handles]
             )
             for item in moves:
                 logger.bind(
                     request=item.item_id,
                     endpoint=item.endpoint,
                     events=item.events,
-                    pace=round(paces.get(item.endpoint, UNKNOWN_PACE), 2),
+                    interval_ms=round(
+                        intervals.get(item.endpoint, 0.0) * 1000, 1
+                    ),
                 ).log(DECISION, 'item moved off a slow engine')
                 self._runs[item.item_id].request_move()
 
-    def _services_with_runs(self) -> set[str]:
-        by_endpoint = self.registry.entry_by_endpoint
-        return {
-            by_endpoint[handle.endpoint].service
-            for handle in self._runs.values()
-            if handle.endpoint in by_endpoint
-        }
-
     def _engine_utilizations(
-        self, service: str, paces: dict[str, float]
+        self, requirements: EngineRequirements, intervals: dict[str, float]
     ) -> list[EngineUtilization]:
-        now = self._clock.now()
+        paces = relative_paces(intervals)
         return [
             EngineUtilization(
                 endpoint=entry.endpoint,
                 slots=entry.slots,
                 in_flight=self.in_flight_count(entry.endpoint),
                 pace=paces.get(entry.endpoint, UNKNOWN_PACE),
-                usable=self.engine_records.unusable_until_s(entry.endpoint)
-                <= now,
+                usable=self._is_usable(entry, requirements),
+                interval_s=intervals.get(entry.endpoint, 0.0),
             )
             for entry in self.registry.entry_by_endpoint.values()
-            if entry.service == service and not entry.draining
-        ]
-
-    def _running_items(self) -> list[RunningItem]:
-        return [
-            RunningItem(
-                handle.item_id, handle.endpoint, handle.events, handle.moves
-            )
-            for handle in self._runs.values()
-            if handle.events and not handle.move_requested
+            if entry.service == requirements.service and not entry.draining
         ]
 
     def _try_assign(
@@ -260,10 +267,12 @@
             for entry in self.registry.entry_by_endpoint.values()
             if self._is_usable(entry, requirements)
         ]
-        chosen = choose_engine(views, self._rng)
+        chosen = choose_engine(views, self._rng, requirements.long_item)
         if chosen is None:
             return None
-        self.engine_records.get_or_create(chosen.endpoint).in_flight += 1
+        self.engine_records.get_or_create(chosen.endpoint).add_item(
+            requirements.model, requirements.long_item
+        )
         self._remember_group(requirements.group, chosen.endpoint)
         return self.registry.entry_by_endpoint[chosen.endpoint]
 
@@ -278,10 +287,10 @@
         state = self.registry.view.by_id.get(entry.endpoint)
         if state is None or state.leaving:
             return False
-        if (
-            self.engine_records.unusable_until_s(entry.endpoint)
-            > self._clock.now()
-        ):
+        unusable_until_s = self.engine_records.unusable_until_s(
+            entry.endpoint, requirements.model
+        )
+        if unusable_until_s > self._clock.now():
             return False
         # An engine without the model reports version 0 of it.
         required_version = max(requirements.min_version, 1)
@@ -306,6 +315,7 @@
             holds_group=(
                 self._engine_by_group.get(requirements.group) == entry.endpoint
             ),
+            long_items=record.long_items,
         )
 
     def _remember_group(self, group: str, endpoint: str) -> None:
@@ -313,3 +323,13 @@
         self._engine_by_group.move_to_end(group)
         if len(self._engine_by_group) > MAX_REMEMBERED_GROUPS:
             self._engine_by_group.popitem(last=False)
+
+
+def _running_item(handle: RunHandle) -> RunningItem:
+    return RunningItem(
+        handle.item_id,
+        handle.endpoint,
+        handle.events,
+        handle.moves,
+        handle.requirements.expected_events,
+    )
--- a/anvilcove/jobs/intake.py
+++ b/anvilcove/jobs/intake.py
@@ -118,6 +118,7 @@
             model=spec.model,
             min_version=spec.min_version,
             items=len(spec.items),
+            target_groups=spec.target_groups,
             first=created,
             owner=job.head.owner,
         ).log(DECISION, 'job accepted')
--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -14,7 +14,7 @@
     EngineSlots,
     RunHandle,
 )
-from anvilcove.jobs.progress import ItemProgress
+from anvilcove.jobs.progress import ItemProgress, ItemRun
 from anvilcove.jobs.reward_calls import RewardCalls
 from anvilcove.jobs.types import ItemResult, JobSpec
 from anvilcove.ports.engines import (
@@ -129,6 +129,7 @@
                 (progress.generated_at_s - progress.started_at_s) * 1000
             ),
             reward_ms=round((now - progress.generated_at_s) * 1000),
+            runs=progress.runs_until(now),
         ).info('item finished')
 
     async def _generate(
@@ -156,7 +157,7 @@
             progress.attempts += 1
             try:
                 await self._attempt(
-                    spec, progress, route, entry, deadline_at_s
+                    spec, progress, route, entry, requirements, deadline_at_s
                 )
             except ItemRejected:
                 return self._errored_result(spec, progress, 'rejected')
@@ -169,6 +170,7 @@
                     )
             except RunMoved:
                 progress.moves += 1
+                progress.long_item = True
             except EndpointError as error:
                 self._record_attempt_failure(spec, progress, entry, error)
                 await self._sleep_with_jitter(retry_delay_s)
@@ -177,7 +179,7 @@
                 self._slots.engine_records.on_success(entry.endpoint)
                 return None
             finally:
-                self._slots.release(entry.endpoint)
+                self._slots.release(entry.endpoint, requirements)
 
     async def _attempt(
         self,
@@ -185,6 +187,7 @@
         progress: ItemProgress,
         route: Route,
         entry: EndpointEntry,
+        requirements: EngineRequirements,
         deadline_at_s: float,
     ) -> None:
         """Generate the rest of the text at one engine."""
@@ -204,16 +207,28 @@
         )
         handle = RunHandle(
             progress.item.item_id,
+            requirements,
             entry.endpoint,
             len(progress.texts),
             progress.moves,
         )
         self._slots.register_run(handle)
+        started_at_s = self._clock.now()
+        first_event = len(progress.texts) + 1
         try:
             async with aclosing(stream):  # type: ignore[type-var]
                 await self._consume(spec, progress, route, stream, handle)
         finally:
             self._slots.unregister_run(handle)
+            progress.runs.append(
+                ItemRun(
+                    entry.endpoint,
+                    started_at_s,
+                    self._clock.now(),
+                    first_event,
+                    len(progress.texts),
+                )
+            )
 
     async def _consume(
         self,
@@ -319,6 +334,8 @@
             min_version=spec.min_version,
             group=f'{spec.job_id}/{item.group}',
             excluded=excluded,
+            long_item=progress.long_item,
+            expected_events=progress.expected_events,
         )
 
     def _record_attempt_failure(
--- a/anvilcove/jobs/job_run.py
+++ b/anvilcove/jobs/job_run.py
@@ -7,6 +7,7 @@
 from msgspec.structs import replace
 
 from anvilcove.decisions.item_order import HintCalibration, latest_start_s
+from anvilcove.decisions.item_placement import is_long_item, median_hint
 from anvilcove.jobs.item_run import ItemRunner
 from anvilcove.jobs.progress import ItemProgress
 from anvilcove.jobs.records import (
@@ -154,6 +155,7 @@
         """Start a task for each item, ranked by its latest start time."""
         submitted_s = self.job.head.submitted_ms / 1000
         position = {item.item_id: i for i, item in enumerate(items)}
+        middle = median_hint([item.length_hint for item in self.spec.items])
         for item in sorted(items, key=lambda i: -i.length_hint):
             expected_s = self._hint_calibration.expected_s(
                 item.length_hint, self._objective_s
@@ -163,12 +165,21 @@
                 -float(item.length_hint),
                 float(position[item.item_id]),
             )
-            task = asyncio.create_task(self._run_item(item, rank))
+            progress = ItemProgress(item, self._clock.now())
+            progress.long_item = is_long_item(
+                item.length_hint, expected_s, self._objective_s, middle
+            )
+            progress.expected_events = self._hint_calibration.expected_events(
+                item.length_hint
+            )
+            task = asyncio.create_task(self._run_item(progress, rank))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    async def _run_item(self, item: Item, rank: tuple[float, ...]) -> None:
-        progress = ItemProgress(item, self._clock.now())
+    async def _run_item(
+        self, progress: ItemProgress, rank: tuple[float, ...]
+    ) -> None:
+        item = progress.item
         restored = self._restored_checkpoints.pop(item.item_id, None)
         if restored is not None:
             progress.restore(restored)
@@ -179,7 +190,9 @@
         self._metrics.item_finished(result.completed, progress.attempts)
         if result.completed and progress.attempts == 1 and restored is None:
             self._hint_calibration.observe(
-                item.length_hint, progress.generation_time_s()
+                item.length_hint,
+                progress.generation_time_s(),
+                len(progress.texts),
             )
         del self._running[item.item_id]
         self._uncommitted.append(result)
--- a/anvilcove/jobs/progress.py
+++ b/anvilcove/jobs/progress.py
@@ -1,9 +1,21 @@
 """Generation progress of one item of a batch job."""
 
+from msgspec import Struct
+
 from anvilcove.jobs.types import Item, ItemResult, TextPart
 from anvilcove.ports.engines import TokenEvent
 
 
+class ItemRun(Struct):
+    """One run of an item at an engine; events are numbered from 1."""
+
+    endpoint: str
+    started_at_s: float
+    ended_at_s: float
+    first_event: int
+    last_event: int
+
+
 class ItemProgress:
     """Generated text of an item and the outcomes of its attempts."""
 
@@ -18,6 +30,9 @@
         'reward_failures',
         'endpoint',
         'moves',
+        'long_item',
+        'expected_events',
+        'runs',
         'started_at_s',
         'waited_s',
         'generated_at_s',
@@ -33,6 +48,11 @@
         self.generated_at_s = started_at_s
         self.endpoint = ''
         self.moves = 0
+        # Whether the item will probably decide when its step ends, and its
+        # length by its hint, 0 if unknown.
+        self.long_item = False
+        self.expected_events = 0.0
+        self.runs: list[ItemRun] = []
         self.texts: list[str] = []
         self.versions: list[int] = []
         # Whether the text was discarded; its checkpoints then no longer match.
@@ -81,6 +101,23 @@
         """Return the time from start to the complete text, less slot waits."""
         return self.generated_at_s - self.started_at_s - self.waited_s
 
+    def runs_until(self, now: float) -> list[tuple[str, int, int, int, int]]:
+        """Return the runs for the log.
+
+        Each is the endpoint, the milliseconds from its start and from its end
+        to `now`, and its first and last event.
+        """
+        return [
+            (
+                run.endpoint,
+                round((now - run.started_at_s) * 1000),
+                round((now - run.ended_at_s) * 1000),
+                run.first_event,
+                run.last_event,
+            )
+            for run in self.runs
+        ]
+
     def completed_result(self, score: str) -> ItemResult:
         """Return the result of a completed item."""
         return ItemResult(
--- a/anvilcove/jobs/reader.py
+++ b/anvilcove/jobs/reader.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 
+from loguru import logger
 from msgspec import Struct
 
 from anvilcove.control.watch import TableWatch
@@ -14,6 +15,7 @@
     StoreUnavailable,
 )
 from anvilcove.state.clock import Clock
+from anvilcove.telemetry.logs import DECISION
 
 # Limits of the in-memory caches of results and of submissions.
 MAX_CACHED_RESULT_BYTES = 12_000_000
@@ -86,6 +88,9 @@
             remaining_s = deadline_at_s - self._clock.now()
             if results or remaining_s <= 0 or len(known) >= total:
                 outputs = await self._load_outputs(results)
+                logger.bind(
+                    job=job_id, after=position, results=len(results)
+                ).info('results read')
                 return ResultPage(total, outputs)
             if job_id in self._jobs_view.ended:
                 return ResultPage(total, [])
@@ -115,6 +120,7 @@
         except (StoreUnavailable, StoreAnswerLost) as error:
             raise ReadUnavailable(str(error)) from error
         self._jobs_view.mark_ended(job_id)
+        logger.bind(job=job_id).log(DECISION, 'job end stored')
 
     async def _total(self, job_id: str) -> int:
         job = self._jobs_view.by_id.get(job_id)
--- /dev/null
+++ b/anvilcove/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Reports that are computed from the logs of all hosts."""
