Load versions in halves of a model's engines; keep a new lease; resume at once

Engines serve two models, and the halves of a model's engines load in turn, each when the step that it ran has ended. After a restart the jobs of the daemon are taken over at the same time, not one after the other.

--- a/anvilcove/control/leases.py
+++ b/anvilcove/control/leases.py
@@ -111,9 +111,8 @@
     async def run(self) -> None:
         """Renew or try to acquire the lease until it is released."""
         while not self._released:
-            held = self.fence() is not None
             try:
-                if held:
+                if self.fence() is not None:
                     await self._renew()
                 else:
                     await self._try_acquire()
@@ -125,6 +124,7 @@
                 logger.bind(lease=self.name, reason=str(error)).info(
                     'lease not renewed'
                 )
+            held = self.fence() is not None
             await self._clock.sleep(
                 RENEWAL_PERIOD_S if held else self._poll_delay_s()
             )
--- a/anvilcove/control/versions.py
+++ b/anvilcove/control/versions.py
@@ -39,8 +39,11 @@
 class EngineActivity(Protocol):
     """Record of this daemon's items and load orders on engines."""
 
-    def in_flight_count(self, endpoint: str) -> int:
-        """Return the number of items that run on an engine."""
+    def in_flight_by_model(self, endpoint: str) -> dict[str, int]:
+        """Return the number of items of each model on an engine."""
+
+    def model_idle_s(self, model: str) -> float:
+        """Return the time for which no item of a model has run."""
 
     def mark_loading(self, endpoint: str, model: str, version: int) -> None:
         """Treat an engine as loading, then as holding the new version."""
@@ -130,6 +133,7 @@
                     model,
                     self._desired.newest_version_by_model.get(model, 1),
                     self._count_tokens(model),
+                    self._activity.model_idle_s(model),
                 )
                 for model in models
             ]
@@ -162,7 +166,9 @@
                     version_by_model=entry.version_by_model,
                     busy=record is not None and record.is_loading(entry, now),
                     retry_at_s=record.at_s + ORDER_RETRY_S if record else 0.0,
-                    in_flight=self._activity.in_flight_count(entry.endpoint),
+                    in_flight_by_model=self._activity.in_flight_by_model(
+                        entry.endpoint
+                    ),
                 )
             )
         return found
--- a/anvilcove/decisions/version_roll.py
+++ b/anvilcove/decisions/version_roll.py
@@ -1,6 +1,6 @@
 """Assignment of models to engines and scheduling of version loads."""
 
-from msgspec import Struct
+from msgspec import Struct, field
 from xxhash import xxh3_64_intdigest
 
 # Share of the engines that may load at the same time. The weight source serves
@@ -8,28 +8,38 @@
 MAX_LOADING_SHARE = 0.4
 # New steps accept versions that are at most this far behind the newest one.
 MAX_USABLE_LAG = 1
+# Engines per model, as a multiple of its equal share. With two shares, half of
+# a model's engines can load a version while the other half runs its items.
+SHARES_PER_MODEL = 2
+# A model without items for this long loads its newest version on all its
+# engines, as nobody waits for them.
+IDLE_MODEL_S = 2.0
 
 
 class EngineVersions(Struct):
     """Loaded versions and state of one engine.
 
     `busy` tells that it is loading a version. No order is given before
-    `retry_at_s`. `in_flight` counts the requests of this daemon there.
+    `retry_at_s`. `in_flight_by_model` counts the items of this daemon there.
     """
 
     endpoint: str
     version_by_model: dict[str, int]
     busy: bool = False
     retry_at_s: float = 0.0
-    in_flight: int = 0
+    in_flight_by_model: dict[str, int] = field(default_factory=dict)
 
 
 class ModelTarget(Struct):
-    """Version that a model should have, and the amount of its work."""
+    """Version that a model should have, and the amount of its work.
+
+    `idle_s` is the time for which none of its items has run.
+    """
 
     model: str
     target: int
     work: float = 1.0
+    idle_s: float = 0.0
 
 
 class LoadOrder(Struct, frozen=True):
@@ -45,28 +55,27 @@
 ) -> list[LoadOrder]:
     """Return the load orders that may be given now.
 
-    An engine pauses its runs while it loads. Steps also accept the version
-    before the newest one, so an engine that has it loads the newest only when
-    it is idle, or while fewer than half of the model's engines have the newest
-    or are loading. The next step follows soon after its version is named: at
-    most half of a model's engines load for it at the same time, so that its
-    longest items can start on the others. An engine that lags further behind
-    is ordered whether it is idle or not.
+    An engine pauses the runs of a model while it loads a version of it, and
+    continues those of other models. A step accepts the newest version at its
+    start and the one before. So the engines of a model form two halves that
+    load in turn: while one half runs a step, the other becomes idle at the
+    end of the step before, and loads in time for the next one.
     """
-    model_by_endpoint = assign_models(needs, engines)
+    endpoints_by_model = assign_models(needs, engines)
     max_orders = max(int(len(engines) * MAX_LOADING_SHARE), 1)
     max_orders -= sum(engine.busy for engine in engines)
+    ordered: set[str] = set()
     orders: list[LoadOrder] = []
     for need in needs:
         assigned = [
             engine
             for engine in engines
-            if model_by_endpoint.get(engine.endpoint) == need.model
+            if engine.endpoint in endpoints_by_model[need.model]
         ]
-        for engine in _engines_to_load(now, need, assigned)[
-            : max(max_orders, 0)
-        ]:
-            max_orders -= 1
+        for engine in _engines_to_load(now, need, assigned):
+            if len(orders) >= max_orders or engine.endpoint in ordered:
+                continue
+            ordered.add(engine.endpoint)
             orders.append(LoadOrder(engine.endpoint, need.model, need.target))
     return orders
 
@@ -74,46 +83,67 @@
 def _engines_to_load(
     now: float, need: ModelTarget, assigned: list[EngineVersions]
 ) -> list[EngineVersions]:
-    """Return the engines of a model that should load now, idle ones first."""
+    """Return the engines of a model that should load now, most urgent first.
+
+    An engine without items of the model loads at once if new steps can't use
+    its version. If they can, it loads only until half of the engines have the
+    newest version, and while the others suffice for the current step. A busy
+    engine loads only if too few can be used otherwise.
+    """
 
     def lag(engine: EngineVersions) -> int:
         return need.target - engine.version_by_model.get(need.model, 0)
 
-    half = (len(assigned) + 1) // 2
-    loading = sum(engine.busy for engine in assigned)
-    still_needed = half - sum(
-        lag(engine) <= 0 or engine.busy for engine in assigned
-    )
+    def running(engine: EngineVersions) -> int:
+        return engine.in_flight_by_model.get(need.model, 0)
+
+    half = max(len(assigned) // 2, 1)
+    usable = sum(lag(e) <= MAX_USABLE_LAG and not e.busy for e in assigned)
+    loading = sum(e.busy for e in assigned)
+    newest = sum(lag(e) <= 0 or e.busy for e in assigned)
+    if need.idle_s >= IDLE_MODEL_S:
+        newest = loading
+    candidates = [
+        e
+        for e in assigned
+        if lag(e) > 0 and not e.busy and e.retry_at_s <= now
+    ]
     to_load: list[EngineVersions] = []
     for engine in sorted(
-        assigned, key=lambda e: (e.in_flight, -lag(e), e.endpoint)
+        candidates, key=lambda e: (running(e), -lag(e), e.endpoint)
     ):
-        if lag(engine) <= 0 or engine.busy or engine.retry_at_s > now:
-            continue
         if lag(engine) > MAX_USABLE_LAG:
+            if not running(engine) or usable + loading + len(to_load) < half:
+                to_load.append(engine)
+        elif not running(engine) and newest < half and usable > half:
             to_load.append(engine)
-        elif not engine.in_flight and loading + len(to_load) < half:
-            to_load.append(engine)
-        elif len(to_load) < still_needed:
-            to_load.append(engine)
+            newest += 1
+            usable -= 1
     return to_load
 
 
 def assign_models(
     needs: list[ModelTarget], engines: list[EngineVersions]
-) -> dict[str, str]:
-    """Return the model whose versions each engine loads.
+) -> dict[str, set[str]]:
+    """Return the engines of each model.
 
-    Each model gets an equal number of engines, as only that many loads of each
-    version are free; the remainder goes to the models with the most work. An
-    engine keeps the model whose newest version it is closest to, so the
-    assignment needs no stored state.
+    Each model gets SHARES_PER_MODEL times its equal share, as its engines load
+    only every second version: no more loads of each version are free than
+    there are engines for one model. An engine keeps the models whose newest
+    versions it is closest to, so the assignment needs no stored state.
     """
     quota = _quotas(needs, len(engines))
+    capacity = dict.fromkeys(
+        (engine.endpoint for engine in engines),
+        min(SHARES_PER_MODEL, len(needs)),
+    )
+    endpoints_by_model: dict[str, set[str]] = {
+        need.model: set() for need in needs
+    }
     pairs = sorted(
         (
             (
-                need.target - engine.version_by_model.get(need.model, 0),
+                max(_lag(need, engine) - MAX_USABLE_LAG, 0),
                 xxh3_64_intdigest(f'{engine.endpoint}/{need.model}'.encode()),
                 engine.endpoint,
                 need.model,
@@ -123,18 +153,24 @@
             if need.model in engine.version_by_model
         ),
     )
-    model_by_endpoint: dict[str, str] = {}
     for _, _, endpoint, model in pairs:
-        if endpoint not in model_by_endpoint and quota[model] > 0:
-            model_by_endpoint[endpoint] = model
+        if capacity[endpoint] > 0 and quota[model] > 0:
+            endpoints_by_model[model].add(endpoint)
+            capacity[endpoint] -= 1
             quota[model] -= 1
-    return model_by_endpoint
+    return endpoints_by_model
+
+
+def _lag(need: ModelTarget, engine: EngineVersions) -> int:
+    return need.target - engine.version_by_model.get(need.model, 0)
 
 
 def _quotas(needs: list[ModelTarget], engine_count: int) -> dict[str, int]:
+    """Return the number of engines of each model."""
     if not needs:
         return {}
-    share, remainder = divmod(engine_count, len(needs))
+    shares = min(SHARES_PER_MODEL, len(needs)) * engine_count
+    share, remainder = divmod(shares, len(needs))
     quota = {need.model: share for need in needs}
     for need in sorted(needs, key=lambda need: (-need.work, need.model))[
         :remainder
--- a/anvilcove/jobs/engine_records.py
+++ b/anvilcove/jobs/engine_records.py
@@ -1,6 +1,7 @@
 """Statistics of engines, gathered by running items on them."""
 
 from collections import deque
+from collections.abc import Iterable
 
 from loguru import logger
 
@@ -141,6 +142,10 @@
             record = self._by_endpoint[endpoint] = EngineRecord()
         return record
 
+    def values(self) -> Iterable[EngineRecord]:
+        """Return the statistics of each known engine."""
+        return self._by_endpoint.values()
+
     def prune(self) -> None:
         """Drop engines that have left the registry and run no items."""
         known = self._registry.entry_by_endpoint
--- a/anvilcove/jobs/engine_slots.py
+++ b/anvilcove/jobs/engine_slots.py
@@ -97,6 +97,7 @@
         '_sequence',
         '_engine_by_group',
         '_runs',
+        '_used_at_s_by_model',
     )
 
     def __init__(
@@ -118,6 +119,8 @@
         self._sequence = itertools.count()
         self._engine_by_group: OrderedDict[str, str] = OrderedDict()
         self._runs: dict[str, RunHandle] = {}
+        # When an item of a model last held or waited for a slot.
+        self._used_at_s_by_model: dict[str, float] = {}
 
     async def run(self) -> None:
         """Assign slots and move items off slow engines until cancelled."""
@@ -134,6 +137,7 @@
 
         The caller must call `release` afterwards.
         """
+        self._used_at_s_by_model[requirements.model] = self._clock.now()
         if not self._waiting:
             entry = self._try_assign(requirements, self._paces())
             if entry is not None:
@@ -161,6 +165,23 @@
         """Return the number of items of this daemon on an engine."""
         return self.engine_records.get_or_create(endpoint).in_flight
 
+    def in_flight_by_model(self, endpoint: str) -> dict[str, int]:
+        """Return the number of items of each model on an engine."""
+        return self.engine_records.get_or_create(endpoint).in_flight_by_model
+
+    def model_idle_s(self, model: str) -> float:
+        """Return the time for which this daemon has run no item of a model.
+
+        It is infinite if there was none.
+        """
+        if any(
+            record.in_flight_by_model.get(model)
+            for record in self.engine_records.values()
+        ):
+            return 0.0
+        used_at_s = self._used_at_s_by_model.get(model, float('-inf'))
+        return self._clock.now() - used_at_s
+
     def mark_loading(self, endpoint: str, model: str, version: int) -> None:
         """Skip an engine until it has probably loaded its new version."""
         self.engine_records.mark_loading(endpoint, model, version)
@@ -170,6 +191,7 @@
         self.engine_records.get_or_create(endpoint).add_item(
             requirements.model, requirements.long_item, -1
         )
+        self._used_at_s_by_model[requirements.model] = self._clock.now()
         self.assign_waiting()
 
     def assign_waiting(self) -> None:
--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -124,7 +124,7 @@
             self._stop_ended()
             if self.closing or self._watch.age_s() > MAX_VIEW_AGE_S:
                 continue
-            await self._take_over_assigned()
+            self._take_over_assigned()
             for job in self._jobs_view.abandoned():
                 if job.head.job_id not in self._pending_takeovers:
                     self._pending_takeovers.add(job.head.job_id)
@@ -137,7 +137,7 @@
             *(run.hand_over() for run in list(self.runs.values()))
         )
 
-    async def _take_over_assigned(self) -> None:
+    def _take_over_assigned(self) -> None:
         """Take over jobs whose row names this host as their owner.
 
         They are newly assigned or were owned by an earlier process.
@@ -152,7 +152,8 @@
             reason = (
                 'assigned' if same_process else 'an earlier start owned it'
             )
-            await self.take_over(job, reason)
+            if head.job_id not in self.being_taken_over:
+                self.spawn(self.take_over(job, reason))
 
     async def _take_over_abandoned(self, job: VersionedJob) -> None:
         """Take over an abandoned job unless another daemon does so first."""
