Shorten the waits of a step: watches, a partly silent store, lost daemons

Cause, from the timelines: 0.1 to 0.2 s between the ask of a step and its start, and 0.06 s between a commit and its read, were pauses of the watches; after an outage of some partitions of the store the jobs view waited for the full timeout of 1.5 s, at a start also for the partitions that were silent; a daemon that had just started gave a job to one that was replaced 30 s before.

--- a/anvilcove/control/nodes.py
+++ b/anvilcove/control/nodes.py
@@ -121,6 +121,16 @@
                 found.append(node)
         return found
 
+    def silent_hosts(self, silent_s: float) -> list[str]:
+        """Return the other hosts whose rows have not changed for so long."""
+        now = self.rows_read_at()
+        return [
+            host
+            for host in self.by_host
+            if host != self._settings.host
+            and self._heartbeat_watch.unrenewed_s(host, now) >= silent_s
+        ]
+
     def heartbeat_age_s(self, host: str, now: float) -> float:
         """Return the seconds since a daemon's row last changed."""
         return round(self._heartbeat_watch.unrenewed_s(host, now), 2)
--- a/anvilcove/control/relay.py
+++ b/anvilcove/control/relay.py
@@ -29,6 +29,10 @@
 # expire.
 EARLY_TIMEOUT_S = 0.4
 EARLY_TIMEOUT_FACTOR = 4.0
+# A call is also abandoned after this long, or the same multiple of the typical
+# latency, if the store answers other calls: it may serve only some of its
+# partitions, and a call that is repeated is answered as soon as it serves all.
+PARTIAL_TIMEOUT_S = 0.6
 # Weight of the newest call in the moving average of the latency.
 LATENCY_SMOOTHING = 0.1
 # Statuses of the answers to relayed calls.
@@ -118,6 +122,8 @@
             self._set_failed(error)
             return await self._send_through_peers(call, error)
         except StoreAnswerLost as error:
+            if self._answers_other_calls():
+                raise
             self._set_failed(error)
             if call.write:
                 raise
@@ -152,17 +158,29 @@
         call: StoreCall,
         started_at_s: float,
     ) -> None:
-        """Wait for the answer, at most until the store counts as silent."""
+        """Wait for the answer, at most until the store counts as silent.
+
+        The whole store is silent if it answers no call, a part of it if it
+        answers others.
+        """
         while not sending.done():
-            silence_limit_s = call.expected_s + max(
-                EARLY_TIMEOUT_S, EARLY_TIMEOUT_FACTOR * self._typical_latency_s
-            )
+            slow_s = EARLY_TIMEOUT_FACTOR * self._typical_latency_s
             silent_since_s = max(started_at_s, self._answered_at_s)
-            remaining_s = silent_since_s + silence_limit_s - self._clock.now()
+            limit_at_s = call.expected_s + min(
+                silent_since_s + max(EARLY_TIMEOUT_S, slow_s),
+                started_at_s + max(PARTIAL_TIMEOUT_S, slow_s),
+            )
+            remaining_s = limit_at_s - self._clock.now()
             if remaining_s <= 0:
                 return
             await asyncio.wait([sending], timeout=remaining_s)
 
+    def _answers_other_calls(self) -> bool:
+        silent_s = self._clock.now() - self._answered_at_s
+        return silent_s < max(
+            EARLY_TIMEOUT_S, EARLY_TIMEOUT_FACTOR * self._typical_latency_s
+        )
+
     def _record_answer(self, call: StoreCall, started_at_s: float) -> None:
         self._answered_at_s = self._clock.now()
         if call.expected_s == 0:
@@ -269,6 +287,7 @@
             self._set_failed(error)
             return web.Response(status=STATUS_NOT_EXECUTED)
         except StoreAnswerLost as error:
-            self._set_failed(error)
+            if not self._answers_other_calls():
+                self._set_failed(error)
             return web.Response(status=STATUS_OUTCOME_UNKNOWN)
         return web.Response(body=msgpack.encode(reply))
--- a/anvilcove/control/watch.py
+++ b/anvilcove/control/watch.py
@@ -1,5 +1,6 @@
 """Watch on the rows of a store table."""
 
+import asyncio
 import random
 from collections.abc import Callable
 
@@ -14,6 +15,11 @@
 LONG_POLL_S = 0.7
 # Pause between two calls, which bounds the call rate on a busy table.
 POLL_PAUSE_S = 0.12
+# Bounds of the pause of a watch that follows the load of the store.
+MIN_POLL_PAUSE_S = 0.03
+MAX_POLL_PAUSE_S = 0.3
+# Share of the store's rate of reads that all watches of one busy table use.
+READ_RATE_SHARE = 0.2
 RETRY_DELAY_S = 0.15
 # A full table read takes place this often, whatever the watch has delivered.
 FULL_READ_PERIOD_S = 10.0
@@ -22,6 +28,13 @@
 # may have been missed.
 MAX_ANSWER_GAP_S = 1.5
 
+
+def poll_pause_s(daemons: int, reads_per_s: float) -> float:
+    """Return the pause that keeps the watches of one table to their share."""
+    pause_s = daemons / max(reads_per_s * READ_RATE_SHARE, 1.0)
+    return min(max(pause_s, MIN_POLL_PAUSE_S), MAX_POLL_PAUSE_S)
+
+
 OnRows = Callable[[list[StoredRow], bool], None]
 OnGap = Callable[[], None] | None
 
@@ -44,6 +57,8 @@
         '_rng',
         '_on_rows',
         '_on_gap',
+        '_unread_partitions',
+        'pause_s',
     )
 
     def __init__(
@@ -71,6 +86,10 @@
         self._rng = rng
         self._on_rows = on_rows
         self._on_gap = on_gap
+        # Partitions that the store did not answer for in the last full read.
+        self._unread_partitions: set[str] = set()
+        # Returns the seconds between two calls.
+        self.pause_s: Callable[[], float] = lambda: POLL_PAUSE_S
         self.store_ms = 0.0
         self.store_ms_at_s = 0.0
 
@@ -92,8 +111,10 @@
                     await self._read_all()
                     full_read_at_s = now + self._rng.uniform(0.0, 1.0)
                 else:
-                    await self._read_changes()
-                await self._clock.sleep(POLL_PAUSE_S)
+                    await asyncio.gather(
+                        self._read_changes(), self._read_unread()
+                    )
+                await self._clock.sleep(self.pause_s())
             except HistoryLost:
                 logger.bind(table=self.table, version=self.version).info(
                     'table history lost, full read follows'
@@ -108,16 +129,43 @@
                 )
 
     async def _read_all(self) -> None:
+        """Read all partitions; apply what was read if some do not answer."""
         sent_at_s = self._clock.now()
         rows: list[StoredRow] = []
         version: int | None = None
+        self._unread_partitions.clear()
         for partition in self.partitions:
-            page = await self._store.read_range(self.table, partition)
+            try:
+                page = await self._store.read_range(self.table, partition)
+            except (StoreUnavailable, StoreAnswerLost) as error:
+                if len(self.partitions) == 1:
+                    raise
+                self._log_unread(partition, error)
+                continue
             rows += page.rows
             version = page.version if version is None else version
             self._record_answer(sent_at_s, page)
-        self.version = max(version or 0, self.version)
-        self._on_rows(rows, True)
+        if version is None:
+            raise StoreUnavailable(f'no partition of {self.table} answers')
+        self.version = max(version, self.version)
+        self._on_rows(rows, not self._unread_partitions)
+
+    async def _read_unread(self) -> None:
+        """Try the partitions again that a full read could not read."""
+        for partition in list(self._unread_partitions):
+            try:
+                page = await self._store.read_range(self.table, partition)
+            except (StoreUnavailable, StoreAnswerLost) as error:
+                self._log_unread(partition, error)
+                continue
+            self._unread_partitions.discard(partition)
+            self._on_rows(page.rows, False)
+
+    def _log_unread(self, partition: str, error: Exception) -> None:
+        self._unread_partitions.add(partition)
+        logger.bind(
+            table=self.table, partition=partition, reason=str(error)
+        ).info('partition not read')
 
     async def _read_changes(self) -> None:
         sent_at_s = self._clock.now()
--- a/anvilcove/jobs/board.py
+++ b/anvilcove/jobs/board.py
@@ -19,12 +19,21 @@
     that were ended.
     """
 
-    __slots__ = ('by_id', 'ended', '_clock', '_lease_watch', '_listeners')
+    __slots__ = (
+        'by_id',
+        'ended',
+        'changed',
+        '_clock',
+        '_lease_watch',
+        '_listeners',
+    )
 
     def __init__(self, clock: Clock) -> None:
         """Start without jobs."""
         self.by_id: dict[str, VersionedJob] = {}
         self.ended: set[str] = set()
+        # Set at each change; whoever waits for it clears it.
+        self.changed = asyncio.Event()
         self._clock = clock
         self._lease_watch = LeaseWatch(LEASE_S)
         self._listeners: dict[str, set[asyncio.Event]] = {}
@@ -107,5 +116,6 @@
                 self._listeners.pop(job_id, None)
 
     def _notify(self, job_id: str) -> None:
+        self.changed.set()
         for event in self._listeners.get(job_id, ()):
             event.set()
--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -120,7 +120,7 @@
     async def run(self) -> None:
         """Take over abandoned jobs and stop ended ones until cancelled."""
         while True:
-            await self._clock.sleep(POLL_PERIOD_S)
+            await self._wait_for_change()
             self._stop_ended()
             if self.closing or self._watch.age_s() > MAX_VIEW_AGE_S:
                 continue
@@ -130,6 +130,16 @@
                     self._pending_takeovers.add(job.head.job_id)
                     self.spawn(self._take_over_abandoned(job))
 
+    async def _wait_for_change(self) -> None:
+        """Wait for a change of the jobs table, at most POLL_PERIOD_S."""
+        changed = self._jobs_view.changed
+        try:
+            async with asyncio.timeout(POLL_PERIOD_S):
+                await changed.wait()
+        except TimeoutError:
+            return
+        changed.clear()
+
     async def close(self) -> None:
         """Stop taking jobs over and hand over all owned jobs."""
         self.closing = True
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -10,9 +10,10 @@
 from anvilcove.control.desired import DesiredStateView
 from anvilcove.control.endpoints import EndpointRegistry
 from anvilcove.control.leases import Lease
+from anvilcove.control.node_sweep import NodeSweeper
 from anvilcove.control.nodes import NODES_TABLE, Announcer, NodeDirectory
 from anvilcove.control.versions import VersionUpdater
-from anvilcove.control.watch import OnGap, OnRows, TableWatch
+from anvilcove.control.watch import OnGap, OnRows, TableWatch, poll_pause_s
 from anvilcove.jobs.board import JobsView
 from anvilcove.jobs.engine_slots import EngineSlots
 from anvilcove.jobs.intake import JobIntake
@@ -82,6 +83,9 @@
         self.watches = self._build_watches()
         nodes_watch = self.watches['nodes']
         self.nodes.rows_read_at = lambda: nodes_watch.answered_at_s
+        # Steps wait for changes of these two tables.
+        for name in ('operator', 'jobs'):
+            self.watches[name].pause_s = self._busy_poll_pause_s
         self._build_requests()
         self._build_jobs()
         self._build_control()
@@ -107,6 +111,7 @@
             self.slots.run(),
             self.owner.run(),
             self.sweeper.run(),
+            self.node_sweeper.run(),
             self._expire_endpoints(),
         ]
 
@@ -257,6 +262,12 @@
             self._holds_orders_lease,
             self._desired_state,
         )
+        self.node_sweeper = NodeSweeper(
+            self.nodes,
+            dependencies.store,
+            dependencies.clock,
+            self._holds_orders_lease,
+        )
         self.lease = Lease(
             ORDERS_LEASE,
             settings.host,
@@ -278,6 +289,11 @@
             self.jobs_view.tokens_of_model,
         )
 
+    def _busy_poll_pause_s(self) -> float:
+        return poll_pause_s(
+            len(self.nodes.by_host), self.settings.store.reads_per_s
+        )
+
     def _log_context(self) -> dict[str, float]:
         """Return version and age of the state that decisions are based on."""
         version, age_s = self._desired_state()
--- a/anvilcove/platform/settings.py
+++ b/anvilcove/platform/settings.py
@@ -70,6 +70,7 @@
         row_bytes=int(platform.get('row-bytes', defaults.row_bytes)),
         cross_part=bool(platform.get('cross-shard', defaults.cross_part)),
         object_bytes=int(platform.get('blob-bytes', defaults.object_bytes)),
+        reads_per_s=float(platform.get('reads-per-s', defaults.reads_per_s)),
     )
 
 
--- a/anvilcove/platform/store.py
+++ b/anvilcove/platform/store.py
@@ -220,6 +220,8 @@
 
 def _decode_rows(data: dict[str, Any]) -> list[StoredRow]:
     rows = data.get('rows', [])
+    if not isinstance(rows, list):
+        raise StoreAnswerLost('malformed answer of the store: rows')
     found = [_decode_row(row) for row in rows if isinstance(row, dict)]
     return [row for row in found if row is not None]
 
--- a/anvilcove/settings/node.py
+++ b/anvilcove/settings/node.py
@@ -31,6 +31,8 @@
     row_bytes: int = 65_536
     cross_part: bool = False
     object_bytes: int = 8_388_608
+    # Reads that all daemons together may make.
+    reads_per_s: float = 1000.0
 
 
 class NodeSettings(Struct):
