Hand the orders lease over without a pause, to a daemon that stays

Change: a holder announces in the row of the lease which engines it is about to order, and orders them within 0.5 s. Work goes first to daemons that were stopped and started as planned a short time ago, as the others may still be stopped.

--- a/anvilcove/control/leases.py
+++ b/anvilcove/control/leases.py
@@ -1,10 +1,12 @@
 """Lease in the store that elects one daemon for a task."""
 
+import asyncio
 import random
 from collections.abc import Callable
 
 from loguru import logger
-from msgspec import Struct, msgpack
+from msgspec import Struct, field, msgpack
+from msgspec.structs import replace
 
 from anvilcove.control.row_values import decode_value
 from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
@@ -33,26 +35,40 @@
 FAST_POLL_RANKS = 3
 FAST_POLL_S = 0.3
 SLOW_POLL_S = 1.5
+# The holder acts on a resource within this time after it announced that.
+USE_WINDOW_S = 0.5
+
+
+class ResourceUse(Struct, array_like=True):
+    """Announcement that a holder is about to act on a resource."""
+
+    holder: str
+    # Time of the store's clock in milliseconds.
+    announced_ms: float
 
 
 class LeaseRow(Struct):
     """Stored lease; an empty `holder` means that it was released.
 
     `nonce` identifies the process that holds it, `fence` grows with each
-    acquisition, and `beat` counts the renewals since then.
+    acquisition, and `beat` counts the renewals since then. `use_by_resource`
+    holds the recent announcements of this holder and of earlier ones.
     """
 
     holder: str
     nonce: str
     fence: int
     beat: int
+    use_by_resource: dict[str, ResourceUse] = field(default_factory=dict)
 
 
 class Lease:
     """Lease that this daemon holds or tries to acquire.
 
-    `handover_gap_s` is the minimum time between the last action of a holder
-    and the first one of its successor.
+    `handover_gap_s` is the minimum time between the last action of a holder on
+    a resource and the first one of its successor. A holder announces the
+    resources in the row before it acts on them, so that a successor need not
+    wait for the others.
     """
 
     __slots__ = (
@@ -66,10 +82,14 @@
         '_clock',
         '_rng',
         '_holder_watch',
-        '_released_watch',
         '_version',
         '_valid_until_s',
         '_released',
+        '_use_by_resource',
+        '_announced_at_s',
+        '_store_ms',
+        '_store_ms_at_s',
+        '_write_lock',
     )
 
     def __init__(
@@ -93,14 +113,17 @@
         self._store = store
         self._clock = clock
         self._rng = rng
-        self._holder_watch = LeaseWatch(
-            LEASE_DURATION_S + handover_gap_s + TAKEOVER_MARGIN_S
-        )
-        # A holder that has released the lease no longer acts under it.
-        self._released_watch = LeaseWatch(handover_gap_s + TAKEOVER_MARGIN_S)
+        self._holder_watch = LeaseWatch(LEASE_DURATION_S + TAKEOVER_MARGIN_S)
         self._version = 0
         self._valid_until_s = float('-inf')
         self._released = False
+        self._use_by_resource: dict[str, ResourceUse] = {}
+        # Times of this holder's own announcements.
+        self._announced_at_s: dict[str, float] = {}
+        # Store time of the last answer, and when it arrived.
+        self._store_ms = 0.0
+        self._store_ms_at_s = 0.0
+        self._write_lock = asyncio.Lock()
 
     def fence(self) -> int | None:
         """Return the fencing token, or None while the lease is not held."""
@@ -108,6 +131,57 @@
             return None
         return self.row.fence if self.row else None
 
+    async def announce(self, resources: list[str]) -> bool:
+        """Write that this holder is about to act on resources.
+
+        Returns whether it still holds the lease. Raises StoreUnavailable or
+        StoreAnswerLost.
+        """
+        announced_at_s = self._clock.now()
+        now_ms = self._estimated_store_ms()
+        for resource in resources:
+            self._use_by_resource[resource] = ResourceUse(self._host, now_ms)
+        if self.fence() is None or not await self._renew():
+            return False
+        self._announced_at_s.update(dict.fromkeys(resources, announced_at_s))
+        return True
+
+    def may_act_on(self, resource: str) -> bool:
+        """Tell whether the holder may act on an announced resource now."""
+        announced_at_s = self._announced_at_s.get(resource, float('-inf'))
+        return (
+            self.fence() is not None
+            and self._clock.now() - announced_at_s <= USE_WINDOW_S
+        )
+
+    def blocked_s(self, resource: str) -> float:
+        """Return for how long earlier holders keep this one off a resource."""
+        use = self._use_by_resource.get(resource)
+        if use is None or use.holder == self._host:
+            return 0.0
+        age_s = (self._estimated_store_ms() - use.announced_ms) / 1000
+        return max(self._use_block_s() - age_s, 0.0)
+
+    def _use_block_s(self) -> float:
+        return USE_WINDOW_S + self._handover_gap_s + TAKEOVER_MARGIN_S
+
+    def _estimated_store_ms(self) -> float:
+        elapsed_s = self._clock.now() - self._store_ms_at_s
+        return self._store_ms + elapsed_s * 1000
+
+    def _record_store_time(self, store_ms: float) -> None:
+        self._store_ms = store_ms
+        self._store_ms_at_s = self._clock.now()
+
+    def _recent_uses(self) -> dict[str, ResourceUse]:
+        """Return the announcements that a successor must still respect."""
+        oldest_ms = self._estimated_store_ms() - self._use_block_s() * 1000
+        return {
+            resource: use
+            for resource, use in self._use_by_resource.items()
+            if use.announced_ms > oldest_ms
+        }
+
     async def run(self) -> None:
         """Renew or try to acquire the lease until it is released."""
         while not self._released:
@@ -120,7 +194,6 @@
                 # Renewals by another holder could not be seen either, so this
                 # time does not count against it.
                 self._holder_watch.reset()
-                self._released_watch.reset()
                 logger.bind(lease=self.name, reason=str(error)).info(
                     'lease not renewed'
                 )
@@ -137,25 +210,40 @@
         return delay_s * self._rng.uniform(1.0, 2.0)
 
     async def release(self) -> None:
-        """Release the lease; a successor still waits for the handover gap."""
+        """Release the lease; announced resources stay blocked for a while."""
         held = self.fence() is not None
         self._released = True
         if not held or self.row is None:
             return
-        released = LeaseRow('', '', self.row.fence, self.row.beat + 1)
         try:
-            await self._write(released)
+            async with self._write_lock:
+                await self._write(
+                    replace(
+                        self.row,
+                        holder='',
+                        nonce='',
+                        beat=self.row.beat + 1,
+                        use_by_resource=self._recent_uses(),
+                    )
+                )
         except (StoreUnavailable, StoreAnswerLost) as error:
             logger.bind(lease=self.name, reason=str(error)).info(
                 'lease not released'
             )
 
-    async def _renew(self) -> None:
-        assert self.row is not None
-        row = self.row
-        renewed = LeaseRow(row.holder, row.nonce, row.fence, row.beat + 1)
-        if not await self._write_and_hold(renewed):
+    async def _renew(self) -> bool:
+        async with self._write_lock:
+            if self.row is None:
+                return False
+            renewed = replace(
+                self.row,
+                beat=self.row.beat + 1,
+                use_by_resource=self._recent_uses(),
+            )
+            if await self._write_and_hold(renewed):
+                return True
             self._mark_lost('another daemon wrote the row')
+            return False
 
     async def _try_acquire(self) -> None:
         if self.row is not None:
@@ -163,6 +251,7 @@
         page = await self._store.read_range(
             LEASES_TABLE, '', self.name, self.name + '\0'
         )
+        self._record_store_time(page.store_ms)
         current = decode_value(page.rows[0], LeaseRow) if page.rows else None
         self._version = page.rows[0].version if page.rows else 0
         if current is not None and current.nonce == self._nonce:
@@ -180,13 +269,16 @@
             # ended. Orders name the host as their holder, so both
             # processes count as one holder and no wait is needed.
             same_host = current.holder == self._host
-            watch = (
-                self._holder_watch if current.holder else self._released_watch
-            )
-            if not watch.expired(self.name, renewal, now) and not same_host:
+            expired = self._holder_watch.expired(self.name, renewal, now)
+            if current.holder and not expired and not same_host:
                 return
-        acquired = LeaseRow(self._host, self._nonce, fence + 1, 0)
-        if await self._write_and_hold(acquired):
+            self._use_by_resource = dict(current.use_by_resource)
+        acquired = LeaseRow(
+            self._host, self._nonce, fence + 1, 0, self._recent_uses()
+        )
+        async with self._write_lock:
+            taken = await self._write_and_hold(acquired)
+        if taken:
             logger.bind(lease=self.name, fence=acquired.fence).log(
                 DECISION, 'lease taken'
             )
@@ -206,7 +298,7 @@
                 return True
             if conflict.nonce != self._nonce or conflict.fence != row.fence:
                 return False
-            row = LeaseRow(row.holder, row.nonce, row.fence, conflict.beat + 1)
+            row = replace(row, beat=conflict.beat + 1)
         return False
 
     async def _write(self, row: LeaseRow) -> LeaseRow | None:
@@ -218,6 +310,7 @@
                 writes=[RowWrite(row_id, msgpack.encode(row))],
             )
         )
+        self._record_store_time(outcome.store_ms)
         if outcome.applied:
             self._version = outcome.version
             return None
--- a/anvilcove/control/nodes.py
+++ b/anvilcove/control/nodes.py
@@ -28,6 +28,8 @@
 # The default owner of new jobs must have sent a heartbeat within this time:
 # a job that is given to a dead daemon starts about 1 s late.
 OWNER_TIMEOUT_S = 1.8
+# Heartbeats for which a daemon counts as recently restarted.
+RECENT_HEARTBEATS = 300
 # Callers accept up to this many addresses in a lookup answer.
 MAX_ADDRESSES = 64
 
@@ -52,6 +54,13 @@
     # Version of its desired state, and how long ago it last read the table.
     desired_state: int = 0
     desired_state_age_s: float = 0.0
+    # Whether the process before this one on the host had left as planned.
+    planned_restart: bool = False
+
+    @property
+    def recently_restarted(self) -> bool:
+        """Tell whether the daemon was stopped and started a while ago."""
+        return self.planned_restart and self.beat <= RECENT_HEARTBEATS
 
 
 class NodeDirectory:
@@ -188,7 +197,14 @@
         hosts = (
             [*by_host, self._settings.host] if include_self else list(by_host)
         )
-        return by_host.get(fallback_owner(hosts))
+        return by_host.get(fallback_owner(hosts, self._restarted_hosts()))
+
+    def _restarted_hosts(self) -> set[str]:
+        return {
+            host
+            for host, node in self.by_host.items()
+            if node.recently_restarted and not node.leaving
+        }
 
     def takeover_rank(self, excluded_host: str = '') -> int:
         """Return how many daemons precede this one in taking work over.
@@ -198,7 +214,12 @@
         alive = [node for node in self.alive() if node.host != excluded_host]
         preferred = next((node.host for node in alive if node.orders), '')
         own = self._settings.host
-        return takeover_rank(own, preferred, (node.host for node in alive))
+        return takeover_rank(
+            own,
+            preferred,
+            (node.host for node in alive),
+            self._restarted_hosts(),
+        )
 
     def caller_addresses(
         self, region: str, own_ready: bool, rng: random.Random
@@ -262,12 +283,26 @@
 
     async def run(self) -> None:
         """Write a heartbeat every HEARTBEAT_PERIOD_S, without end."""
+        await self._read_former_row()
         while True:
             written = await self.write_heartbeat()
             await self._clock.sleep(
                 HEARTBEAT_PERIOD_S if written else HEARTBEAT_RETRY_S
             )
 
+    async def _read_former_row(self) -> None:
+        """Find out whether the process before this one left as planned."""
+        host = self._row.host
+        try:
+            page = await self._store.read_range(
+                NODES_TABLE, '', host, host + '\0'
+            )
+        except (StoreUnavailable, StoreAnswerLost) as error:
+            logger.bind(reason=str(error)).info('former row not read')
+            return
+        former = decode_value(page.rows[0], NodeRow) if page.rows else None
+        self._row.planned_restart = former is not None and former.leaving
+
     async def leave(self) -> None:
         """Announce that this daemon is leaving; try up to twice."""
         self._row.leaving = True
--- a/anvilcove/control/versions.py
+++ b/anvilcove/control/versions.py
@@ -21,7 +21,11 @@
     EngineClient,
     VersionOrder,
 )
-from anvilcove.ports.errors import EndpointError
+from anvilcove.ports.errors import (
+    EndpointError,
+    StoreAnswerLost,
+    StoreUnavailable,
+)
 from anvilcove.state.clock import Clock
 from anvilcove.telemetry.logs import DECISION
 
@@ -139,9 +143,7 @@
             ]
             now = self._clock.now()
             orders = plan_loads(now, targets, self._engine_versions(service))
-            await asyncio.gather(
-                *(self._place_order(order) for order in orders)
-            )
+            await self._place_orders(orders)
 
     def _models_by_service(self) -> dict[str, tuple[str, ...]]:
         state = self._desired.current
@@ -165,7 +167,7 @@
                     endpoint=entry.endpoint,
                     version_by_model=entry.version_by_model,
                     busy=record is not None and record.is_loading(entry, now),
-                    retry_at_s=record.at_s + ORDER_RETRY_S if record else 0.0,
+                    retry_at_s=self._retry_at_s(record, entry, now),
                     in_flight_by_model=self._activity.in_flight_by_model(
                         entry.endpoint
                     ),
@@ -173,17 +175,59 @@
             )
         return found
 
-    async def _place_order(self, wanted: LoadOrder) -> None:
+    def _retry_at_s(
+        self, record: OrderRecord | None, entry: EndpointEntry, now: float
+    ) -> float:
+        """Return the time before which an engine gets no order."""
+        blocked_s = self._lease.blocked_s(entry.endpoint)
+        if blocked_s > 0:
+            return now + blocked_s
+        return record.at_s + ORDER_RETRY_S if record else 0.0
+
+    async def _place_orders(self, wanted: list[LoadOrder]) -> None:
+        """Announce the orders in the lease, then send them."""
+        counts = await asyncio.gather(
+            *(self._prepare_order(order) for order in wanted)
+        )
+        prepared = [
+            (order, count)
+            for order, count in zip(wanted, counts, strict=True)
+            if count is not None
+        ]
+        if not prepared:
+            return
+        endpoints = [order.endpoint for order, _ in prepared]
+        try:
+            if not await self._lease.announce(endpoints):
+                return
+        except (StoreUnavailable, StoreAnswerLost) as error:
+            logger.bind(endpoints=endpoints, reason=str(error)).info(
+                'version orders not announced'
+            )
+            return
+        await asyncio.gather(
+            *(self._place_order(order, count) for order, count in prepared)
+        )
+
+    async def _prepare_order(self, wanted: LoadOrder) -> int | None:
+        """Return the engine's order count, None if no order can be sent."""
         entry = self._registry.entry_by_endpoint.get(wanted.endpoint)
         if entry is None:
-            return
+            return None
         record = OrderRecord(wanted, self._clock.now())
         self._orders[entry.endpoint] = record
         count = self._order_count_by_endpoint.get(entry.endpoint)
         if count is None:
             count = await self._read_order_count(entry, record)
+        return count
+
+    async def _place_order(self, wanted: LoadOrder, count: int) -> None:
+        entry = self._registry.entry_by_endpoint.get(wanted.endpoint)
+        record = self._orders.get(wanted.endpoint)
         fence = self._lease.fence()
-        if count is None or fence is None:
+        if entry is None or record is None or fence is None:
+            return
+        if not self._lease.may_act_on(wanted.endpoint):
             return
         order = VersionOrder(
             model=wanted.model,
