--- a/anvilcove/decisions/version_roll.py
+++ b/anvilcove/decisions/version_roll.py
@@ -64,26 +64,37 @@
     endpoints_by_model = assign_models(needs, engines)
     max_orders = max(int(len(engines) * MAX_LOADING_SHARE), 1)
     max_orders -= sum(engine.busy for engine in engines)
-    ordered: set[str] = set()
-    orders: list[LoadOrder] = []
+    wanted: list[_WantedLoad] = []
     for need in needs:
         assigned = [
             engine
             for engine in engines
             if engine.endpoint in endpoints_by_model[need.model]
         ]
-        for engine in _engines_to_load(now, need, assigned):
-            if len(orders) >= max_orders or engine.endpoint in ordered:
-                continue
-            ordered.add(engine.endpoint)
-            orders.append(LoadOrder(engine.endpoint, need.model, need.target))
-    return orders
+        wanted += _wanted_loads(now, need, assigned)
+    # Models with the fewest usable engines come first.
+    wanted.sort(key=lambda load: load.usable_share)
+    orders: dict[str, LoadOrder] = {}
+    for load in wanted:
+        if len(orders) < max_orders:
+            orders.setdefault(load.order.endpoint, load.order)
+    return list(orders.values())
+
 
+class _WantedLoad(Struct):
+    """Load that a model would order, with its share of usable engines.
+
+    The share counts the loads of the same model that are ordered before it.
+    """
 
-def _engines_to_load(
+    order: LoadOrder
+    usable_share: float
+
+
+def _wanted_loads(
     now: float, need: ModelTarget, assigned: list[EngineVersions]
-) -> list[EngineVersions]:
-    """Return the engines of a model that should load now, most urgent first.
+) -> list[_WantedLoad]:
+    """Return the loads of a model that should start now, most urgent first.
 
     An engine without items of the model loads at once if new steps can't use
     its version. If they can, it loads only until half of the engines have the
@@ -92,7 +103,7 @@
     """
 
     def lag(engine: EngineVersions) -> int:
-        return need.target - engine.version_by_model.get(need.model, 0)
+        return _lag(need, engine)
 
     def running(engine: EngineVersions) -> int:
         return engine.in_flight_by_model.get(need.model, 0)
@@ -108,18 +119,22 @@
         for e in assigned
         if lag(e) > 0 and not e.busy and e.retry_at_s <= now
     ]
-    to_load: list[EngineVersions] = []
+    wanted: list[_WantedLoad] = []
     for engine in sorted(
         candidates, key=lambda e: (running(e), -lag(e), e.endpoint)
     ):
-        if lag(engine) > MAX_USABLE_LAG:
-            if not running(engine) or usable + loading + len(to_load) < half:
-                to_load.append(engine)
-        elif not running(engine) and newest < half and usable > half:
-            to_load.append(engine)
+        ready = usable + loading + len(wanted)
+        outdated = lag(engine) > MAX_USABLE_LAG
+        if outdated and running(engine) and ready >= half:
+            continue
+        if not outdated:
+            if running(engine) or newest >= half or usable <= half:
+                continue
             newest += 1
             usable -= 1
-    return to_load
+        order = LoadOrder(engine.endpoint, need.model, need.target)
+        wanted.append(_WantedLoad(order, ready / len(assigned)))
+    return wanted
 
 
 def assign_models(
--- a/anvilcove/jobs/engine_records.py
+++ b/anvilcove/jobs/engine_records.py
@@ -18,6 +18,9 @@
 # The usual interval of an engine is this quantile of its event intervals. It
 # is low because prompts of new items lengthen the intervals of all others.
 USUAL_QUANTILE = 0.25
+# Events whose mean interval is one sample of the usual interval. Single events
+# may be read late, together with the next one.
+EVENTS_PER_SAMPLE = 6
 # Relative step of the usual interval per sample.
 QUANTILE_STEP = 0.04
 # An engine has turned slow if its recent intervals are this multiple of the
@@ -105,6 +108,9 @@
         """Record an event interval."""
         self.event_intervals_s.append(seconds)
         self.last_interval_at_s = now
+
+    def add_mean_interval(self, seconds: float) -> None:
+        """Update the usual interval with a mean over several events."""
         usual_s = self.usual_interval_s or seconds
         if seconds > usual_s:
             self.usual_interval_s = usual_s * (
@@ -124,6 +130,31 @@
         self.long_items += count * long_item
 
 
+class IntervalMeter:
+    """Mean event interval of one run, over EVENTS_PER_SAMPLE events each."""
+
+    __slots__ = ('_sum_s', '_count')
+
+    def __init__(self) -> None:
+        """Start without events."""
+        self.reset()
+
+    def reset(self) -> None:
+        """Discard the events since the last mean."""
+        self._sum_s = 0.0
+        self._count = 0
+
+    def add(self, seconds: float) -> float:
+        """Add an interval; return the mean if it is complete, else 0."""
+        self._sum_s += seconds
+        self._count += 1
+        if self._count < EVENTS_PER_SAMPLE:
+            return 0.0
+        mean_s = self._sum_s / self._count
+        self.reset()
+        return mean_s
+
+
 class EngineRecords:
     """Statistics of all registered engines."""
 
@@ -163,12 +194,21 @@
             busy = load.running + load.waiting
             record.other_daemons_load = max(busy - record.in_flight, 0)
 
-    def on_event_interval(self, endpoint: str, seconds: float) -> None:
-        """Record an event interval unless weights were loaded meanwhile."""
-        if seconds < MIN_LOAD_PAUSE_S:
-            self.get_or_create(endpoint).add_interval(
-                seconds, self._clock.now()
-            )
+    def on_event_interval(
+        self, endpoint: str, seconds: float, meter: 'IntervalMeter'
+    ) -> None:
+        """Record an event interval unless weights were loaded meanwhile.
+
+        `meter` belongs to the run of the item.
+        """
+        if seconds >= MIN_LOAD_PAUSE_S:
+            meter.reset()
+            return
+        record = self.get_or_create(endpoint)
+        record.add_interval(seconds, self._clock.now())
+        mean_s = meter.add(seconds)
+        if mean_s:
+            record.add_mean_interval(mean_s)
 
     def mark_loading(self, endpoint: str, model: str, version: int) -> None:
         """Skip an engine for a model until its version is probably loaded."""
--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -9,6 +9,7 @@
 
 from anvilcove.control.desired import DesiredStateView, Route
 from anvilcove.control.endpoints import EndpointEntry
+from anvilcove.jobs.engine_records import IntervalMeter
 from anvilcove.jobs.engine_slots import (
     EngineRequirements,
     EngineSlots,
@@ -240,6 +241,7 @@
     ) -> None:
         """Append the events of a stream until the text is complete."""
         timeout_s = FIRST_EVENT_TIMEOUT_S
+        meter = IntervalMeter()
         last_event_at_s = self._clock.now()
         while True:
             event = await self._next_event(stream, handle, timeout_s)
@@ -254,7 +256,7 @@
                 handle.events = len(progress.texts)
                 if timeout_s == NEXT_EVENT_TIMEOUT_S:
                     self._slots.engine_records.on_event_interval(
-                        handle.endpoint, now - last_event_at_s
+                        handle.endpoint, now - last_event_at_s, meter
                     )
                 timeout_s = NEXT_EVENT_TIMEOUT_S
             last_event_at_s = now
