Checkpoint running items twice as often; take over jobs after 1.1 s

Cause: the loss of an owner cost a step 2 to 2.5 s: 1.5 s until its rows count as abandoned, and up to 1.2 s of text after the last checkpoint.

--- a/anvilcove/jobs/board.py
+++ b/anvilcove/jobs/board.py
@@ -9,7 +9,7 @@
 from anvilcove.state.leases import LeaseWatch
 
 # Another daemon takes over a job whose row was not renewed for this long.
-LEASE_S = 1.5
+LEASE_S = 1.1
 
 
 class JobsView:
--- a/anvilcove/jobs/job_run.py
+++ b/anvilcove/jobs/job_run.py
@@ -31,13 +31,13 @@
 # several.
 COMMIT_WINDOW_S = 0.08
 # The owner renews the row of the job this often while it has no results.
-RENEW_PERIOD_S = 0.4
+RENEW_PERIOD_S = 0.3
 RETRY_DELAY_S = 0.2
 # The texts of running items are checkpointed this often, in parts of at least
 # MIN_CHECKPOINT_EVENTS. Without checkpoints the loss of the owner would
 # discard the text of every running item.
-CHECKPOINT_PERIOD_S = 0.8
-MIN_CHECKPOINT_EVENTS = 8
+CHECKPOINT_PERIOD_S = 0.4
+MIN_CHECKPOINT_EVENTS = 6
 # Limits of the checkpoints in one commit. Together with the results it stays
 # below the 100 rows and 1 MB in base64 that the store accepts.
 MAX_CHECKPOINT_PARTS = 60
