Count the leases of jobs only while changes of the table are seen

Change: the watch counts the time for which its answers came when they were due. The watch of the jobs polls for 0.3 s, so that the loss of an owner is still noticed within 1.5 s.

--- a/anvilcove/control/watch.py
+++ b/anvilcove/control/watch.py
@@ -26,6 +26,8 @@
 
 # A full read waits this long for the slowest of several partitions.
 PARTITION_WAIT_S = 0.6
+# A later answer to a long poll counts as an outage of the store.
+MAX_ANSWER_DELAY_S = 0.15
 # After a longer time without an answer, renewals of leases by other daemons
 # may have been missed.
 MAX_ANSWER_GAP_S = 1.5
@@ -52,6 +54,7 @@
         'partitions',
         'version',
         'answered_at_s',
+        'observed_s',
         'store_ms',
         'store_ms_at_s',
         '_store',
@@ -62,6 +65,7 @@
         '_unread_partitions',
         '_task_by_partition',
         'pause_s',
+        'long_poll_s',
     )
 
     def __init__(
@@ -84,6 +88,9 @@
         # Time when the last answered call was sent; the rows are at least
         # as new.
         self.answered_at_s = float('-inf')
+        # Time for which changes of the table were seen in time; an outage of
+        # the store does not count.
+        self.observed_s = 0.0
         self._store = store
         self._clock = clock
         self._rng = rng
@@ -92,6 +99,7 @@
         # Partitions that the store did not answer for in the last full read.
         self._unread_partitions: set[str] = set()
         self._task_by_partition: dict[str, asyncio.Task[None]] = {}
+        self.long_poll_s = LONG_POLL_S
         # Returns the seconds between two calls.
         self.pause_s: Callable[[], float] = lambda: POLL_PAUSE_S
         self.store_ms = 0.0
@@ -216,7 +224,9 @@
 
     async def _read_changes(self) -> None:
         sent_at_s = self._clock.now()
-        page = await self._store.changes(self.table, self.version, LONG_POLL_S)
+        page = await self._store.changes(
+            self.table, self.version, self.long_poll_s
+        )
         self._record_answer(sent_at_s, page)
         if page.rows:
             self._on_rows(page.rows, False)
@@ -226,5 +236,9 @@
         if self._on_gap and sent_at_s - self.answered_at_s > MAX_ANSWER_GAP_S:
             self._on_gap()
         self.answered_at_s = sent_at_s
+        now = self._clock.now()
+        self.observed_s += min(
+            now - self.store_ms_at_s, self.long_poll_s + MAX_ANSWER_DELAY_S
+        )
         self.store_ms = page.store_ms
-        self.store_ms_at_s = self._clock.now()
+        self.store_ms_at_s = now
--- a/anvilcove/jobs/board.py
+++ b/anvilcove/jobs/board.py
@@ -1,6 +1,7 @@
 """In-memory view of the jobs table."""
 
 import asyncio
+from collections.abc import Callable
 
 from anvilcove.jobs.records import decode_job_row
 from anvilcove.jobs.types import VersionedJob
@@ -23,7 +24,7 @@
         'by_id',
         'ended',
         'changed',
-        '_clock',
+        'observed_s',
         '_lease_watch',
         '_listeners',
     )
@@ -34,7 +35,8 @@
         self.ended: set[str] = set()
         # Set at each change; whoever waits for it clears it.
         self.changed = asyncio.Event()
-        self._clock = clock
+        # Returns the time for which changes of the table were seen in time.
+        self.observed_s: Callable[[], float] = clock.now
         self._lease_watch = LeaseWatch(LEASE_S)
         self._listeners: dict[str, set[asyncio.Event]] = {}
 
@@ -79,7 +81,8 @@
 
     def abandoned(self) -> list[VersionedJob]:
         """Return unfinished jobs without an owner or with an expired lease."""
-        now = self._clock.now()
+        # In an outage of the store the renewals of leases cannot be read.
+        now = self.observed_s()
         found = []
         for job_id, job in self.by_id.items():
             if job.head.finished or job_id in self.ended:
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -42,6 +42,9 @@
 # table up to date, including a full one.
 KEEP_MISSING_S = 0.5
 EXPIRY_PERIOD_S = 0.2
+# Wait of the store for a change of a job, which bounds the time until an owner
+# that renews no row is noticed.
+JOBS_LONG_POLL_S = 0.3
 ORDERS_LEASE = 'versions'
 
 
@@ -83,6 +86,9 @@
         self.watches = self._build_watches()
         nodes_watch = self.watches['nodes']
         self.nodes.rows_read_at = lambda: nodes_watch.answered_at_s
+        jobs_watch = self.watches['jobs']
+        jobs_watch.long_poll_s = JOBS_LONG_POLL_S
+        self.jobs_view.observed_s = lambda: jobs_watch.observed_s
         # Steps wait for changes of these two tables.
         for name in ('operator', 'jobs'):
             self.watches[name].pause_s = self._busy_poll_pause_s
--- a/features/steps/succession_steps.py
+++ b/features/steps/succession_steps.py
@@ -111,6 +111,11 @@
             context.job_by_partition[partition_of(job_id)] = job_id
             spec = job_spec(job_id)
             context.memory.run(daemon.intake.accept(spec, deadline_at_s=1e9))
+    context.memory.pass_time(1.0)
+    context.owner_by_job = {
+        job: daemon.jobs_view.by_id[job].head.owner
+        for job in context.job_by_partition.values()
+    }
 
 
 @when('one partition of the jobs is silent and daemon {name} starts')
@@ -144,3 +149,19 @@
     """Check that the started daemon knows every job."""
     expected = set(context.job_by_partition.values())
     assert expected <= set(context.started.jobs_view.by_id)
+
+
+@given('engines that make {count:d} events for each item')
+def lengthen_items(context, count):
+    """Let the generations of all engines take long."""
+    for engine in context.memory.engines:
+        engine.events = count
+
+
+@then('every job has the owner that it had before')
+def check_owners(context):
+    """Check that no job was taken over."""
+    daemons = context.memory.daemons
+    for job in context.job_by_partition.values():
+        owners = {d.jobs_view.by_id[job].head.owner for d in daemons.values()}
+        assert owners == {context.owner_by_job[job]}, (job, owners)
--- a/features/succession.feature
+++ b/features/succession.feature
@@ -37,3 +37,20 @@
     When the partition answers again
     And 1 s go by in the platform
     Then daemon d knows all jobs
+
+  Scenario Outline: A short outage of the store moves no job
+    Guards against daemons that count the time in which they could not read the
+    renewals of an owner, and take its jobs over when the store returns.
+    Given a platform with 2 engines and daemons a, b and c
+    And engines that make 4000 events for each item
+    And a job in each partition that daemon a has accepted
+    When the store is away for <outage> s
+    And 2 s go by in the platform
+    Then every job has the owner that it had before
+
+    Examples:
+      | outage |
+      | 0.9 |
+      | 1.2 |
+      | 1.4 |
+      | 3.0 |
