--- a/anvilcove/cli/explain.py
+++ b/anvilcove/cli/explain.py
@@ -6,16 +6,10 @@
 from pathlib import Path
 from typing import Any
 
-from absl import flags
-
+from anvilcove.cli.log_files import log_files
 from anvilcove.cli.operator import CallError, call, report
 from anvilcove.cli.registry import program
 
-FLAGS = flags.FLAGS
-flags.DEFINE_multi_string(
-    'logs', [], 'Log files of hosts; if there is none, the daemon is queried.'
-)
-
 USAGE = 'usage: anvilcove explain ID --logs FILE [FILE...]'
 
 
@@ -27,7 +21,7 @@
     if not arguments:
         print(USAGE, file=sys.stderr)
         return 2
-    request_id, files = arguments[0], [*FLAGS.logs, *arguments[1:]]
+    request_id, files = arguments[0], log_files(arguments[1:])
     try:
         records = (
             [r for name in files for r in read_log(Path(name), request_id)]
--- a/anvilcove/control/relay.py
+++ b/anvilcove/control/relay.py
@@ -25,12 +25,12 @@
 PROBE_PERIOD_S = 0.5
 # A direct call is abandoned before its own timeout if the store has answered
 # no call for this long, or for this multiple of its typical latency if that
-# is more. Job owners must be able to write again before their leases of 1.5 s
+# is more. Job owners must be able to write again before their leases of 1.1 s
 # expire.
 EARLY_TIMEOUT_S = 0.4
 EARLY_TIMEOUT_FACTOR = 4.0
-# A repeatable call is sent again each time it has waited this long, or the same
-# multiple of the typical latency, while the store answers others: the store may
+# A repeatable call is sent again each time it has waited this long, or the
+# same multiple of the typical latency, while the store answers others: it may
 # serve only some partitions, and answers the next try once it serves all.
 REPEAT_AFTER_S = 0.6
 # Weight of the newest call in the moving average of the latency.
--- a/anvilcove/reports/steps.py
+++ b/anvilcove/reports/steps.py
@@ -216,10 +216,13 @@
 
 
 def _paces(steps: list[StepTimeline]) -> dict[str, float]:
+    """Return the seconds per event of each engine, from long single runs."""
     samples: dict[str, list[float]] = {}
     for step in steps:
         for item in step.item_by_id.values():
-            if item.attempts == 1 and item.events >= MIN_EVENTS_FOR_PACE:
-                seconds = (item.generated_s - item.waited_s) / item.events
-                samples.setdefault(item.endpoint, []).append(seconds)
+            for run in item.runs:
+                events = run.last_event - run.first_event + 1
+                if len(item.runs) == 1 and events >= MIN_EVENTS_FOR_PACE:
+                    seconds = (run.ended_s - run.started_s) / events
+                    samples.setdefault(run.endpoint, []).append(seconds)
     return {endpoint: median(s) for endpoint, s in samples.items()}
--- a/features/steps/batch_job_steps.py
+++ b/features/steps/batch_job_steps.py
@@ -373,8 +373,8 @@
 
 
 @then(
-    'new holders order an engine at least {seconds:d} s after the former ones, '
-    'with higher fencing tokens'
+    'new holders order an engine at least {seconds:d} s after the former '
+    'ones, with higher fencing tokens'
 )
 def check_orders(context, seconds):
     """Check the times and fencing tokens of the orders to each engine."""
