--- a/anvilcove/decisions/item_moves.py
+++ b/anvilcove/decisions/item_moves.py
@@ -13,6 +13,9 @@
 # Time that a move must save. The other engine reads the prompt and the text
 # made so far again, which takes some tens of milliseconds.
 MIN_GAIN_S = 0.3
+# Items that end before this share of their step's objective don't decide when
+# the step ends, so moving them would only cost a connection.
+DECISIVE_SHARE = 0.5
 # Items without a usable hint are expected to make this share of their events
 # once more: the longer an item runs, the longer it will probably go on.
 REMAINING_SHARE = 0.7
@@ -37,7 +40,8 @@
     """A running item that has emitted at least one event.
 
     `events` and `moves` count its events and its moves so far;
-    `expected_events` is its length by its hint, 0 if unknown.
+    `expected_events` is its length by its hint, 0 if unknown. `age_s` is the
+    time since it was started, `objective_s` that in which its step is due.
     """
 
     item_id: str
@@ -45,6 +49,8 @@
     events: int
     moves: int = 0
     expected_events: float = 0.0
+    age_s: float = 0.0
+    objective_s: float = 0.0
 
 
 def select_items_to_move(
@@ -54,7 +60,7 @@
 
     Items leave slow engines even if the others are full, and only as many as
     slots will probably become free before the next check. Other moves need a
-    free slot and a gain of MIN_GAIN_S.
+    free slot, a gain of MIN_GAIN_S, and an item that ends late in its step.
     """
     movable = [item for item in items if item.moves < MAX_MOVES_PER_ITEM]
     slow = {e.endpoint for e in engines if e.pace >= SLOW_PACE}
@@ -94,8 +100,11 @@
         source = by_endpoint.get(item.endpoint)
         if source is None or source.interval_s < best_s * FAST_PACE:
             continue
-        saved_s = source.interval_s - best_s
-        gain_s = saved_s * expected_remaining_events(item)
+        remaining = expected_remaining_events(item)
+        end_s = item.age_s + source.interval_s * remaining
+        if end_s < item.objective_s * DECISIVE_SHARE:
+            continue
+        gain_s = (source.interval_s - best_s) * remaining
         if gain_s >= MIN_GAIN_S:
             gains.append((gain_s, item))
     gains.sort(key=lambda pair: -pair[0])
--- a/anvilcove/jobs/engine_slots.py
+++ b/anvilcove/jobs/engine_slots.py
@@ -35,7 +35,8 @@
 
     `excluded` holds the endpoints at which the item has failed. `group` names
     the items that share a prompt, which one engine may have cached. A
-    `long_item` will probably decide when its step ends.
+    `long_item` will probably decide when its step ends. The item started at
+    `started_at_s` and is due within `objective_s`.
     """
 
     service: str
@@ -45,6 +46,8 @@
     excluded: set[str]
     long_item: bool = True
     expected_events: float = 0.0
+    started_at_s: float = 0.0
+    objective_s: float = 0.0
 
 
 class RunHandle:
@@ -239,6 +242,7 @@
     def _move_stragglers(self) -> None:
         if not self._runs:
             return
+        now = self._clock.now()
         intervals = self.engine_records.interval_by_endpoint()
         handles_by_model: dict[tuple[str, str, int], list[RunHandle]] = {}
         for handle in self._runs.values():
@@ -251,7 +255,7 @@
                 handles[0].requirements, intervals
             )
             moves = select_items_to_move(
-                engines, [_running_item(handle) for handle in handles]
+                engines, [_running_item(handle, now) for handle in handles]
             )
             for item in moves:
                 logger.bind(
@@ -347,11 +351,14 @@
             self._engine_by_group.popitem(last=False)
 
 
-def _running_item(handle: RunHandle) -> RunningItem:
+def _running_item(handle: RunHandle, now: float) -> RunningItem:
+    requirements = handle.requirements
     return RunningItem(
         handle.item_id,
         handle.endpoint,
         handle.events,
         handle.moves,
-        handle.requirements.expected_events,
+        requirements.expected_events,
+        now - requirements.started_at_s,
+        requirements.objective_s,
     )
--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -338,6 +338,8 @@
             excluded=excluded,
             long_item=progress.long_item,
             expected_events=progress.expected_events,
+            started_at_s=progress.started_at_s,
+            objective_s=route.job.result_objective_s if route.job else 0.0,
         )
 
     def _record_attempt_failure(
