Keep engines blocked for the whole time that an order may take; describe the changes

An order that is announced may arrive 1.3 s later, so a successor waits for lease-ms from then. Partitions that are not read are logged only while others answer.

--- a/anvilcove/control/leases.py
+++ b/anvilcove/control/leases.py
@@ -35,8 +35,10 @@
 FAST_POLL_RANKS = 3
 FAST_POLL_S = 0.3
 SLOW_POLL_S = 1.5
-# The holder acts on a resource within this time after it announced that.
+# The holder starts to act on a resource within this time after it announced
+# that, and ends within the second time after that.
 USE_WINDOW_S = 0.5
+USE_DURATION_S = 0.8
 
 
 class ResourceUse(Struct, array_like=True):
@@ -163,7 +165,8 @@
         return max(self._use_block_s() - age_s, 0.0)
 
     def _use_block_s(self) -> float:
-        return USE_WINDOW_S + self._handover_gap_s + TAKEOVER_MARGIN_S
+        longest_use_s = USE_WINDOW_S + USE_DURATION_S
+        return longest_use_s + self._handover_gap_s + TAKEOVER_MARGIN_S
 
     def _estimated_store_ms(self) -> float:
         elapsed_s = self._clock.now() - self._store_ms_at_s
--- a/anvilcove/control/versions.py
+++ b/anvilcove/control/versions.py
@@ -8,7 +8,7 @@
 
 from anvilcove.control.desired import JOB, DesiredStateView
 from anvilcove.control.endpoints import EndpointEntry, EndpointRegistry
-from anvilcove.control.leases import Lease
+from anvilcove.control.leases import USE_DURATION_S, Lease
 from anvilcove.decisions.version_roll import (
     EngineVersions,
     LoadOrder,
@@ -36,8 +36,9 @@
 # A load takes about 1 s; an engine that has not announced the version within
 # this time may be ordered again.
 LOAD_TIMEOUT_S = 2.5
-# Engines answer orders and report requests without delay.
-ORDER_TIMEOUT_S = 0.8
+# Engines answer orders and report requests without delay. A successor of the
+# holder relies on it.
+ORDER_TIMEOUT_S = USE_DURATION_S
 
 
 class EngineActivity(Protocol):
--- a/anvilcove/control/watch.py
+++ b/anvilcove/control/watch.py
@@ -167,16 +167,14 @@
         finally:
             for read in reads.values():
                 read.cancel()
-        pages = []
-        self._unread_partitions.clear()
-        for partition, read in reads.items():
-            page = self._page_or_none(partition, read)
-            if page is None:
-                self._unread_partitions.add(partition)
-            else:
-                pages.append(page)
+        pages, reason_by_partition = _results(reads)
         if not pages:
-            raise StoreUnavailable(f'no partition of {self.table} answers')
+            raise StoreUnavailable(
+                f'no partition of {self.table} answers: {reason_by_partition}'
+            )
+        self._unread_partitions = set(reason_by_partition)
+        for partition, reason in reason_by_partition.items():
+            self._log_unread(partition, reason)
         # Later changes of the other partitions are read once more.
         self.version = max(min(p.version for p in pages), self.version)
         for page in pages:
@@ -200,27 +198,15 @@
         try:
             page = await self._store.read_range(self.table, partition)
         except (StoreUnavailable, StoreAnswerLost) as error:
-            logger.bind(
-                table=self.table, partition=partition, reason=str(error)
-            ).info('partition not read')
+            self._log_unread(partition, str(error))
             return
         self._unread_partitions.discard(partition)
         self._on_rows(page.rows, False)
 
-    def _page_or_none(
-        self, partition: str, read: asyncio.Task[RowPage]
-    ) -> RowPage | None:
-        """Return the page of a read, None if the store has not answered."""
-        reason = 'no answer yet'
-        if read.done():
-            try:
-                return read.result()
-            except (StoreUnavailable, StoreAnswerLost) as error:
-                reason = str(error)
+    def _log_unread(self, partition: str, reason: str) -> None:
         logger.bind(table=self.table, partition=partition, reason=reason).info(
             'partition not read'
         )
-        return None
 
     async def _read_changes(self) -> None:
         sent_at_s = self._clock.now()
@@ -242,3 +228,20 @@
         )
         self.store_ms = page.store_ms
         self.store_ms_at_s = now
+
+
+def _results(
+    reads: dict[str, asyncio.Task[RowPage]],
+) -> tuple[list[RowPage], dict[str, str]]:
+    """Return the pages, and why each other partition was not read."""
+    pages = []
+    reason_by_partition = {}
+    for partition, read in reads.items():
+        if not read.done():
+            reason_by_partition[partition] = 'no answer yet'
+            continue
+        try:
+            pages.append(read.result())
+        except (StoreUnavailable, StoreAnswerLost) as error:
+            reason_by_partition[partition] = str(error)
+    return pages, reason_by_partition
