--- a/anvilcove/cli/bench.py
+++ b/anvilcove/cli/bench.py
@@ -15,6 +15,7 @@
 from anvilcove.bench.compare import MEASURES, write
 from anvilcove.bench.compare import compare as run_comparison
 from anvilcove.bench.log_cost import measure as measure_log_cost
+from anvilcove.bench.placement_time import measure_placement_s
 from anvilcove.bench.slopes import fit, measure_all
 from anvilcove.bench.subsets import measure_loss
 from anvilcove.cli.registry import program
@@ -29,6 +30,7 @@
 )
 flags.DEFINE_string('page', 'docs/CAPACITY.md', 'Page to regenerate.')
 
+PLACEMENT_SIZES = (24, 2_000)
 SUBSET_SIZES = [8, 16, 32, 64, 128, 557]
 SUBSET_SEEDS = [1, 2, 3]
 
@@ -71,6 +73,14 @@
     return 0
 
 
+def placement() -> int:
+    """Measure the processor time of the placement of an item."""
+    for engines in PLACEMENT_SIZES:
+        seconds = measure_placement_s(engines)
+        print(f'{engines} engines: {seconds * 1e6:.1f} us')
+    return 0
+
+
 def logs() -> int:
     """Measure the processor time of a log line."""
     with tempfile.TemporaryDirectory(prefix='anvilcove-') as run:
@@ -88,12 +98,13 @@
     'page': page,
     'compare': compare,
     'logs': logs,
+    'placement': placement,
 }
 
 
 @program(
     'bench',
-    'Run a benchmark: anvilcove bench slopes|page|compare|logs [FLAGS]',
+    'Run a benchmark: anvilcove bench slopes|page|compare|logs|placement [FLAGS]',
 )
 def bench(arguments: list[str]) -> int:
     """Run the benchmark that the first argument names."""
--- a/anvilcove/control/watch.py
+++ b/anvilcove/control/watch.py
@@ -23,7 +23,6 @@
 RETRY_DELAY_S = 0.15
 # A full table read takes place this often, whatever the watch has delivered.
 FULL_READ_PERIOD_S = 10.0
-
 # A full read waits this long for the slowest of several partitions.
 PARTITION_WAIT_S = 0.6
 # A later answer to a long poll counts as an outage of the store.
@@ -32,6 +31,9 @@
 # may have been missed.
 MAX_ANSWER_GAP_S = 1.5
 
+OnRows = Callable[[list[StoredRow], bool], None]
+OnGap = Callable[[], None] | None
+
 
 def poll_pause_s(daemons: int, reads_per_s: float) -> float:
     """Return the pause that keeps the watches of one table to their share."""
@@ -39,10 +41,6 @@
     return min(max(pause_s, MIN_POLL_PAUSE_S), MAX_POLL_PAUSE_S)
 
 
-OnRows = Callable[[list[StoredRow], bool], None]
-OnGap = Callable[[], None] | None
-
-
 class TableWatch:
     """Pass full table reads and later changes to a callback.
 
