--- a/anvilcove/cli/bench.py
+++ b/anvilcove/cli/bench.py
@@ -104,7 +104,8 @@
 
 @program(
     'bench',
-    'Run a benchmark: anvilcove bench slopes|page|compare|logs|placement [FLAGS]',
+    'Run a benchmark: '
+    'anvilcove bench slopes|page|compare|logs|placement [FLAGS]',
 )
 def bench(arguments: list[str]) -> int:
     """Run the benchmark that the first argument names."""
