Treat an engine that sends events in bursts as one of unknown pace; rename after reading

Cause: events that are read 60 at a time make the usual interval of an engine tend to 0, so that all long items would wait for it. The rest is naming, found in reading the diff.

--- a/anvilcove/control/watch.py
+++ b/anvilcove/control/watch.py
@@ -165,7 +165,7 @@
         finally:
             for read in reads.values():
                 read.cancel()
-        pages, reason_by_partition = _results(reads)
+        pages, reason_by_partition = _collect_pages(reads)
         if not pages:
             raise StoreUnavailable(
                 f'no partition of {self.table} answers: {reason_by_partition}'
@@ -228,7 +228,7 @@
         self.store_ms_at_s = now
 
 
-def _results(
+def _collect_pages(
     reads: dict[str, asyncio.Task[RowPage]],
 ) -> tuple[list[RowPage], dict[str, str]]:
     """Return the pages, and why each other partition was not read."""
--- a/anvilcove/jobs/engine_records.py
+++ b/anvilcove/jobs/engine_records.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 from collections.abc import Iterable
-from statistics import fmean as mean
+from statistics import fmean
 
 from loguru import logger
 
@@ -25,6 +25,9 @@
 EVENTS_PER_USUAL_SAMPLE = 6
 # Relative step of the usual interval per sample.
 QUANTILE_STEP = 0.04
+# An engine that seems faster than this, relative to the median, sends its
+# events in bursts, so that its pace is unknown.
+MIN_PLAUSIBLE_PACE = 0.2
 # An engine has turned slow if its recent intervals are this multiple of the
 # usual one.
 TURNED_SLOW_FACTOR = 1.6
@@ -123,13 +126,21 @@
                 1 - QUANTILE_STEP * (1 - USUAL_QUANTILE)
             )
 
-    def add_item(self, model: str, long_item: bool, count: int = 1) -> None:
-        """Add an item in flight; `count` of -1 removes it."""
-        self.in_flight += count
+    def add_item(self, model: str, long_item: bool) -> None:
+        """Count an item that takes a slot."""
+        self._count_item(model, long_item, 1)
+
+    def remove_item(self, model: str, long_item: bool) -> None:
+        """Stop counting an item that has left its slot."""
+        self._count_item(model, long_item, -1)
+
+    def _count_item(self, model: str, long_item: bool, change: int) -> None:
+        self.in_flight += change
         self.in_flight_by_model[model] = (
-            self.in_flight_by_model.get(model, 0) + count
+            self.in_flight_by_model.get(model, 0) + change
         )
-        self.long_items += count * long_item
+        if long_item:
+            self.long_items += change
 
 
 class IntervalMeter:
@@ -152,10 +163,10 @@
         self._recent_s.append(seconds)
         self._usual_s.append(seconds)
         if len(self._recent_s) == EVENTS_PER_RECENT_SAMPLE:
-            record.add_recent_interval(mean(self._recent_s), now)
+            record.add_recent_interval(fmean(self._recent_s), now)
             self._recent_s.clear()
         if len(self._usual_s) == EVENTS_PER_USUAL_SAMPLE:
-            record.add_usual_interval(mean(self._usual_s))
+            record.add_usual_interval(fmean(self._usual_s))
             self._usual_s.clear()
 
 
@@ -291,7 +302,7 @@
     def interval_by_endpoint(self) -> dict[str, float]:
         """Return the event intervals of the registered engines in seconds.
 
-        Engines without data are omitted.
+        Engines without data, or with implausible ones, are omitted.
         """
         now = self._clock.now()
         known = {
@@ -299,7 +310,12 @@
             for endpoint, record in self._by_endpoint.items()
             if endpoint in self._registry.entry_by_endpoint
         }
-        return {e: s for e, s in known.items() if s}
+        paces = relative_paces({e: s for e, s in known.items() if s > 0})
+        return {
+            endpoint: known[endpoint]
+            for endpoint, pace in paces.items()
+            if pace >= MIN_PLAUSIBLE_PACE
+        }
 
 
 def relative_paces(interval_by_endpoint: dict[str, float]) -> dict[str, float]:
--- a/anvilcove/jobs/engine_slots.py
+++ b/anvilcove/jobs/engine_slots.py
@@ -191,8 +191,8 @@
 
     def release(self, endpoint: str, requirements: EngineRequirements) -> None:
         """Free the slot of an item and assign it to a waiting one."""
-        self.engine_records.get_or_create(endpoint).add_item(
-            requirements.model, requirements.long_item, -1
+        self.engine_records.get_or_create(endpoint).remove_item(
+            requirements.model, requirements.long_item
         )
         self._used_at_s_by_model[requirements.model] = self._clock.now()
         self.assign_waiting()
--- a/anvilcove/jobs/job_run.py
+++ b/anvilcove/jobs/job_run.py
@@ -155,7 +155,9 @@
         """Start a task for each item, ranked by its latest start time."""
         submitted_s = self.job.head.submitted_ms / 1000
         position = {item.item_id: i for i, item in enumerate(items)}
-        middle = median_hint([item.length_hint for item in self.spec.items])
+        typical_hint = median_hint(
+            [item.length_hint for item in self.spec.items]
+        )
         for item in sorted(items, key=lambda i: -i.length_hint):
             expected_s = self._hint_calibration.expected_s(
                 item.length_hint, self._objective_s
@@ -167,7 +169,7 @@
             )
             progress = ItemProgress(item, self._clock.now())
             progress.long_item = is_long_item(
-                item.length_hint, expected_s, self._objective_s, middle
+                item.length_hint, expected_s, self._objective_s, typical_hint
             )
             progress.expected_events = self._hint_calibration.expected_events(
                 item.length_hint
--- a/features/item_placement.feature
+++ b/features/item_placement.feature
@@ -85,3 +85,9 @@
     Then its interval is between 130 and 150 ms
     When 4 s pass without an event
     Then its interval is between 37 and 60 ms
+
+  Scenario: An engine that sends its events in bursts does not look fast
+    Guards against long items that all wait for one engine because its pace
+    seems to be close to 0.
+    When 3 engines make 60 events 40 ms apart and one sends them 60 at a time
+    Then the pace of that engine is unknown and the others are equal
--- a/features/steps/item_placement_steps.py
+++ b/features/steps/item_placement_steps.py
@@ -15,9 +15,14 @@
     choose_engine,
     is_long_item,
 )
-from anvilcove.jobs.engine_records import EngineRecords, IntervalMeter
+from anvilcove.jobs.engine_records import (
+    EngineRecords,
+    IntervalMeter,
+    relative_paces,
+)
 
 OBJECTIVE_S = 7.5
+BURSTS = 20
 
 
 @given(
@@ -158,7 +163,7 @@
 @when('an engine makes {count:d} events {interval:d} ms apart')
 def make_events(context, count, interval):
     """Record the events of one run on a new engine."""
-    registry = EndpointRegistry()
+    registry = context.registry = EndpointRegistry()
     registry.entry_by_endpoint = {
         'e': EndpointEntry('e', 0, 'llm', '10.0.0.1:80', 'dc', False, 12)
     }
@@ -202,3 +207,30 @@
     """Check the interval of the engine."""
     interval_ms = context.records.interval_by_endpoint()['e'] * 1000
     assert low <= interval_ms <= high, interval_ms
+
+
+@when(
+    '{count:d} engines make {events:d} events {interval:d} ms apart and one '
+    'sends them {burst:d} at a time'
+)
+def make_bursts(context, count, events, interval, burst):
+    """Record the events of several engines, one of which sends bursts."""
+    make_events(context, 0, interval)
+    entry = context.registry.entry_by_endpoint['e']
+    names = [f'e{n}' for n in range(count)] + ['burst']
+    context.registry.entry_by_endpoint = dict.fromkeys(names, entry)
+    for name in names:
+        meter = IntervalMeter()
+        steady = [interval / 1000] * events
+        first_s = interval * burst / 10_000
+        bursts = ([first_s] + [0.0] * (burst - 1)) * BURSTS
+        for seconds in bursts if name == 'burst' else steady:
+            context.records.on_event_interval(name, seconds, meter)
+
+
+@then('the pace of that engine is unknown and the others are equal')
+def check_bursts(context):
+    """Check which engines have a known interval."""
+    paces = relative_paces(context.records.interval_by_endpoint())
+    assert set(paces.values()) == {1.0}, paces
+    assert 'burst' not in paces, paces
