Log submission times, lifetimes and failures of batch jobs

Cause: the logs of the incident cannot tell a submission time of the wrong clock (M1), a store that restarted (M2) and another timeout (M3) apart. Change: 'job run started' names the submission time, the estimate of the store's time and the lifetime left; 'job accepted' the submission time and the age of the view of the jobs table; 'item not completed' by how much the deadline is over and the failures so far. Conclusion: no decision changes.

--- a/anvilcove/jobs/intake.py
+++ b/anvilcove/jobs/intake.py
@@ -3,6 +3,7 @@
 import random
 import secrets
 from collections.abc import Callable
+from math import inf
 
 from loguru import logger
 from msgspec.structs import replace
@@ -121,6 +122,8 @@
             target_groups=spec.target_groups,
             first=created,
             owner=job.head.owner,
+            submitted_ms=round(job.head.submitted_ms),
+            view_age_ms=_age_ms(self._watch),
         ).log(DECISION, 'job accepted')
         self._metrics.job_event('accepted' if created else 'repeated')
         if (
@@ -210,3 +213,9 @@
             if self._clock.now() >= deadline_at_s:
                 raise JobNotAccepted(reason, uncertain)
             await self._clock.sleep(self._rng.uniform(0.05, 0.15))
+
+
+def _age_ms(watch: TableWatch) -> int | None:
+    """Return the age of a watch's data in ms, None before its first answer."""
+    age_s = watch.age_s()
+    return None if age_s == inf else round(age_s * 1000)
--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -106,7 +106,10 @@
                 job=spec.job_id,
                 request=item.item_id,
                 attempts=progress.attempts,
+                failures=progress.failures,
+                reward_failures=progress.reward_failures,
                 events=len(progress.texts),
+                overdue_ms=round((self._clock.now() - deadline_at_s) * 1000),
             ).warning('item not completed within its lifetime')
         self._log_result(spec, progress, result)
         return result
@@ -371,6 +374,7 @@
             job=spec.job_id,
             request=progress.item.item_id,
             attempts=progress.attempts,
+            failures=progress.failures,
             reason=reason,
         ).info('item errored')
         return ItemResult(progress.item.item_id, completed=False)
--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -240,12 +240,20 @@
         committed_ids: list[str],
         checkpoints: dict[str, TextPart],
     ) -> None:
+        items_deadline_at_s = self._items_deadline_at_s(job.head)
+        logger.bind(
+            job=spec.job_id,
+            listed=len(committed_ids),
+            submitted_ms=round(job.head.submitted_ms),
+            store_ms=round(self._watch.estimated_store_time_ms()),
+            lifetime_left_s=round(items_deadline_at_s - self._clock.now(), 2),
+        ).info('job run started')
         run = JobRun(
             spec,
             job,
             committed_ids,
             checkpoints,
-            self._items_deadline_at_s(job.head),
+            items_deadline_at_s,
             self._objective_s(job.head),
             self._hint_calibration,
             self._records,
