Count the age of a job as durations, not as a difference of two clocks

Cause: the submission time was the store's clock as estimated from the last answer to the watch of the jobs table. A daemon that has just started accepts jobs before that answer; the estimate then is the host's own steady clock. The record fits: the accepting host had lost the store, the running host errored all items within 2 ms, 'no such job' followed. Change: the row carries the measured age; owners add what their clock shows, and any reader the time for which it has known the row. No stored figure belongs to one clock. TableWatch no longer keeps the store's time; its observed time no longer starts with a difference of two clocks. Old rows count as new jobs, and old daemons never give up a job of this version. Why it works: each addend is at most the time that passed, so that the age is never too high; a lost row of time only keeps a job longer.

--- a/anvilcove/control/watch.py
+++ b/anvilcove/control/watch.py
@@ -53,8 +53,7 @@
         'version',
         'answered_at_s',
         'observed_s',
-        'store_ms',
-        'store_ms_at_s',
+        '_received_at_s',
         '_store',
         '_clock',
         '_rng',
@@ -100,17 +99,13 @@
         self.long_poll_s = LONG_POLL_S
         # Returns the seconds between two calls.
         self.pause_s: Callable[[], float] = lambda: POLL_PAUSE_S
-        self.store_ms = 0.0
-        self.store_ms_at_s = 0.0
+        # When the last answer arrived, None before the first one.
+        self._received_at_s: float | None = None
 
     def age_s(self) -> float:
         """Return the seconds since the last answered call was sent."""
         return self._clock.now() - self.answered_at_s
 
-    def estimated_store_time_ms(self) -> float:
-        """Return the store's time in ms, extrapolated from its last answer."""
-        return self.store_ms + (self._clock.now() - self.store_ms_at_s) * 1000
-
     async def run(self) -> None:
         """Read the table and its changes, without end."""
         try:
@@ -175,8 +170,7 @@
             self._log_unread(partition, reason)
         # Later changes of the other partitions are read once more.
         self.version = max(min(p.version for p in pages), self.version)
-        for page in pages:
-            self._record_answer(sent_at_s, page)
+        self._record_answer(sent_at_s)
         rows = [row for page in pages for row in page.rows]
         self._on_rows(rows, not self._unread_partitions)
 
@@ -211,21 +205,22 @@
         page = await self._store.changes(
             self.table, self.version, self.long_poll_s
         )
-        self._record_answer(sent_at_s, page)
+        self._record_answer(sent_at_s)
         if page.rows:
             self._on_rows(page.rows, False)
         self.version = max(page.version, self.version)
 
-    def _record_answer(self, sent_at_s: float, page: RowPage) -> None:
+    def _record_answer(self, sent_at_s: float) -> None:
         if self._on_gap and sent_at_s - self.answered_at_s > MAX_ANSWER_GAP_S:
             self._on_gap()
         self.answered_at_s = sent_at_s
         now = self._clock.now()
-        self.observed_s += min(
-            now - self.store_ms_at_s, self.long_poll_s + MAX_ANSWER_DELAY_S
-        )
-        self.store_ms = page.store_ms
-        self.store_ms_at_s = now
+        if self._received_at_s is not None:
+            self.observed_s += min(
+                now - self._received_at_s,
+                self.long_poll_s + MAX_ANSWER_DELAY_S,
+            )
+        self._received_at_s = now
 
 
 def _collect_pages(
--- a/anvilcove/jobs/board.py
+++ b/anvilcove/jobs/board.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from anvilcove.jobs.records import decode_job_row
-from anvilcove.jobs.types import VersionedJob
+from anvilcove.jobs.types import JobHead, VersionedJob
 from anvilcove.ports.store import StoredRow
 from anvilcove.state.clock import Clock
 from anvilcove.state.leases import LeaseWatch
@@ -25,13 +25,18 @@
         'ended',
         'changed',
         'observed_s',
+        '_clock',
+        '_seen_at_s_by_id',
         '_lease_watch',
         '_listeners',
     )
 
     def __init__(self, clock: Clock) -> None:
         """Start without jobs."""
+        self._clock = clock
         self.by_id: dict[str, VersionedJob] = {}
+        # When the newest known row of each job was first seen.
+        self._seen_at_s_by_id: dict[str, float] = {}
         self.ended: set[str] = set()
         # Set at each change; whoever waits for it clears it.
         self.changed = asyncio.Event()
@@ -60,6 +65,7 @@
 
     def _forget(self, job_id: str) -> None:
         self.by_id.pop(job_id, None)
+        self._seen_at_s_by_id.pop(job_id, None)
         self.ended.discard(job_id)
         self._lease_watch.forget(job_id)
 
@@ -68,8 +74,19 @@
         known = self.by_id.get(job.head.job_id)
         if known is None or known.version < job.version:
             self.by_id[job.head.job_id] = job
+            self._seen_at_s_by_id[job.head.job_id] = self._clock.now()
             self._notify(job.head.job_id)
 
+    def age_s(self, head: JobHead) -> float:
+        """Return the time since the submission of a job, at least.
+
+        It is the age in the row and the time for which this daemon has known
+        the row.
+        """
+        now = self._clock.now()
+        seen_at_s = self._seen_at_s_by_id.get(head.job_id, now)
+        return head.age_ms / 1000 + now - seen_at_s
+
     def mark_ended(self, job_id: str) -> None:
         """Record that a job was ended."""
         self.ended.add(job_id)
--- a/anvilcove/jobs/intake.py
+++ b/anvilcove/jobs/intake.py
@@ -13,7 +13,13 @@
 from anvilcove.jobs.board import JobsView
 from anvilcove.jobs.owner import JobOwner
 from anvilcove.jobs.records import CommitConflict, JobRecords
-from anvilcove.jobs.types import Commit, JobHead, JobSpec, VersionedJob
+from anvilcove.jobs.types import (
+    RESERVED_MS,
+    Commit,
+    JobHead,
+    JobSpec,
+    VersionedJob,
+)
 from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
 from anvilcove.settings.node import NodeSettings
 from anvilcove.state.clock import Clock
@@ -96,7 +102,7 @@
             commit_id=secrets.token_hex(8),
             listed=0,
             total=len(spec.items),
-            submitted_ms=self._watch.estimated_store_time_ms(),
+            reserved_ms=RESERVED_MS,
             host=spec.host,
             path=spec.path,
             model=spec.model,
@@ -122,7 +128,6 @@
             target_groups=spec.target_groups,
             first=created,
             owner=job.head.owner,
-            submitted_ms=round(job.head.submitted_ms),
             view_age_ms=_age_ms(self._watch),
         ).log(DECISION, 'job accepted')
         self._metrics.job_event('accepted' if created else 'repeated')
@@ -179,6 +184,7 @@
             owner=substitute.host,
             nonce=substitute.nonce,
             commit_id=secrets.token_hex(8),
+            age_ms=self._jobs_view.age_s(job.head) * 1000,
         )
         try:
             self._jobs_view.apply(
--- a/anvilcove/jobs/job_run.py
+++ b/anvilcove/jobs/job_run.py
@@ -55,6 +55,7 @@
         '_runner',
         '_metrics',
         '_clock',
+        '_submitted_at_s',
         '_items_deadline_at_s',
         '_objective_s',
         '_hint_calibration',
@@ -77,6 +78,7 @@
         job: VersionedJob,
         committed_ids: list[str],
         checkpoints: dict[str, TextPart],
+        age_s: float,
         deadline_at_s: float,
         objective_s: float,
         calibration: HintCalibration,
@@ -88,7 +90,8 @@
         """Prepare the run; no item starts before `run` is called.
 
         `committed_ids` are the items that already have a result, and
-        `checkpoints` the texts that earlier owners stored. Items may be given
+        `checkpoints` the texts that earlier owners stored. `age_s` is the
+        measured time since the submission of the job. Items may be given
         up at `deadline_at_s`; all results are due within `objective_s`.
         `calibration` estimates run times and is shared by the jobs of the
         daemon.
@@ -102,6 +105,8 @@
         self._runner = runner
         self._metrics = metrics
         self._clock = clock
+        # The submission on the clock of this daemon.
+        self._submitted_at_s = clock.now() - age_s
         self._items_deadline_at_s = deadline_at_s
         self._tasks: set[asyncio.Task[None]] = set()
         self._uncommitted: list[ItemResult] = []
@@ -153,7 +158,6 @@
 
     def _start_items(self, items: list[Item]) -> None:
         """Start a task for each item, ranked by its latest start time."""
-        submitted_s = self.job.head.submitted_ms / 1000
         position = {item.item_id: i for i, item in enumerate(items)}
         typical_hint = median_hint(
             [item.length_hint for item in self.spec.items]
@@ -163,7 +167,9 @@
                 item.length_hint, self._objective_s
             )
             rank = (
-                latest_start_s(submitted_s, self._objective_s, expected_s),
+                latest_start_s(
+                    self._submitted_at_s, self._objective_s, expected_s
+                ),
                 -float(item.length_hint),
                 float(position[item.item_id]),
             )
@@ -263,6 +269,7 @@
             beat=self.job.head.beat + 1,
             commit_id=secrets.token_hex(8),
             listed=self.job.head.listed + len(results),
+            age_ms=(self._clock.now() - self._submitted_at_s) * 1000,
         )
         if self._handing_over:
             head = replace(head, owner='', nonce='')
--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -47,8 +47,8 @@
 DEFAULT_ITEM_LIFETIME_S = 40.0
 # Time in which all results are due if the route is not in the desired state.
 DEFAULT_OBJECTIVE_S = 7.5
-# Added to the lifetime of items, since the store's clock is only estimated
-# from its answers.
+# Added to the lifetime of items, since the clocks of hosts run at slightly
+# different rates.
 LIFETIME_MARGIN_S = 1.0
 
 
@@ -204,6 +204,7 @@
             nonce=self._nonce,
             beat=job.head.beat + 1,
             commit_id=secrets.token_hex(8),
+            age_ms=self._jobs_view.age_s(job.head) * 1000,
         )
         try:
             taken = await self._records.commit(job, Commit(head))
@@ -240,12 +241,14 @@
         committed_ids: list[str],
         checkpoints: dict[str, TextPart],
     ) -> None:
-        items_deadline_at_s = self._items_deadline_at_s(job.head)
+        age_s = self._jobs_view.age_s(job.head)
+        items_deadline_at_s = (
+            self._clock.now() + self._item_lifetime_s(job.head) - age_s
+        )
         logger.bind(
             job=spec.job_id,
             listed=len(committed_ids),
-            submitted_ms=round(job.head.submitted_ms),
-            store_ms=round(self._watch.estimated_store_time_ms()),
+            age_s=round(age_s, 2),
             lifetime_left_s=round(items_deadline_at_s - self._clock.now(), 2),
         ).info('job run started')
         run = JobRun(
@@ -253,6 +256,7 @@
             job,
             committed_ids,
             checkpoints,
+            age_s,
             items_deadline_at_s,
             self._objective_s(job.head),
             self._hint_calibration,
@@ -280,17 +284,13 @@
                 del self.runs[job_id]
             self._jobs_view.apply(run.job)
 
-    def _items_deadline_at_s(self, head: JobHead) -> float:
+    def _item_lifetime_s(self, head: JobHead) -> float:
         state = self._desired.current
         route = state.find_route(head.host, head.path) if state else None
         lifetime_s = DEFAULT_ITEM_LIFETIME_S
         if route is not None and route.job is not None:
             lifetime_s = route.job.item_lifetime_s
-        age_s = (
-            self._watch.estimated_store_time_ms() - head.submitted_ms
-        ) / 1000
-        remaining_s = lifetime_s + LIFETIME_MARGIN_S - max(age_s, 0.0)
-        return self._clock.now() + remaining_s
+        return lifetime_s + LIFETIME_MARGIN_S
 
     def _objective_s(self, head: JobHead) -> float:
         state = self._desired.current
--- a/anvilcove/jobs/sweep.py
+++ b/anvilcove/jobs/sweep.py
@@ -4,7 +4,6 @@
 
 from loguru import logger
 
-from anvilcove.control.watch import TableWatch
 from anvilcove.jobs.board import JobsView
 from anvilcove.jobs.records import JobRecords
 from anvilcove.jobs.types import JobHead
@@ -29,7 +28,6 @@
         '_bounds',
         '_records',
         '_jobs_view',
-        '_watch',
         '_metrics',
         '_clock',
         '_holds_orders_lease',
@@ -40,16 +38,14 @@
         bounds: NodeBounds,
         records: JobRecords,
         jobs_view: JobsView,
-        watch: TableWatch,
         metrics: NodeMetrics,
         clock: Clock,
         holds_orders_lease: Callable[[], bool],
     ) -> None:
-        """Remove nothing before `run`; `watch` follows the jobs table."""
+        """Remove nothing before `run`."""
         self._bounds = bounds
         self._records = records
         self._jobs_view = jobs_view
-        self._watch = watch
         self._metrics = metrics
         self._clock = clock
         self._holds_orders_lease = holds_orders_lease
@@ -63,12 +59,13 @@
                     await self._remove(head)
 
     def _removable(self) -> list[JobHead]:
-        now_ms = self._watch.estimated_store_time_ms()
         return [
             job.head
             for job_id, job in self._jobs_view.by_id.items()
             if is_removable(
-                job.head, job_id in self._jobs_view.ended, now_ms, self._bounds
+                self._jobs_view.age_s(job.head),
+                job_id in self._jobs_view.ended,
+                self._bounds,
             )
         ]
 
@@ -87,11 +84,8 @@
         self._metrics.job_event('removed')
 
 
-def is_removable(
-    head: JobHead, ended: bool, now_ms: float, bounds: NodeBounds
-) -> bool:
-    """Tell whether the retention time of a job is over."""
-    age_s = (now_ms - head.submitted_ms) / 1000
+def is_removable(age_s: float, ended: bool, bounds: NodeBounds) -> bool:
+    """Tell whether the retention time of a job of this age is over."""
     if not ended:
         return age_s > max(
             UNENDED_RETENTION_S, bounds.status_s + READ_MARGIN_S
--- a/anvilcove/jobs/types.py
+++ b/anvilcove/jobs/types.py
@@ -2,6 +2,10 @@
 
 from msgspec import Struct, field
 
+# Daemons of earlier versions read `JobHead.reserved_ms` as the time of the
+# submission on the store's clock. They never give up a job of the far future.
+RESERVED_MS = 1e15
+
 
 class RewardCall(Struct, array_like=True):
     """HTTP request that fetches the score of an item's generated text."""
@@ -57,7 +61,10 @@
     random `commit_id` lets the author recognise its own write after the
     answer was lost. `owner` is a host, '' while the job has none; `nonce` is
     the id of the owner's process start and `beat` its heartbeat count.
-    `listed` counts the committed results.
+    `listed` counts the committed results. `age_ms` is the time since the
+    submission, as far as daemons have measured it, at the last write. It is
+    never more than the true age: steady clocks of different hosts and of the
+    store are not comparable, so a daemon adds only what its own clock shows.
     """
 
     job_id: str
@@ -67,12 +74,13 @@
     commit_id: str
     listed: int
     total: int
-    submitted_ms: float
+    reserved_ms: float
     host: str
     path: str
     model: str
     # Upper bound of the prompt and output tokens of all items.
     tokens: int
+    age_ms: float = 0.0
 
     @property
     def finished(self) -> bool:
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -252,7 +252,6 @@
             self.settings.bounds,
             records,
             self.jobs_view,
-            watch,
             self.metrics,
             dependencies.clock,
             self._holds_orders_lease,
--- a/anvilcove/node/status.py
+++ b/anvilcove/node/status.py
@@ -98,9 +98,9 @@
 
 
 def _jobs(components: NodeComponents) -> dict[str, dict[str, Any]]:
-    jobs_watch = components.watches['jobs']
     heads = [job.head for job in components.jobs_view.by_id.values()]
-    heads.sort(key=lambda head: -head.submitted_ms)
+    age_s = components.jobs_view.age_s
+    heads.sort(key=age_s)
     found = {}
     for head in heads[:MAX_JOBS]:
         state = 'finished' if head.finished else 'running'
@@ -108,15 +108,12 @@
             state = 'ended'
         elif not head.finished and not head.owner:
             state = 'without owner'
-        age_s = (
-            jobs_watch.estimated_store_time_ms() - head.submitted_ms
-        ) / 1000
         found[head.job_id] = {
             'model': head.model,
             'owner': head.owner,
             'state': state,
             'listed': head.listed,
             'total': head.total,
-            'age_s': round(age_s, 1),
+            'age_s': round(age_s(head), 1),
         }
     return found
--- a/anvilcove/standins/memory_store.py
+++ b/anvilcove/standins/memory_store.py
@@ -49,6 +49,8 @@
         """Create an empty store that uses the clock of the event loop."""
         self._loop = loop
         self.faults = StoreFaults()
+        # Time of the store's clock at time 0 of the event loop.
+        self.origin_ms = 0.0
         self.rows: dict[RowId, tuple[bytes, int]] = {}
         self.history: list[StoredRow] = []
         self.history_start_version = 0
@@ -170,7 +172,7 @@
 
     def store_ms(self) -> float:
         """Return the time of the store in milliseconds."""
-        return self._loop.time() * 1000
+        return self.origin_ms + self._loop.time() * 1000
 
     async def _simulate_call(self) -> None:
         await asyncio.sleep(RESPONSE_TIME_S * self.faults.slow)
--- a/features/steps/memory_site.py
+++ b/features/steps/memory_site.py
@@ -117,10 +117,14 @@
             self.run(asyncio.wait(pending))
         self.loop.close()
 
-    def start(self, name, seed=1, nonce=None):
-        """Start a daemon, also one that ran before."""
-        clock = LoopClock(self.loop)
-        self.clocks[name] = clock
+    def start(self, name, seed=1, nonce=None, origin_s=0.0):
+        """Start a daemon, also one that ran before.
+
+        Its clocks are `origin_s` ahead of the loop's.
+        """
+        clock, lease_clock = LoopClock(self.loop), LoopClock(self.loop)
+        clock.ahead_s = lease_clock.ahead_s = origin_s
+        self.clocks[name] = lease_clock
         daemon = NodeComponents(
             settings_of(name),
             nonce or f'{name}-{seed}',
@@ -130,8 +134,8 @@
                 streams=self.streams,
                 engines=self.engine_client,
                 rows=MemoryRows(),
-                clock=LoopClock(self.loop),
-                lease_clock=clock,
+                clock=clock,
+                lease_clock=lease_clock,
                 rng=random.Random(seed),
             ),
         )
