Keep the failures of items in the row of their job

Cause: an owner counted the failed runs of an item in memory. The next owner of the job started from zero, so that an item that fails at each run reached servers again up to six times per owner, where three times max-attempts runs are the limit over all. Change: the row of the job holds the counts of failures of items without a result. An item that failed is sent again only once its count is stored, without holding its slot meanwhile. Why it works: whoever owns the job next reads the counts with the row that makes it the owner. An owner that dies within the commit loses one run at most.

--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -106,8 +106,8 @@
                 job=spec.job_id,
                 request=item.item_id,
                 attempts=progress.attempts,
-                failures=progress.failures,
-                reward_failures=progress.reward_failures,
+                failures=progress.failures.runs,
+                reward_failures=progress.failures.reward_calls,
                 events=len(progress.texts),
                 overdue_ms=round((self._clock.now() - deadline_at_s) * 1000),
             ).warning('item not completed within its lifetime')
@@ -153,12 +153,15 @@
             if route is None:
                 await self._sleep_with_jitter(MAX_RETRY_DELAY_S)
                 continue
+            if progress.failures_exhausted(route.max_attempts):
+                return self._errored_result(spec, progress, 'failed each time')
             requirements = self._requirements(spec, progress, route)
             wait_started_at_s = self._clock.now()
             entry = await self._slots.acquire(requirements, rank)
             progress.waited_s += self._clock.now() - wait_started_at_s
             progress.endpoint = entry.endpoint
             progress.attempts += 1
+            failed = False
             try:
                 await self._attempt(
                     spec, progress, route, entry, requirements, deadline_at_s
@@ -167,11 +170,7 @@
                 return self._errored_result(spec, progress, 'rejected')
             except ItemFailed:
                 self._slots.engine_records.on_item_failure(entry.endpoint)
-                progress.record_failure(entry.endpoint)
-                if progress.failures_exhausted(route.max_attempts):
-                    return self._errored_result(
-                        spec, progress, 'failed each time'
-                    )
+                failed = True
             except RunMoved:
                 progress.moves += 1
                 progress.long_item = True
@@ -184,6 +183,8 @@
                 return None
             finally:
                 self._slots.release(entry.endpoint, requirements)
+            if failed:
+                await progress.record_failure(entry.endpoint)
 
     async def _attempt(
         self,
@@ -374,7 +375,7 @@
             job=spec.job_id,
             request=progress.item.item_id,
             attempts=progress.attempts,
-            failures=progress.failures,
+            failures=progress.failures.runs,
             reason=reason,
         ).info('item errored')
         return ItemResult(progress.item.item_id, completed=False)
--- a/anvilcove/jobs/job_run.py
+++ b/anvilcove/jobs/job_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import secrets
+from functools import partial
 
 from loguru import logger
 from msgspec.structs import replace
@@ -17,6 +18,7 @@
 )
 from anvilcove.jobs.types import (
     Commit,
+    FailureCounts,
     Item,
     ItemResult,
     JobSpec,
@@ -67,6 +69,8 @@
         '_checkpointed_events',
         '_checkpointed_at_s',
         '_running',
+        '_failures_by_item',
+        '_committed_event',
         '_unconfirmed_commit',
         '_commit_lock',
         '_handing_over',
@@ -119,6 +123,11 @@
             item: len(part.texts) for item, part in checkpoints.items()
         }
         self._running: dict[str, ItemProgress] = {}
+        # Counts that the next commit stores. Replaced, never changed, since a
+        # commit without an answer is sent again as it was.
+        self._failures_by_item = dict(job.head.failures_by_item)
+        # Set and replaced after each commit.
+        self._committed_event = asyncio.Event()
         self._checkpointed_at_s = clock.now()
         self._unconfirmed_commit: Commit | None = None
         self._commit_lock = asyncio.Lock()
@@ -191,6 +200,10 @@
         restored = self._restored_checkpoints.pop(item.item_id, None)
         if restored is not None:
             progress.restore(restored)
+        progress.failures = replace(
+            self._failures_by_item.get(item.item_id, FailureCounts())
+        )
+        progress.store_failures = partial(self._store_failures, progress)
         self._running[item.item_id] = progress
         result = await self._runner.run(
             self.spec, progress, rank, self._items_deadline_at_s
@@ -206,6 +219,17 @@
         self._uncommitted.append(result)
         self._wake_event.set()
 
+    async def _store_failures(self, progress: ItemProgress) -> None:
+        """Commit the failures of an item before it is sent again.
+
+        The next owner would otherwise send it as often once more.
+        """
+        item_id, counts = progress.item.item_id, replace(progress.failures)
+        self._failures_by_item[item_id] = counts
+        while self.job.head.failures_by_item.get(item_id) != counts:
+            self._wake_event.set()
+            await self._committed_event.wait()
+
     async def _wait_for_results(self) -> None:
         """Wait for results, at most until the row must be renewed."""
         try:
@@ -243,6 +267,13 @@
             self._apply_commit(commit)
 
     def _apply_commit(self, commit: Commit) -> None:
+        committed, self._committed_event = (
+            self._committed_event,
+            asyncio.Event(),
+        )
+        committed.set()
+        for result in commit.results:
+            self._failures_by_item.pop(result.item_id, None)
         del self._uncommitted[: len(commit.results)]
         if self._uncommitted:
             self._wake_event.set()
@@ -270,11 +301,22 @@
             commit_id=secrets.token_hex(8),
             listed=self.job.head.listed + len(results),
             age_ms=(self._clock.now() - self._submitted_at_s) * 1000,
+            failures_by_item=self._failures_without(results),
         )
         if self._handing_over:
             head = replace(head, owner='', nonce='')
         return Commit(head, results, self._checkpoint_parts())
 
+    def _failures_without(
+        self, results: list[ItemResult]
+    ) -> dict[str, FailureCounts]:
+        listed = {result.item_id for result in results}
+        return {
+            item_id: counts
+            for item_id, counts in self._failures_by_item.items()
+            if item_id not in listed
+        }
+
     def _checkpoint_parts(self) -> list[TextPart]:
         """Return what running items generated since their last checkpoint."""
         now = self._clock.now()
--- a/anvilcove/jobs/progress.py
+++ b/anvilcove/jobs/progress.py
@@ -1,8 +1,10 @@
 """Generation progress of one item of a batch job."""
 
+from collections.abc import Awaitable, Callable
+
 from msgspec import Struct
 
-from anvilcove.jobs.types import Item, ItemResult, TextPart
+from anvilcove.jobs.types import FailureCounts, Item, ItemResult, TextPart
 from anvilcove.ports.engines import TokenEvent
 
 
@@ -27,7 +29,7 @@
         'attempts',
         'failures',
         'failed_endpoints',
-        'reward_failures',
+        'store_failures',
         'endpoint',
         'moves',
         'long_item',
@@ -58,10 +60,12 @@
         # Whether the text was discarded; its checkpoints then no longer match.
         self.was_reset = False
         self.attempts = 0
-        # Number of answers that reported a failed item, and their endpoints.
-        self.failures = 0
+        # Answers that reported a failure, also to earlier owners of the job,
+        # and the endpoints that reported a failed item.
+        self.failures = FailureCounts()
         self.failed_endpoints: set[str] = set()
-        self.reward_failures = 0
+        # Stores the counts so that they outlast this daemon.
+        self.store_failures: Callable[[], Awaitable[None]] | None = None
 
     def append(self, event: TokenEvent) -> None:
         """Append the text of an event and record its weight version."""
@@ -74,10 +78,18 @@
         self.texts = list(part.texts)
         self.versions = list(part.versions)
 
-    def record_failure(self, endpoint: str) -> None:
-        """Record an answer that reported a failed item."""
-        self.failures += 1
+    async def record_failure(self, endpoint: str) -> None:
+        """Count an answer that reported a failed item, and store the count."""
+        self.failures.runs += 1
         self.failed_endpoints.add(endpoint)
+        if self.store_failures is not None:
+            await self.store_failures()
+
+    async def record_reward_failures(self, count: int) -> None:
+        """Count answers that reported a failed reward call, and store them."""
+        self.failures.reward_calls += count
+        if count and self.store_failures is not None:
+            await self.store_failures()
 
     def failures_exhausted(self, max_attempts: int) -> bool:
         """Tell whether the item failed too often to be tried again.
@@ -85,11 +97,11 @@
         Failures at `max_attempts` different endpoints point to the item and
         not to an engine. With fewer endpoints the limit is twice as high.
         """
-        if self.failures < max_attempts:
+        if self.failures.runs < max_attempts:
             return False
         if len(self.failed_endpoints) >= max_attempts:
             return True
-        return self.failures >= 2 * max_attempts
+        return self.failures.runs >= 2 * max_attempts
 
     def reset(self) -> None:
         """Discard the generated text."""
--- a/anvilcove/jobs/reward_calls.py
+++ b/anvilcove/jobs/reward_calls.py
@@ -53,12 +53,12 @@
                 state.find_route(reward.host, reward.path) if state else None
             )
             if route is not None:
+                if progress.failures.reward_calls >= route.max_attempts:
+                    return _errored_result(progress, reward)
                 answer = await self._send(reward, route)
                 if 200 <= answer.status < 300 and answer.stamp:
                     return progress.completed_result(answer.stamp)
-                progress.reward_failures += answer.server_failures
-                if progress.reward_failures >= route.max_attempts:
-                    return _errored_result(progress, reward)
+                await progress.record_reward_failures(answer.server_failures)
             await self._clock.sleep(
                 retry_delay_s * self._rng.uniform(0.5, 1.5)
             )
@@ -87,6 +87,6 @@
     logger.bind(
         request=progress.item.item_id,
         reward=reward.request_id,
-        failures=progress.reward_failures,
+        failures=progress.failures.reward_calls,
     ).info('item errored: its reward call failed each time')
     return ItemResult(progress.item.item_id, completed=False)
--- a/anvilcove/jobs/types.py
+++ b/anvilcove/jobs/types.py
@@ -54,6 +54,13 @@
     items: list[Item]
 
 
+class FailureCounts(Struct, array_like=True):
+    """Failed runs of an item and of its reward call."""
+
+    runs: int = 0
+    reward_calls: int = 0
+
+
 class JobHead(Struct, array_like=True):
     """Stored row of a job: its owner, its progress and its totals.
 
@@ -81,6 +88,8 @@
     # Upper bound of the prompt and output tokens of all items.
     tokens: int
     age_ms: float = 0.0
+    # Items without a result that have failed before.
+    failures_by_item: dict[str, FailureCounts] = field(default_factory=dict)
 
     @property
     def finished(self) -> bool:
--- a/features/batch_jobs.feature
+++ b/features/batch_jobs.feature
@@ -311,3 +311,14 @@
     Then only the job row and the end row of job j1 are in the store
     When 10 s go by
     Then no row or object of job j1 is in the store
+
+  Scenario: An item that fails at each run outlives several owners
+    Guards against failures that are forgotten with their owner, so that an
+    item reaches servers more than three times as often as it may.
+    Given a platform with 4 engines and daemons a, b and c
+    And item 0 of job j1 fails at each run
+    When daemon a accepts job j1 with 16 items
+    And the owner of job j1 is killed 4 times, 0.05 s after it started it
+    And 20 s go by
+    Then item 0 of job j1 reached servers at most 9 times
+    And daemon a lists 16 results of job j1
--- a/features/steps/batch_job_steps.py
+++ b/features/steps/batch_job_steps.py
@@ -669,3 +669,48 @@
 def check_new_holder(context):
     """Check that the stopped daemon does not hold the lease."""
     assert orders_holder(context) != context.stopped
+
+
+@given('item {number:d} of job {job} fails at each run')
+def fail_item_always(context, number, job):
+    """Let each run of an item fail at every engine."""
+    fail_item(context, number, job, 10_000)
+
+
+@when(
+    'the owner of job {job} is killed {count:d} times, {seconds:g} s after it '
+    'started it'
+)
+def kill_owners(context, job, count, seconds):
+    """Kill each owner shortly after it started the job; start it again."""
+    site = context.memory
+    for number in range(count):
+        owner = next_owner(site, job)
+        site.pass_time(seconds)
+        site.kill(owner)
+        site.start(owner, seed=300 + number)
+
+
+def next_owner(site, job):
+    """Return the daemon that runs a job, as soon as one does."""
+    for _ in range(2_000):
+        for name, daemon in site.daemons.items():
+            if job in daemon.owner.runs:
+                return name
+        site.pass_time(0.01)
+    raise AssertionError(f'no daemon runs {job}')
+
+
+@then('item {number:d} of job {job} reached servers at most {limit:d} times')
+def check_item_runs(context, number, job, limit):
+    """Check how often an item was sent to engines."""
+    runs = [run for e in context.memory.engines for run in e.runs]
+    sent = [item for item, _ in runs if item == f'{job}-{number}']
+    assert len(sent) <= limit, len(sent)
+
+
+@then('daemon {name} lists {count:d} results of job {job}')
+def check_result_count(context, name, count, job):
+    """Check that all items have a result."""
+    _, results = read_all(context, name, job)
+    assert len(results) == count, len(results)
