Take over no job before the desired state is known

Cause: an owner that had not read the operator's table computed the deadline of the items once, from a default. Evidence: 'Daemons that do not know the lifetime of a job give up no item' failed with 16 errored results after 48 s of a lifetime of 60 s. Change: a daemon takes no jobs over until it knows the desired state; a job that it was assigned is given to another daemon after 0.8 s, as before. batch_jobs, job_lifetimes and succession pass.

--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -42,10 +42,10 @@
 POLL_PERIOD_S = 0.1
 # No job is taken over while the view of the jobs table is older than this.
 MAX_VIEW_AGE_S = 1.5
-# Time after submission at which items may be given up if the route of the job
-# is not in the desired state.
+# Time after submission at which items may be given up if the desired state no
+# longer has the route of the job.
 DEFAULT_ITEM_LIFETIME_S = 40.0
-# Time in which all results are due if the route is not in the desired state.
+# Time in which all results are due if the desired state no longer has it.
 DEFAULT_OBJECTIVE_S = 7.5
 # Added to the lifetime of items, since the clocks of hosts run at slightly
 # different rates.
@@ -124,6 +124,9 @@
             self._stop_ended()
             if self.closing or self._watch.age_s() > MAX_VIEW_AGE_S:
                 continue
+            if self._desired.current is None:
+                # The lifetime of items is not known yet.
+                continue
             self._take_over_assigned()
             for job in self._jobs_view.abandoned():
                 if job.head.job_id not in self._pending_takeovers:
--- a/features/job_lifetimes.feature
+++ b/features/job_lifetimes.feature
@@ -62,3 +62,19 @@
     And all daemons lose power and start again with other clocks after 3 s
     And 12 s go by
     Then every daemon lists 64 completed results of job j1 in the same order
+
+  Scenario: Daemons that do not know the lifetime of a job give up no item
+    Guards against items that are errored after a default lifetime by an owner
+    that has not read the desired state yet.
+    Given a platform with 2 engines and daemons a, b and c
+    And items of jobs have a lifetime of 60 s
+    And engine 0 does not respond
+    And engine 1 does not respond
+    When daemon a accepts job j1 with 16 items
+    And the store does not answer for the operator's table
+    And all daemons lose power and start again with other clocks after 3 s
+    And 45 s go by
+    Then daemon b lists no result of job j1
+    When the store answers for the operator's table again
+    And 20 s go by
+    Then daemon b lists 16 errored results of job j1
--- a/features/steps/job_lifetime_steps.py
+++ b/features/steps/job_lifetime_steps.py
@@ -46,6 +46,25 @@
         site.start(name, seed=200 + number, origin_s=50_000.0 * number)
 
 
+@given('items of jobs have a lifetime of {seconds:g} s')
+def set_item_lifetime(context, seconds):
+    """Write a desired state with another lifetime of items."""
+    context.memory.write_operator(2, item_lifetime_s=seconds)
+    context.memory.pass_time(1.0)
+
+
+@when("the store does not answer for the operator's table")
+def silence_operator_table(context):
+    """Let reads of the operator's table wait."""
+    context.memory.store.faults.silent_partitions.add(('op', ''))
+
+
+@when("the store answers for the operator's table again")
+def answer_operator_table(context):
+    """Let reads of the operator's table return."""
+    context.memory.store.faults.silent_partitions.clear()
+
+
 @then('daemon {name} lists no result of job {job}')
 def check_no_result(context, name, job):
     """Check that no item has a result yet."""
