Test that daemons of two versions read each other's rows of jobs

Cause of the test: the row changed its meaning in one place and grew two fields. An earlier daemon reads a submission in the future and gives nothing up; this version reads an old row as a new job.

--- a/features/job_lifetimes.feature
+++ b/features/job_lifetimes.feature
@@ -78,3 +78,11 @@
     When the store answers for the operator's table again
     And 20 s go by
     Then daemon b lists 16 errored results of job j1
+
+  Scenario: Rows of jobs are read across versions of the program
+    Guards against jobs that are given up or lost while daemons of two versions
+    run side by side.
+    When a row of a job that an earlier version wrote is read
+    Then the age of that job is 0 s
+    When an earlier version reads a row of a job of this version
+    Then it finds a submission that lies in the future
--- a/features/steps/job_lifetime_steps.py
+++ b/features/steps/job_lifetime_steps.py
@@ -3,6 +3,9 @@
 from batch_job_steps import read_all
 from behave import given, then, use_step_matcher, when
 from memory_site import job_spec
+from msgspec import Struct, msgpack
+
+from anvilcove.jobs.types import RESERVED_MS, FailureCounts, JobHead
 
 use_step_matcher('parse')
 
@@ -78,3 +81,68 @@
     _, results = read_all(context, name, job)
     completed = [result.completed for result in results]
     assert completed == [False] * count, completed
+
+
+class FormerJobHead(Struct, array_like=True):
+    """Row of a job as version 0.1.0 of November 2026 wrote it."""
+
+    job_id: str
+    owner: str
+    nonce: str
+    beat: int
+    commit_id: str
+    listed: int
+    total: int
+    submitted_ms: float
+    host: str
+    path: str
+    model: str
+    tokens: int
+
+
+@when('a row of a job that an earlier version wrote is read')
+def read_former_row(context):
+    """Decode a row with the fields of the earlier version."""
+    row = FormerJobHead(
+        'j1', 'a', 'n', 1, 'c', 0, 8, 5e6, 'h', '/job/', 'm', 80
+    )
+    context.head = msgpack.decode(msgpack.encode(row), type=JobHead)
+
+
+@then('the age of that job is {seconds:d} s')
+def check_age(context, seconds):
+    """Check the age in the row."""
+    assert context.head.age_ms == seconds * 1000
+    assert (context.head.total, context.head.tokens) == (8, 80)
+
+
+@when('an earlier version reads a row of a job of this version')
+def read_new_row(context):
+    """Decode a row of this version with the earlier fields."""
+    head = JobHead(
+        job_id='j1',
+        owner='a',
+        nonce='n',
+        beat=1,
+        commit_id='c',
+        listed=0,
+        total=8,
+        reserved_ms=RESERVED_MS,
+        host='h',
+        path='/job/',
+        model='m',
+        tokens=80,
+        age_ms=5e6,
+        failures_by_item={'i': FailureCounts(1, 2)},
+    )
+    context.former = msgpack.decode(msgpack.encode(head), type=FormerJobHead)
+
+
+@then('it finds a submission that lies in the future')
+def check_future(context):
+    """Check that the earlier version computes a negative age.
+
+    The store's clock counts from its start, or from 1970 at most.
+    """
+    assert context.former.submitted_ms > 1000 * 86_400 * 365 * 1000
+    assert (context.former.total, context.former.tokens) == (8, 80)
