Count announcements of orders as ages, safe against restarts of the store

What callers would see: after a restart of the store with a lower clock, engines that no daemon orders for as long as the clock is behind (new weight versions are not loaded: stale rollouts and trainers that wait); with a higher clock, or after an answer that was long on its way, a successor of the holder that orders engines within the platform's lease time (rule ONE). Cause: the row of the lease dated announcements by the store's clock alone, as estimated by the holder, and the successor subtracted that from its own estimate. Neither clock needs to be the one of the other figure, and both estimates lag by the way of the last answer. A reader turns an announcement into a local time at once, and takes the earlier of two latest possible ones: by that age and by when it first read this row, and by the store's clock, which counts only back to the reader's first answer since the store's restart. A holder whose announcement was answered with the time of another clock announces again, with ages only, before it acts. Why it works: both are upper bounds of the time of the announcement. An age is measured by one clock and adds only time that the reader has measured itself. A store time that means a moment after the reader's first answer is of the clock that the reader knows, or it is later than the truth; earlier ones count as that first answer. A daemon that has just started counts from its first read instead. Rows: the new field comes last and has a default. Daemons of the version before read it, and their rows are read (scenario).

--- a/anvilcove/control/leases.py
+++ b/anvilcove/control/leases.py
@@ -19,6 +19,7 @@
 )
 from anvilcove.state.clock import Clock
 from anvilcove.state.leases import LeaseWatch
+from anvilcove.state.store_clock import StoreClock
 from anvilcove.telemetry.logs import DECISION
 
 LEASES_TABLE = 'leases'
@@ -39,14 +40,31 @@
 # that, and ends within the second time after that.
 USE_WINDOW_S = 0.5
 USE_DURATION_S = 0.8
+# Tries to announce; an answer that contradicts the known time of the store
+# makes another one necessary.
+ANNOUNCEMENT_TRIES = 3
 
 
 class ResourceUse(Struct, array_like=True):
     """Announcement that a holder is about to act on a resource."""
 
     holder: str
-    # Time of the store's clock in milliseconds.
+    # Upper bound of its time on the store's clock, in milliseconds.
     announced_ms: float
+    # Lower bound of its age when the row was written. Unlike a time of the
+    # store's clock, it remains right when the store restarts.
+    age_s: float = 0.0
+
+
+class KnownUse:
+    """Announcement, with the latest local time at which it can be made."""
+
+    __slots__ = ('holder', 'announced_at_s')
+
+    def __init__(self, holder: str, announced_at_s: float) -> None:
+        """Store the announcement of a holder."""
+        self.holder = holder
+        self.announced_at_s = announced_at_s
 
 
 class LeaseRow(Struct):
@@ -89,8 +107,8 @@
         '_released',
         '_use_by_resource',
         '_announced_at_s',
-        '_store_ms',
-        '_store_ms_at_s',
+        '_store_clock',
+        '_seen_renewal',
         '_write_lock',
     )
 
@@ -119,12 +137,12 @@
         self._version = 0
         self._valid_until_s = float('-inf')
         self._released = False
-        self._use_by_resource: dict[str, ResourceUse] = {}
+        self._use_by_resource: dict[str, KnownUse] = {}
         # Times of this holder's own announcements.
         self._announced_at_s: dict[str, float] = {}
-        # Store time of the last answer, and when it arrived.
-        self._store_ms = 0.0
-        self._store_ms_at_s = 0.0
+        self._store_clock = StoreClock()
+        # Renewal of another holder that `_use_by_resource` was read from.
+        self._seen_renewal: tuple[str, int, int] | None = None
         self._write_lock = asyncio.Lock()
 
     def fence(self) -> int | None:
@@ -139,14 +157,24 @@
         Returns whether it still holds the lease. Raises StoreUnavailable or
         StoreAnswerLost.
         """
-        announced_at_s = self._clock.now()
-        now_ms = self._estimated_store_ms()
-        for resource in resources:
-            self._use_by_resource[resource] = ResourceUse(self._host, now_ms)
-        if self.fence() is None or not await self._renew():
-            return False
-        self._announced_at_s.update(dict.fromkeys(resources, announced_at_s))
-        return True
+        for _ in range(ANNOUNCEMENT_TRIES):
+            announced_at_s = self._clock.now()
+            restarts = self._store_clock.restarts
+            for resource in resources:
+                self._use_by_resource[resource] = KnownUse(
+                    self._host, announced_at_s
+                )
+            if self.fence() is None or not await self._renew():
+                return False
+            if self._store_clock.restarts == restarts:
+                self._announced_at_s.update(
+                    dict.fromkeys(resources, announced_at_s)
+                )
+                return True
+            # The row bears times of the store's former clock, which a
+            # successor would misread. The next one bears ages only.
+            self._store_clock.forget()
+        return False
 
     def may_act_on(self, resource: str) -> bool:
         """Tell whether the holder may act on an announced resource now."""
@@ -161,30 +189,50 @@
         use = self._use_by_resource.get(resource)
         if use is None or use.holder == self._host:
             return 0.0
-        age_s = (self._estimated_store_ms() - use.announced_ms) / 1000
+        age_s = self._clock.now() - use.announced_at_s
         return max(self._use_block_s() - age_s, 0.0)
 
     def _use_block_s(self) -> float:
         longest_use_s = USE_WINDOW_S + USE_DURATION_S
         return longest_use_s + self._handover_gap_s + TAKEOVER_MARGIN_S
 
-    def _estimated_store_ms(self) -> float:
-        elapsed_s = self._clock.now() - self._store_ms_at_s
-        return self._store_ms + elapsed_s * 1000
-
-    def _record_store_time(self, store_ms: float) -> None:
-        self._store_ms = store_ms
-        self._store_ms_at_s = self._clock.now()
-
     def _recent_uses(self) -> dict[str, ResourceUse]:
         """Return the announcements that a successor must still respect."""
-        oldest_ms = self._estimated_store_ms() - self._use_block_s() * 1000
+        now = self._clock.now()
         return {
-            resource: use
+            resource: ResourceUse(
+                use.holder,
+                self._store_clock.latest_ms(use.announced_at_s),
+                now - use.announced_at_s,
+            )
             for resource, use in self._use_by_resource.items()
-            if use.announced_ms > oldest_ms
+            if now - use.announced_at_s < self._use_block_s()
         }
 
+    def _read_uses(self, row: LeaseRow, read_at_s: float) -> None:
+        """Relate the announcements in a row to the local clock.
+
+        Each announcement has two latest possible times: one by its age when
+        the row was written, which was before it was read, and one by the
+        store's clock. The earlier one holds.
+        """
+        renewal = (row.nonce, row.fence, row.beat)
+        known = self._use_by_resource if renewal == self._seen_renewal else {}
+        self._seen_renewal = renewal
+        self._use_by_resource = {}
+        for resource, use in row.use_by_resource.items():
+            announced_at_s = min(
+                read_at_s - max(use.age_s, 0.0),
+                self._store_clock.latest_local_s(use.announced_ms),
+            )
+            if resource in known:
+                announced_at_s = min(
+                    announced_at_s, known[resource].announced_at_s
+                )
+            self._use_by_resource[resource] = KnownUse(
+                use.holder, announced_at_s
+            )
+
     async def run(self) -> None:
         """Renew or try to acquire the lease until it is released."""
         while not self._released:
@@ -251,10 +299,12 @@
     async def _try_acquire(self) -> None:
         if self.row is not None:
             self._mark_lost('not renewed in time')
+        sent_at_s = self._clock.now()
         page = await self._store.read_range(
             LEASES_TABLE, '', self.name, self.name + '\0'
         )
-        self._record_store_time(page.store_ms)
+        read_at_s = self._clock.now()
+        self._store_clock.record(sent_at_s, read_at_s, page.store_ms)
         current = decode_value(page.rows[0], LeaseRow) if page.rows else None
         self._version = page.rows[0].version if page.rows else 0
         if current is not None and current.nonce == self._nonce:
@@ -265,17 +315,16 @@
             return
         fence = 0
         if current is not None:
+            self._read_uses(current, read_at_s)
             fence = current.fence
             renewal = (current.fence, current.beat)
-            now = self._clock.now()
             # A row of the same host is from an earlier process, which has
             # ended. Orders name the host as their holder, so both
             # processes count as one holder and no wait is needed.
             same_host = current.holder == self._host
-            expired = self._holder_watch.expired(self.name, renewal, now)
+            expired = self._holder_watch.expired(self.name, renewal, read_at_s)
             if current.holder and not expired and not same_host:
                 return
-            self._use_by_resource = dict(current.use_by_resource)
         acquired = LeaseRow(
             self._host, self._nonce, fence + 1, 0, self._recent_uses()
         )
@@ -307,13 +356,16 @@
     async def _write(self, row: LeaseRow) -> LeaseRow | None:
         """Write the row; return None, or the stored row that conflicts."""
         row_id = RowId(LEASES_TABLE, '', self.name)
+        sent_at_s = self._clock.now()
         outcome = await self._store.transact(
             RowTransaction(
                 checks=[RowCheck(row_id, self._version)],
                 writes=[RowWrite(row_id, msgpack.encode(row))],
             )
         )
-        self._record_store_time(outcome.store_ms)
+        self._store_clock.record(
+            sent_at_s, self._clock.now(), outcome.store_ms
+        )
         if outcome.applied:
             self._version = outcome.version
             return None
