Restart the timeouts of daemons at the first answer after an outage

What callers would see: after the store was away for 10 s or more, lookups name only the daemon that answers, and the takeover order is that of a daemon that is alone, until the next heartbeats. Cause: the watch told its owner of the gap before it moved the time of its last answer. The timeouts of the heartbeats were restarted at the last answer before the outage, so that all of it counted as silence. Evidence: 'Daemons stay known after an outage of the store' failed after outages of 12 s and 20 s with ASSERT FAILED: ('a', set(), 13.06) and ('a', set(), 21.04): daemon a knows nobody at the first answer; after 4 s and 8.5 s the first answer was a wait that ended with a heartbeat, and it passed.

--- a/anvilcove/control/watch.py
+++ b/anvilcove/control/watch.py
@@ -211,9 +211,11 @@
         self.version = max(page.version, self.version)
 
     def _record_answer(self, sent_at_s: float) -> None:
-        if self._on_gap and sent_at_s - self.answered_at_s > MAX_ANSWER_GAP_S:
-            self._on_gap()
+        gap_s = sent_at_s - self.answered_at_s
+        # Timers that the callback restarts run from this answer on.
         self.answered_at_s = sent_at_s
+        if self._on_gap and gap_s > MAX_ANSWER_GAP_S:
+            self._on_gap()
         now = self._clock.now()
         if self._received_at_s is not None:
             self.observed_s += min(
--- a/features/steps/store_clock_steps.py
+++ b/features/steps/store_clock_steps.py
@@ -159,32 +159,6 @@
     start_daemons(context, 'de')
 
 
-@then(
-    'each daemon knows the others as alive all the time for the next '
-    '{seconds:d} s'
-)
-def check_alive(context, seconds):
-    """Check the directories every 20 ms."""
-    site = context.memory
-    for _ in range(seconds * 50):
-        site.pass_time(0.02)
-        for name, daemon in site.daemons.items():
-            alive = {node.host for node in daemon.nodes.alive()}
-            others = set(site.daemons) - {name}
-            assert alive == others, (name, alive, site.loop.time())
-
-
-@then('the store has kept the rows of all daemons')
-def check_rows_kept(context):
-    """Check that no row of a daemon was ever removed."""
-    removed = [
-        row.id.key
-        for row in context.memory.store.history
-        if row.id.table == 'nodes' and row.value is None
-    ]
-    assert not removed, removed
-
-
 @given('two daemons with unrelated clocks that request the orders lease')
 def prepare_holders(context):
     """Prepare two leases of the same name on a store in memory."""
--- a/features/succession.feature
+++ b/features/succession.feature
@@ -61,3 +61,18 @@
     Given a platform with 2 engines and daemons a, b and c
     When a row changes while the store answers a watch that saw no change
     Then the answer has the row or an older version
+
+  Scenario Outline: Daemons stay known after an outage of the store
+    Guards against heartbeats that count as missing although nobody could write
+    or read them: the timeouts restarted at the last answer before the outage.
+    Given a platform with 2 engines and daemons a, b and c
+    When the store is away for <outage> s
+    Then each daemon knows the others as alive all the time for the next 4 s
+    And the store has kept the rows of all daemons
+
+    Examples:
+      | outage |
+      | 4.0 |
+      | 8.5 |
+      | 12.0 |
+      | 20.0 |
