Refuse requests before the first read of the endpoints with status 503

What callers would see: a status 500 instead of a 503 with Retry-After from a daemon that has just started and has read the desired state but no endpoints, so that requests that may run once aren't sent again. Cause: the log line of each answer bears the age of the endpoints, which is infinite before the first answer of the store, and round() takes no infinity. Evidence: 'A daemon that knows no endpoints yet refuses requests' ended with 'OverflowError: cannot convert float infinity to integer'.

--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Coroutine
+from math import isfinite
 from typing import Any
 
 from msgspec import Struct
@@ -302,13 +303,15 @@
     def _log_context(self) -> dict[str, float]:
         """Return version and age of the state that decisions are based on."""
         version, age_s = self._desired_state()
-        return {
+        context: dict[str, float] = {
             'config': version,
             'config_age_ms': round(age_s * 1000),
-            'endpoints_age_ms': round(
-                self.watches['endpoints'].age_s() * 1000
-            ),
         }
+        endpoints_age_s = self.watches['endpoints'].age_s()
+        # The age is infinite before the first read.
+        if isfinite(endpoints_age_s):
+            context['endpoints_age_ms'] = round(endpoints_age_s * 1000)
+        return context
 
     def _desired_state(self) -> tuple[int, float]:
         """Return the current version and seconds since it was confirmed."""
--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -128,3 +128,11 @@
     And every service breaks streams off after 3 events
     When a stream is requested from daemon a 1 times
     Then the stream is reported as broken after event 3 and ran once
+
+  Scenario: A daemon that knows no endpoints yet refuses requests
+    Guards against an age of what was never read, which no log line can bear:
+    the request ended with an exception after it had been refused.
+    Given a platform with 1 engines and daemons a, b and c
+    When the store does not answer for endpoints and daemon d starts
+    And 3 requests with a timeout of 1 s arrive at daemon d
+    Then all of them end with status 503
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -353,3 +353,12 @@
     """Count the services that were used."""
     used = {address for address, _ in context.memory.servers.runs}
     assert len(used) <= count, len(used)
+
+
+@when('the store does not answer for endpoints and daemon {name} starts')
+def start_without_endpoints(context, name):
+    """Start a daemon that reads the desired state, but no endpoints."""
+    site = context.memory
+    site.store.faults.silent_partitions.add(('servers', ''))
+    site.start(name, seed=9)
+    site.pass_time(1.0)
