Count the time of a suspension in the daemon's own interface

What callers would see: a daemon whose host was suspended resumes and, for up to 2.1 s, orders engines and prunes claims under a lease that another daemon has taken over (engines refuse its older fencing token and rows their older revision, so that no wrong outcome is known); and it takes requests on a configuration that it confirmed before the suspension. Cause: the leases and the confirmation of the configuration read the ordinary monotonic clock, which stops while the host is suspended. The platform's orders lease already had the clock that does not. Evidence: 'A holder whose host was suspended may not act' failed with 'ASSERT FAILED' on its last step: the fencing token was still valid 10 s after the renewal of a lease of 3 s.

--- a/anvilcove/daemon/app.py
+++ b/anvilcove/daemon/app.py
@@ -17,7 +17,7 @@
 from anvilcove.daemon.metrics import Metrics
 from anvilcove.daemon.parts import COMPONENTS
 from anvilcove.settings.daemon import DaemonSettings
-from anvilcove.state.clock import SystemClock, new_random_generator
+from anvilcove.state.clock import SuspendAwareClock, new_random_generator
 
 COMPONENT_MODULES = (
     'anvilcove.commands.requests.dispatch',
@@ -93,7 +93,7 @@
     metrics = Metrics()
     return Context(
         settings,
-        SystemClock(),
+        SuspendAwareClock(),
         new_random_generator(settings.seed),
         ClientSession(connector=connector, timeout=timeout),
         control_session=ClientSession(
--- a/features/leases.feature
+++ b/features/leases.feature
@@ -27,3 +27,11 @@
     And daemon b prunes the claims
     And daemon a prunes the claims
     Then claims that are 1, 23 hours old are left
+
+  Scenario: A holder whose host was suspended may not act
+    Guards against a daemon that resumes and still holds a lease that others
+    have taken over meanwhile, because its clock stood still.
+    Given a daemon that requests a lease of 3 s and reads the clock of its host
+    When it acquires the lease
+    And its host is suspended for 10 s
+    Then it no longer holds the lease
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -1,12 +1,16 @@
 """Steps that run the lease keeper and the pruning on a table in memory."""
 
+import time
 from types import SimpleNamespace
+from unittest.mock import patch
 
 from behave import given, then, when
+from queue_model import daemon_settings
 from site_steps import run
 
 from anvilcove.commands.control.leases import LeaseKeeper
 from anvilcove.commands.control.prune import ClaimPruning
+from anvilcove.daemon.app import load_modules, open_context
 from anvilcove.messages.table import Row, TransactionResult
 
 LEASE = 'claims'
@@ -139,3 +143,51 @@
 def numbers(text):
     """Return the numbers of a list such as `1, 2 and 3`."""
     return [int(part) for part in text.replace(' and ', ', ').split(', ')]
+
+
+@given(
+    'a daemon that requests a lease of {lease:d} s and reads the clock of its '
+    'host'
+)
+def prepare_with_host_clock(context, lease):
+    """Build a lease keeper as a daemon does, on a table in memory."""
+    load_modules()
+    settings = daemon_settings()
+    settings.timing.lease_ms = lease * 1000
+
+    async def build():
+        daemon = open_context(settings)
+        await daemon.control_session.close()
+        await daemon.session.close()
+        return daemon
+
+    daemon = run(context, build())
+    daemon.ports['control_table'] = MemoryTable()
+    context.keeper = LeaseKeeper(daemon)
+    context.keeper.want(LEASE)
+
+
+@when('it acquires the lease')
+def acquire(context):
+    """Run one round of the lease keeper."""
+    run(context, context.keeper.renew_or_acquire_all())
+    assert context.keeper.fence(LEASE) == 1
+
+
+@when('its host is suspended for {seconds:d} s')
+def suspend(context, seconds):
+    """Advance the clock that continues during a suspension."""
+    read = time.clock_gettime
+    patched = patch.object(
+        time,
+        'clock_gettime',
+        lambda clock: read(clock) + seconds * (clock == time.CLOCK_BOOTTIME),
+    )
+    patched.start()
+    context.add_cleanup(patched.stop)
+
+
+@then('it no longer holds the lease')
+def check_lost(context):
+    """Check that the daemon has no fencing token."""
+    assert context.keeper.fence(LEASE) is None
