Give each test run loopback addresses of its own

Seen: in "News that waited in the sockets of a paused host confirm nothing" once a TimeoutError after 30 s in "a ready site with 3 hosts" and once a connection error in "all 20 lookups are refused as not run", beside other runs.

Cause: free_port chose a port, closed it and left the address unused until the process started. All runs use the same IPs (127.1.0.1 and so on), so that an outgoing connection or another run could take the port in between.

A site whose port of h1 is taken by an outgoing connection ends in the TimeoutError: h1 exits with status 1. If two runs choose the same port for h1, the second is ready all the same, as it reaches h1 of the first; when the first run ends, a waiting lookup of the second gets ClientOSError 104, connection reset. What ran in the two failed runs is not known, as their logs are gone.

Change: a run reserves a subnet with a bound socket, which is exclusive in the network namespace, needs no shared folder, and ends with its last process, as the processes inherit it. Each process has an IP of its own there and a fixed port below the range of outgoing connections. Other servers bind at once and report their port; "does not listen" holds a bound port for the scenario.

The step "was called from 127.1.0.1" names host h1 now and compares with its address, which must still start with 127.1.; it is as strict as before.

--- a/anvilcove/demo/processes.py
+++ b/anvilcove/demo/processes.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import signal
-import socket
 import sys
 from pathlib import Path
 
@@ -14,23 +13,20 @@
 POLL_INTERVAL_S = 0.05
 
 
-def free_port(ip: str = '127.0.0.1') -> int:
-    """Return a port of an address that is free at the moment."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind((ip, 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 class ProcessGroup:
     """Named processes of one run, each with its own log file."""
 
-    __slots__ = ('folder', 'by_name', '_command_by_name')
+    __slots__ = ('folder', 'by_name', '_command_by_name', '_descriptors')
+
+    def __init__(
+        self, folder: Path, descriptors: tuple[int, ...] = ()
+    ) -> None:
+        """Create the folder of the log files.
 
-    def __init__(self, folder: Path) -> None:
-        """Create the folder of the log files."""
+        The processes inherit `descriptors`.
+        """
         self.folder = folder
+        self._descriptors = descriptors
         self.by_name: dict[str, asyncio.subprocess.Process] = {}
         self._command_by_name: dict[str, list[str]] = {}
         folder.mkdir(parents=True, exist_ok=True)
@@ -59,6 +55,7 @@
                 stdout=log,
                 stderr=log,
                 env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+                pass_fds=self._descriptors,
             )
 
     def signal(self, name: str, number: int) -> None:
--- a/anvilcove/demo/run.py
+++ b/anvilcove/demo/run.py
@@ -1,7 +1,6 @@
 """Run a site under load and faults and record the results."""
 
 import asyncio
-import os
 import random
 import time
 from collections.abc import Coroutine
@@ -47,7 +46,6 @@
             folder,
             relay=True,
             mixed_speeds=True,
-            subnet=1 + os.getpid() % 250,
         )
         self.site.timing.entry_ttl_ms = ENTRY_TTL_MS
         self.site.plan()
--- a/anvilcove/demo/site.py
+++ b/anvilcove/demo/site.py
@@ -9,11 +9,7 @@
 from aiohttp import ClientSession
 from msgspec import to_builtins
 
-from anvilcove.demo.processes import (
-    ProcessGroup,
-    free_port,
-    wait_until_ready,
-)
+from anvilcove.demo.processes import ProcessGroup, wait_until_ready
 from anvilcove.messages.base import encode
 from anvilcove.messages.membership import (
     ENGINE,
@@ -29,6 +25,11 @@
     PlatformSettings,
     TimingSettings,
 )
+from anvilcove.standins.loopback import (
+    LISTEN_PORT,
+    RELAY_PORT,
+    LoopbackSubnet,
+)
 from anvilcove.standins.network import NetworkOptions, Relayed
 from anvilcove.standins.service import SCORING
 
@@ -97,9 +98,8 @@
     With `relay`, the membership list and the settings contain addresses of
     the relay, while the processes listen at `listen_address_by_name`. With
     `mixed_speeds`, every second engine takes twice the time for a token.
-    Sites that run at the same time need different subnets (third number of
-    the addresses); otherwise outgoing connections of one site may occupy
-    ports of another.
+    Each site reserves a subnet (third number of the addresses) until it is
+    stopped, so that sites which run at the same time share no address.
     """
 
     def __init__(
@@ -108,23 +108,26 @@
         folder: Path,
         relay: bool = False,
         mixed_speeds: bool = False,
-        subnet: int = 0,
     ) -> None:
-        """Choose the address of the platform; no process is started."""
+        """Reserve the addresses; no process is started."""
         self.shape = shape
         self.folder = folder
         self.relay = relay
         self.mixed_speeds = mixed_speeds
-        self.subnet = subnet
+        self.subnet = LoopbackSubnet()
         self.listen_address_by_name: dict[str, str] = {}
         self.relayed_listeners: list[Relayed] = []
-        self.processes = ProcessGroup(folder / 'logs')
+        self.processes = ProcessGroup(
+            folder / 'logs', self.subnet.descriptors()
+        )
         self.members = Members()
         self._platform_advertised = self._plan_address(
-            PLATFORM, '127.0.0.1', ''
+            PLATFORM, self.subnet.ip(1), ''
         )
         self.platform_address = self.listen_address_by_name[PLATFORM]
-        self.listen_address_by_name[RELAY] = f'127.0.0.1:{free_port()}'
+        self.listen_address_by_name[RELAY] = (
+            f'{self.subnet.ip(2)}:{LISTEN_PORT}'
+        )
         self.timing = TimingSettings()
         self.settings_by_host: dict[str, DaemonSettings] = {}
 
@@ -142,29 +145,28 @@
 
     def _plan_address(self, name: str, ip: str, data_centre: str) -> str:
         """Choose a listen address; return the advertised address."""
-        real = f'{ip}:{free_port(ip)}'
+        real = f'{ip}:{LISTEN_PORT}'
         self.listen_address_by_name[name] = real
         if not self.relay:
             return real
-        advertised = real
-        while advertised == real:
-            advertised = f'{ip}:{free_port(ip)}'
+        advertised = f'{ip}:{RELAY_PORT}'
         self.relayed_listeners.append(
             Relayed(advertised=advertised, real=real, data_centre=data_centre)
         )
         return advertised
 
-    def _data_centre_and_ip(self, index: int) -> tuple[str, str]:
-        """Return the data centre and base IP of the process at an index."""
+    def _data_centre_and_ip(self, index: int, first: int) -> tuple[str, str]:
+        """Return data centre and IP of the process at an index.
+
+        `first` is the last number of the IP of index 0.
+        """
         position = index % len(self.shape.data_centres)
-        last_octet = index // len(self.shape.data_centres)
-        ip = f'127.{position + 1}.{self.subnet}.{last_octet}'
+        host = first + index // len(self.shape.data_centres)
+        ip = self.subnet.ip(host, data_centre=position + 1)
         return self.shape.data_centres[position], ip
 
     def _plan_host(self, index: int) -> None:
-        data_centre, base = self._data_centre_and_ip(index)
-        prefix, _, last_octet = base.rpartition('.')
-        ip = f'{prefix}.{int(last_octet) + 1}'
+        data_centre, ip = self._data_centre_and_ip(index, 1)
         host = f'h{index + 1}'
         address = self._plan_address(host, ip, data_centre)
         platform = AdapterSettings(address=self._platform_advertised)
@@ -188,12 +190,10 @@
         )
 
     def _plan_endpoint(self, kind: str, pool: str, index: int) -> None:
-        data_centre, base = self._data_centre_and_ip(index)
-        prefix, _, last_octet = base.rpartition('.')
-        offset = {ENGINE: 101, SERVICE: 151}[kind]
+        first = {ENGINE: 101, SERVICE: 151}[kind]
         if pool == SCORING:
-            offset = 201
-        ip = f'{prefix}.{int(last_octet) + offset}'
+            first = 201
+        data_centre, ip = self._data_centre_and_ip(index, first)
         endpoint = f'{pool}-{index + 1}'
         self.members.endpoints.append(
             EndpointMember(
@@ -313,8 +313,9 @@
         await self.processes.start(host, ['serve', str(path)])
 
     async def stop(self) -> None:
-        """Kill all processes of the site."""
+        """Kill all processes of the site and release its addresses."""
         await self.processes.stop_all()
+        self.subnet.release()
 
 
 def settings_data(settings: DaemonSettings) -> dict[str, Any]:
--- a/features/standins.feature
+++ b/features/standins.feature
@@ -177,7 +177,7 @@
       """
     When a caller sends {"account": 7} to class lookup at host h1
     Then the outcome is answered
-    And endpoint account-app-1 was called from 127.1.0.1
+    And endpoint account-app-1 was called from the address of host h1
     When endpoint account-app-1 crashes on the call {"account": "poison"} at host h1
     Then its journal file records the crash and it serves after a restart
     And cutting casa-ain off makes its host unreachable until it is reconnected
--- a/features/steps/access_steps.py
+++ b/features/steps/access_steps.py
@@ -176,12 +176,12 @@
     assert text not in log_text(context, host)
 
 
-def write_certificate(folder):
-    """Write a self-signed certificate for a loopback address."""
+def write_certificate(folder, ip):
+    """Write a self-signed certificate for an IP address."""
     key = ec.generate_private_key(ec.SECP256R1())
     name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, 'hosts')])
     start = datetime.datetime(2020, 1, 1, tzinfo=datetime.UTC)
-    ip = x509.IPAddress(ipaddress.ip_address('127.1.0.1'))
+    subject = x509.IPAddress(ipaddress.ip_address(ip))
     certificate = (
         x509.CertificateBuilder()
         .subject_name(name)
@@ -190,7 +190,7 @@
         .serial_number(1)
         .not_valid_before(start)
         .not_valid_after(start + datetime.timedelta(days=36_500))
-        .add_extension(x509.SubjectAlternativeName([ip]), critical=False)
+        .add_extension(x509.SubjectAlternativeName([subject]), critical=False)
         .add_extension(x509.BasicConstraints(True, None), critical=True)
         .sign(key, hashes.SHA256())
     )
@@ -208,12 +208,13 @@
 @given('a site with {hosts:d} hosts, {services:d} services and TLS')
 def start_tls_site(context, hosts, services):
     """Start daemons that serve over TLS."""
-    write_certificate(context.folder)
     files = {
         'certificate_file': str(context.folder / 'host.pem'),
         'key_file': str(context.folder / 'host.key'),
     }
     plan_site(context, hosts, services, {'tls': files})
+    first = next(iter(context.site.settings_by_host.values()))
+    write_certificate(context.folder, first.outgoing_ip)
     # Site.start waits until each daemon is ready over plain HTTP, which these
     # daemons refuse. It therefore starts the stand-ins alone; the hosts are
     # listed and started afterwards.
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -5,7 +5,6 @@
 
 from behave import given, then, when
 
-from anvilcove.demo.processes import free_port
 from anvilcove.platform.engines import PlatformEngines
 from anvilcove.platform.servers import PlatformServers
 from anvilcove.platform.standin import ServerStandin, event_count, serve
@@ -42,10 +41,10 @@
 def listen(context, server):
     """Serve on a free port until the scenario ends."""
     context.server = server
-    context.address = f'127.0.0.1:{free_port()}'
     runner = context.loop.run_until_complete(
-        serve(context.server.handle, context.address)
+        serve(context.server.handle, '127.0.0.1:0')
     )
+    context.address = '{}:{}'.format(*runner.addresses[0][:2])
     context.site = ServerSite(runner)
 
 
@@ -117,11 +116,11 @@
         self.data = data
         self.server = None
 
-    async def start(self, port):
-        """Listen on a port of the loopback address."""
-        self.server = await asyncio.start_server(
-            self.answer, '127.0.0.1', port
-        )
+    async def start(self):
+        """Listen on a loopback address and return it."""
+        self.server = await asyncio.start_server(self.answer, '127.0.0.1', 0)
+        ip, port = self.server.sockets[0].getsockname()
+        return f'{ip}:{port}'
 
     async def answer(self, reader, writer):
         """Read the headers of a request, then answer; its body is empty."""
@@ -138,10 +137,8 @@
 @given('a server that sends {text}')
 def raw_server(context, text):
     """Serve the bytes; a tilde stands for the end of a line."""
-    port = free_port()
-    context.address = f'127.0.0.1:{port}'
     context.site = RawServer(text.replace('~', '\r\n').encode())
-    context.loop.run_until_complete(context.site.start(port))
+    context.address = context.loop.run_until_complete(context.site.start())
 
 
 def send(context, request_id, method='POST', repeatable=False):
--- a/features/steps/classification_steps.py
+++ b/features/steps/classification_steps.py
@@ -8,7 +8,6 @@
 from site_steps import run
 from standin_steps import Servers, attempt, generate, lines
 
-from anvilcove.demo.processes import free_port
 from anvilcove.messages.services import ServiceCall
 from anvilcove.native.engines import HttpEngine
 from anvilcove.native.services import HttpService
@@ -42,7 +41,6 @@
     """Serve raw bytes over TCP and record the paths of the calls."""
     context.paths = []
     context.crashed = asyncio.Event()
-    context.address = f'127.0.0.1:{free_port()}'
 
     async def handle(reader, writer):
         head = await reader.readuntil(b'\r\n\r\n')
@@ -58,13 +56,15 @@
         writer.close()
 
     async def listen():
-        server = await asyncio.start_server(handle, '127.0.0.1', 0)
-        context.address = '127.0.0.1:{}'.format(
-            server.sockets[0].getsockname()[1]
-        )
-        context.site = Servers()
+        server = await asyncio.start_server(handle, sock=server_socket)
         context.site.callback(server.close)
 
+    # While bound, the port refuses connections and is given to no other use.
+    server_socket = socket.socket()
+    server_socket.bind(('127.0.0.1', 0))
+    context.address = '{}:{}'.format(*server_socket.getsockname())
+    context.site = Servers()
+    context.site.callback(server_socket.close)
     if behaviour != 'does not listen':
         run(context, listen())
 
--- a/features/steps/in_process.py
+++ b/features/steps/in_process.py
@@ -7,7 +7,6 @@
 from loguru import logger
 
 from anvilcove.daemon.app import Daemon
-from anvilcove.demo.processes import free_port
 from anvilcove.messages.base import encode
 from anvilcove.messages.membership import (
     SERVICE,
@@ -24,11 +23,10 @@
     PolicySettings,
     TimingSettings,
 )
+from anvilcove.standins.loopback import LISTEN_PORT, LoopbackSubnet
 from anvilcove.standins.platform import PlatformStandin
 from anvilcove.standins.service import ServiceOptions, ServiceStandin
 
-IP = '127.0.0.1'
-
 
 class JumpClock:
     """Clock that can jump ahead, as it does for a process that was paused."""
@@ -99,7 +97,12 @@
         """Create the platform stand-in; start nothing."""
         self.platform = PlatformStandin()
         self.members = Members()
-        self.platform_address = f'{IP}:{free_port(IP)}'
+        self._subnet = LoopbackSubnet()
+        self._addresses = (
+            f'{self._subnet.ip(number)}:{LISTEN_PORT}'
+            for number in range(1, 100)
+        )
+        self.platform_address = next(self._addresses)
         self.settings_by_host = {}
         self.daemon_by_host = {}
         self.table_by_host = {}
@@ -141,6 +144,7 @@
         await asyncio.gather(*map(self.stop_host, list(self.daemon_by_host)))
         for runner in self._runners:
             await runner.cleanup()
+        self._subnet.release()
         logger.enable('anvilcove')
 
     async def mark_leaving(self, endpoint):
@@ -162,7 +166,7 @@
                 await self._stopping.wait()
 
     async def _start_service(self, endpoint):
-        address = f'{IP}:{free_port(IP)}'
+        address = next(self._addresses)
         service = ServiceStandin(ServiceOptions(endpoint=endpoint))
         service.sleep = self._sleep
         self.service_by_id[endpoint] = service
@@ -178,7 +182,7 @@
         )
 
     def _add_host(self, host):
-        address = f'{IP}:{free_port(IP)}'
+        address = next(self._addresses)
         adapter = AdapterSettings(
             address=self.platform_address, timeout_ms=300
         )
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -14,8 +14,8 @@
 )
 from site_steps import run, wait_for
 
-from anvilcove.demo.processes import free_port
 from anvilcove.messages.base import encode
+from anvilcove.standins.loopback import SECOND_LISTEN_PORT
 
 # Report period of hosts that do not poll; longer than any scenario.
 NO_POLL_PERIOD_MS = 600_000
@@ -99,7 +99,7 @@
     """Start the endpoint at another port and list it there as live."""
     member = member_entry(context, endpoint)
     ip = member.address.rpartition(':')[0]
-    member.address = f'{ip}:{free_port(ip)}'
+    member.address = f'{ip}:{SECOND_LISTEN_PORT}'
     member.state = 'live'
 
     async def start():
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -15,18 +15,29 @@
     stop_after_scenario,
 )
 
-from anvilcove.demo.processes import free_port
 from anvilcove.demo.site import Site, SiteShape
 from anvilcove.native.services import HttpService
+from anvilcove.standins.loopback import RELAY_PORT, LoopbackSubnet
 from anvilcove.standins.network import Network, NetworkOptions, Relayed
 
 
+def reserve_ip(context):
+    """Reserve an IP address in casa-ain until the scenario ends."""
+    subnet = LoopbackSubnet()
+
+    async def release():
+        subnet.release()
+
+    stop_after_scenario(context, release)
+    return subnet.ip(1, data_centre=1)
+
+
 @given('a relay between casa-ain and casa-sidi')
 def start_relay(context):
     """Serve a service of the first data centre through a relay."""
     start_standin(context, 'service', '{}')
     relayed = Relayed(
-        advertised=f'127.1.0.1:{free_port("127.1.0.1")}',
+        advertised=f'{reserve_ip(context)}:{RELAY_PORT}',
         real=context.address,
         data_centre='casa-ain',
     )
@@ -126,12 +137,13 @@
     return [x for x in context.site.read_journal(name) if x['event'] == event]
 
 
-@then('endpoint {name} was called from {ip}')
-def check_source(context, name, ip):
+@then('endpoint {name} was called from the address of host {host}')
+def check_source(context, name, host):
     """Check that the relay keeps the source address of the calls."""
     received = site_lines(context, name, 'received')
     sources = {line['source'].partition(':')[0] for line in received}
-    assert sources == {ip}, sources
+    ip = context.site.settings_by_host[host].outgoing_ip
+    assert ip.startswith('127.1.') and sources == {ip}, (ip, sources)
 
 
 @when('endpoint {name} crashes on the call {body} at host {host}')
@@ -185,10 +197,10 @@
     """Bind the advertised port to a socket that does not listen."""
     start_standin(context, 'service', '{}')
     context.port_socket = socket.socket()
-    context.port_socket.bind(('127.1.0.1', 0))
-    port = context.port_socket.getsockname()[1]
+    context.port_socket.bind((reserve_ip(context), 0))
+    ip, port = context.port_socket.getsockname()
     relayed = Relayed(
-        advertised=f'127.1.0.1:{port}',
+        advertised=f'{ip}:{port}',
         real=context.address,
         data_centre='casa-ain',
     )
