Kill the holder after a crash that is sure to come

Cause: the scenario killed the holder at the first token of any engine. If engine 1 had not sent its twentieth token by then, its requests ended with the holder, it never crashed, and the step waited for its end.

In the three failed runs whose journals were read, engine 1 had sent 8, 11 and 11 tokens when the holder was killed, and received nothing after it.

Change: the holder is paused once engine 1 itself has sent a token, so that its requests stay open; the engine goes on to its twentieth token and crashes, which the step waits for and checks (no sample of it complete); then the holder is killed. A second scenario does the same without the pause, so that the holder may have noticed the crash. The checks at the end are the same in both.

--- a/features/exactly_once.feature
+++ b/features/exactly_once.feature
@@ -43,9 +43,26 @@
 
   Scenario: The holder is killed while an engine crashes in mid-sample
     Guards against a step that is lost with its holder, entirely or in part.
+    The paused holder never learns of the crash.
     When model engine 1 has the faults {"die_after_tokens": 20}
     And trainer t1 submits step 1 with 2 groups of 4 samples of 60 tokens at host h1
-    And samples of step 1 of trainer t1 are running
+    And samples of step 1 of trainer t1 are running at model engine 1
+    And daemon h1 is paused
+    And model engine 1 has crashed in mid-sample
+    And host h1 is killed
+    And model engine 1 starts again
+    And trainer t1 receives 1 steps in total from hosts h1, h2, h3
+    Then trainer t1 has each sample of steps 1 to 1 once
+    And the versions of each sample match the journals of the engines
+    And each epoch of a step was made final at most once
+
+  Scenario: The holder is killed right after an engine crashed in mid-sample
+    Guards against a step that is lost if its holder is killed while it
+    repeats the samples of an engine that crashed.
+    When model engine 1 has the faults {"die_after_tokens": 20}
+    And trainer t1 submits step 1 with 2 groups of 4 samples of 60 tokens at host h1
+    And samples of step 1 of trainer t1 are running at model engine 1
+    And model engine 1 has crashed in mid-sample
     And host h1 is killed
     And model engine 1 starts again
     And trainer t1 receives 1 steps in total from hosts h1, h2, h3
--- a/features/steps/fault_steps.py
+++ b/features/steps/fault_steps.py
@@ -5,7 +5,7 @@
 import signal
 
 from behave import given, then, when
-from site_steps import run, wait_for
+from site_steps import WAIT_TIMEOUT_S, run, wait_for
 
 from anvilcove.demo.site import Site, SiteShape
 from anvilcove.messages.membership import ENGINE
@@ -77,15 +77,31 @@
     put_faults(context, member.address, json.loads(switches))
 
 
+async def wait_for_crash(context, endpoint):
+    """Wait until the process of an endpoint has ended."""
+    async with asyncio.timeout(WAIT_TIMEOUT_S):
+        await context.site.processes.by_name[endpoint].wait()
+
+
+@when('model engine {number:d} has crashed in mid-sample')
+def check_crash(context, number):
+    """Wait for the crash; samples that have started must be unfinished."""
+    name = engine_member(context, number).endpoint
+    run(context, wait_for_crash(context, name))
+    lines = engine_lines(context)[name]
+    assert lines[-1]['event'] == 'crashed', lines[-1]
+    assert any(line['event'] == 'version' for line in lines), lines
+    assert not any(line.get('completed') for line in lines), lines
+
+
 @when('model engine {number:d} starts again')
 def restart_engine(context, number):
     """Wait for the crash of an engine and start it again."""
-    member = engine_member(context, number)
+    name = engine_member(context, number).endpoint
 
     async def restart():
-        async with asyncio.timeout(30):
-            await context.site.processes.by_name[member.endpoint].wait()
-        await context.site.processes.restart(member.endpoint)
+        await wait_for_crash(context, name)
+        await context.site.processes.restart(name)
 
     run(context, restart())
 
@@ -119,14 +135,30 @@
 @when('samples of step {step:d} of trainer {trainer} are running')
 def wait_running(context, step, trainer):
     """Wait until an engine has sent a token of the step."""
-    prefix = f'{trainer}/{step}/'
+    names = [m.endpoint for m in context.site.members.endpoints]
+    wait_for_token(context, f'{trainer}/{step}/', names)
+
+
+@when(
+    'samples of step {step:d} of trainer {trainer} are running at model '
+    'engine {number:d}'
+)
+def wait_running_at(context, step, trainer, number):
+    """Wait until this engine has sent a token of the step."""
+    name = engine_member(context, number).endpoint
+    wait_for_token(context, f'{trainer}/{step}/', [name])
+
+
+def wait_for_token(context, prefix, endpoints):
+    """Wait until one of the engines has sent a token of a request."""
 
     async def running():
         return any(
             line['event'] == 'version'
             and line['request_id'].startswith(prefix)
-            for lines in engine_lines(context).values()
+            for endpoint, lines in engine_lines(context).items()
             for line in lines
+            if endpoint in endpoints
         )
 
     run(context, wait_for(running))
