Reserve the subnet of a soak run

A soak run took its subnet from its process id. Two sites of one process, or two processes with the same id in separate process namespaces, shared it.

Evidence (scratch, on the code before): of two sites with the same subnet the second fails in its start, as the port of its store is in use (OSError 98); the daemons of the first keep reading their own store, and its route is served by all of them.

Change: the site reserves a subnet as the demonstration sites do. Its daemons inherit the reservation, so that it lasts while any of them runs. The new scenario starts two sites at once, which the code before cannot do.

--- a/anvilcove/soak/site.py
+++ b/anvilcove/soak/site.py
@@ -28,6 +28,7 @@
 )
 from anvilcove.ports.store import RowId, RowTransaction, RowWrite
 from anvilcove.soak.proxy import FaultProxy
+from anvilcove.standins.loopback import LoopbackSubnet
 from anvilcove.standins.memory_store import MemoryStore
 
 HOST = 'h.example'
@@ -95,6 +96,7 @@
                 stdout=log,
                 stderr=log,
                 env={**os.environ, **settings_environment(str(settings))},
+                pass_fds=self._site.addresses.descriptors(),
             )
         self.processes.append(self.process)
 
@@ -163,8 +165,8 @@
     ) -> None:
         """Create the parts of the site without starting them."""
         self.folder = folder
-        pid = os.getpid()
-        self.subnet = f'127.{1 + pid // 250 % 250}.{1 + pid % 250}'
+        self.addresses = LoopbackSubnet()
+        self.subnet = f'127.0.{self.addresses.number}'
         self.store = MemoryStore(asyncio.get_running_loop())
         self.daemons: list[DaemonProcess] = []
         for number in range(daemons):
@@ -213,6 +215,7 @@
             await proxy.stop()
         for runner in self._runners:
             await runner.cleanup()
+        self.addresses.release()
 
     def write_config(self, version: int, extra: bool = False) -> None:
         """Write a desired state, with one more route if `extra` is set.
--- a/features/loopback.feature
+++ b/features/loopback.feature
@@ -18,3 +18,8 @@
   Scenario: Outgoing connections cannot occupy a planned address
     Given 1 reserved loopback subnets
     Then its ports are below those of outgoing connections
+
+  Scenario: Two soak sites at once keep their desired states apart
+    Given two soak sites of 1 daemon at once
+    When the desired state of the first gets one more route
+    Then the daemon of the first serves the route, that of the second does not
--- a/features/steps/loopback_steps.py
+++ b/features/steps/loopback_steps.py
@@ -1,11 +1,15 @@
 """Steps for the reservation of loopback addresses."""
 
+import asyncio
 import subprocess
 import sys
 from pathlib import Path
 
 from behave import given, then, when
+from site_steps import run, wait_for
 
+from anvilcove.platform.standin_wire import request_headers
+from anvilcove.soak.site import CALLERS_PORT, EXTRA, HOST, SHOP, LoopbackSite
 from anvilcove.standins import loopback
 from anvilcove.standins.loopback import LoopbackSubnet
 
@@ -14,6 +18,7 @@
     'print(LoopbackSubnet().number)'
 )
 PORT_RANGE = Path('/proc/sys/net/ipv4/ip_local_port_range')
+ROUTE_IS_UNKNOWN = 404
 
 
 @given('{count:d} reserved loopback subnets')
@@ -89,3 +94,65 @@
         if name.endswith('_PORT')
     ]
     assert len(ports) == len(set(ports)) and max(ports) < first, ports
+
+
+class Sites:
+    """Soak sites that are stopped together."""
+
+    def __init__(self, sites):
+        """Store the sites."""
+        self.sites = sites
+
+    async def stop(self):
+        """Stop every site."""
+        await asyncio.gather(*(site.stop() for site in self.sites))
+
+
+async def status_of(context, site, prefix):
+    """Return the status of a request to the daemon, 0 if there is none."""
+    try:
+        async with context.session.post(
+            f'http://{site.daemons[0].ip}:{CALLERS_PORT}{prefix}a',
+            headers=request_headers(HOST, 'a', 2.0),
+        ) as response:
+            return response.status
+    except OSError:
+        return 0
+
+
+@given('two soak sites of 1 daemon at once')
+def start_two_sites(context):
+    """Start both and wait until each answers a request."""
+
+    async def start():
+        sites = []
+        context.site = Sites(sites)
+        for name in 'ab':
+            folder = context.folder / name
+            folder.mkdir()
+            sites.append(LoopbackSite(folder, 1, engines=1, servers=1))
+            await sites[-1].start()
+        for site in sites:
+            await wait_for(lambda s=site: answers(context, s, SHOP))
+
+    run(context, start())
+
+
+async def answers(context, site, prefix):
+    """Return whether the daemon of a site answers a request."""
+    return await status_of(context, site, prefix) == 200
+
+
+@when('the desired state of the first gets one more route')
+def add_route(context):
+    """Write a desired state with one more route to one store."""
+    context.site.sites[0].write_config(2, extra=True)
+
+
+@then('the daemon of the first serves the route, that of the second does not')
+def check_routes(context):
+    """Wait until the first applied it; the second must not know it."""
+    first, second = context.site.sites
+    run(context, wait_for(lambda: answers(context, first, EXTRA)))
+    status = run(context, status_of(context, second, EXTRA))
+    assert status == ROUTE_IS_UNKNOWN, status
