Wait until the lookups are in the sockets of the paused host

The step "20 lookups are sent to host h1 without waiting" slept for 0.5 s. On a busy machine a lookup could be sent only after the host had resumed, and would not test what the scenario is named after. The step now waits until 20 connections from callers have unread data in /proc/net/tcp.

--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import shlex
+import socket
 import sys
+from pathlib import Path
 
 import yaml
 from behave import given, then, when
@@ -22,6 +24,7 @@
 
 LOST_RESPONSE_FAULTS = {'lose_answers': 1, 'lose_answers_prefix': 'config'}
 REFUSAL_COUNT = 10
+CALLER_IP = '127.0.0.1'
 
 
 @given('the declarations {name:w}')
@@ -326,16 +329,43 @@
     run(context, asyncio.sleep(seconds))
 
 
+def unread_connections(address):
+    """Return how many connections from callers have data to be read."""
+    ip, _, port = address.rpartition(':')
+    local = f'{kernel_ip(ip)}:{int(port):04X}'
+    rows = Path('/proc/net/tcp').read_text().splitlines()[1:]
+    unread = 0
+    for row in rows:
+        _, listener, caller, _, queues = row.split()[:5]
+        from_caller = caller.startswith(kernel_ip(CALLER_IP))
+        # A length of 1 may stand for the end of a closed connection.
+        has_data = int(queues.partition(':')[2], 16) > 1
+        unread += listener == local and from_caller and has_data
+    return unread
+
+
+def kernel_ip(ip):
+    """Return an IP address as /proc/net/tcp shows it."""
+    return f'{int.from_bytes(socket.inet_aton(ip), sys.byteorder):08X}'
+
+
 @when('{count:d} lookups are sent to host {host:w} without waiting')
 def send_lookups(context, count, host):
-    """Send requests that wait in the sockets of a paused daemon."""
+    """Send requests and wait until they are in the sockets of a daemon.
+
+    The daemon is paused.
+    """
+    address = context.site.settings_by_host[host].listen_address
+
+    async def waiting():
+        return unread_connections(address) == count
 
     async def send():
         tasks = [
             asyncio.create_task(submit(context, host, 'lookup', {'n': n}))
             for n in range(count)
         ]
-        await asyncio.sleep(0.5)
+        await wait_for(waiting)
         return tasks
 
     context.lookups = run(context, send())
