Treat each answer 421 as not run

Callers saw: status 421 with the headers of a server instance that they had not asked for, although the request could have been sent to another server.

Cause: only answers with Not-Executed counted as refusals. The protocol names status 421 as well, and its example carries no Not-Executed.

Evidence: the new outline failed for the answer without the header: ASSERT FAILED: ServerAnswer(status=421, headers=[('Instance-Id', 'i-2')], ...)

The exchange now raises EndpointNotRun for each 421, so that forwarder and items choose another endpoint.

--- a/anvilcove/platform/exchange.py
+++ b/anvilcove/platform/exchange.py
@@ -26,6 +26,8 @@
 )
 
 OVERLOADED_STATUSES = (429, 503)
+# Another server instance has the address and did not run the call.
+STATUS_MISDIRECTED = 421
 
 
 @asynccontextmanager
@@ -49,7 +51,7 @@
                 raise AnswerMismatch(
                     f'{address}: answer to attempt {echoed[:40]}'
                 )
-            if NOT_EXECUTED in response.headers:
+            if _is_refusal(response):
                 raise _not_run_error(address, response)
             yield response
     except ConnectionTimeoutError as error:
@@ -68,6 +70,13 @@
         raise EndpointCrashed(f'{address}: {error!r}'[:300]) from error
 
 
+def _is_refusal(response: ClientResponse) -> bool:
+    return (
+        NOT_EXECUTED in response.headers
+        or response.status == STATUS_MISDIRECTED
+    )
+
+
 def _not_run_error(address: str, response: ClientResponse) -> EndpointNotRun:
     status = response.status
     return EndpointNotRun(
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -37,6 +37,17 @@
       | HTTP/1.1 200 OK~Attempt-Id: q1~Server-Stamp: s~Content-Encoding: gzip~Content-Length: 2~~ok |
       | nonsense                                                               |
 
+  Scenario Outline: A request that another server instance refuses did not run
+    Guards against a refusal that is passed on as the answer of the service.
+    Given a server that sends <bytes>
+    When a request q1 is sent to it
+    Then it fails and has not run
+
+    Examples:
+      | bytes                                                                          |
+      | HTTP/1.1 421 Misdirected Request~Instance-Id: i-2~Content-Length: 0~~          |
+      | HTTP/1.1 421 Misdirected Request~Not-Executed: 1~Content-Length: 0~~           |
+
   Scenario: A complete response is accepted
     Guards against a check that rejects every response.
     Given a server that sends HTTP/1.1 200 OK~Attempt-Id: q1~Server-Stamp: s~Content-Length: 2~~ok
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -241,6 +241,12 @@
     assert not isinstance(context.answer, EndpointNotRun), context.answer
 
 
+@then('it fails and has not run')
+def check_has_not_run(context):
+    """Check that the error says that the request did not run."""
+    assert isinstance(context.answer, EndpointNotRun), context.answer
+
+
 @then('its response is {text} with stamp {stamp}')
 def check_response(context, text, stamp):
     """Check the body and the stamp of the server."""
