Count each send of a call that may have run

Cause: a break of a reused connection within 0.1 s was taken for a closed idle connection, while a run takes 25 to 40 ms. The call was sent again to the same server, up to 8 times. If that repetition was refused (no connection, 503 or 421), the exchange reported the refusal of the repetition, not run, and the forwarder did not count the run before.

Evidence: 5 servers on loopback, each breaks its connections after 5 or 30 ms of the run and refuses the repetition; a route with 2 attempts.

The client now records the sends that broke. It reports a call as not run only if there was none; a refused repetition is EndpointRefused, an unreachable server EndpointCrashed, and errors and answers carry the number of sends that may have run, which the forwarder counts. A break counts as a closed idle connection only without a byte received and within two round trips (the time to connect) and 20 ms, at most 0.1 s as before, and is repeated at most twice, the last time on a new connection.

--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -29,7 +29,11 @@
     ItemRejected,
     TokenEvent,
 )
-from anvilcove.ports.errors import EndpointError, EndpointNotRun
+from anvilcove.ports.errors import (
+    EndpointError,
+    EndpointNotRun,
+    EndpointRefused,
+)
 from anvilcove.state.clock import Clock
 
 # An attempt fails if its engine sends nothing for this long. Loading a weight
@@ -351,7 +355,7 @@
     ) -> None:
         if isinstance(error, EndpointNotRun) and not error.unreachable:
             self._slots.engine_records.on_refusal(entry.endpoint)
-        elif isinstance(error, StaleWeights):
+        elif isinstance(error, StaleWeights | EndpointRefused):
             self._slots.engine_records.on_refusal(entry.endpoint)
         else:
             self._slots.engine_records.on_failure(entry.endpoint)
--- a/anvilcove/platform/connections.py
+++ b/anvilcove/platform/connections.py
@@ -3,30 +3,33 @@
 import asyncio
 from collections.abc import AsyncIterator, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
-from types import SimpleNamespace, TracebackType
-from typing import Any, Self
+from types import TracebackType
+from typing import Self
 
 from aiohttp import (
     ClientError,
     ClientResponse,
     ClientSession,
     ClientTimeout,
-    TCPConnector,
-    TraceConfig,
 )
 from loguru import logger
-from msgspec import Struct, field
+from msgspec import Struct
 from yarl import URL
 
+from anvilcove.platform.client_protocol import (
+    CURRENT_USE,
+    ConnectionUse,
+    ServerConnector,
+    ServerRequest,
+)
+
 # Servers announce that they close idle connections after 10 s; the pool closes
 # them earlier.
 KEEPALIVE_S = 9.0
 CONNECT_TIMEOUT_S = 0.4
-# A call on a connection that the server has closed fails within one round
-# trip; a connection that breaks later was carrying a running request.
-STALE_RESET_S = 0.1
 # Maximum number of retries of a call that finds its idle connection closed.
-MAX_STALE_RETRIES = 8
+# The last one opens a connection of its own.
+MAX_STALE_RETRIES = 2
 # After a server has closed an idle connection, non-repeatable calls to it use
 # new connections for this time.
 UNPOOLED_PERIOD_S = 30.0
@@ -42,8 +45,8 @@
 class ServerCall(Struct):
     """One HTTP call to a server.
 
-    A `repeatable` call is sent again if the server has closed the idle
-    connection that it used. The answer echoes `attempt_id`.
+    A `repeatable` call is sent again if the server seems to have closed the
+    idle connection that it used. The answer echoes `attempt_id`.
     """
 
     method: str
@@ -55,15 +58,14 @@
     repeatable: bool = False
 
 
-class _ConnectionUse(Struct):
-    """Whether a call reuses a connection, and when the call started."""
+class SendRecord(Struct):
+    """Record of the sends of one call.
 
-    reused: bool = False
-    started_s: float = field(default_factory=lambda: _now())
+    `broken` counts those whose connection broke before the last one. The
+    server may have run each of them.
+    """
 
-    def is_stale(self) -> bool:
-        """Tell whether an error now means that the connection was closed."""
-        return self.reused and _now() - self.started_s < STALE_RESET_S
+    broken: int = 0
 
 
 class ServerConnections:
@@ -82,10 +84,10 @@
         """Open the sessions."""
         open_session = self._stack.enter_async_context
         self._pooled = await open_session(
-            _session(TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S))
+            _session(ServerConnector(limit=0, keepalive_timeout=KEEPALIVE_S))
         )
         self._unpooled = await open_session(
-            _session(TCPConnector(limit=0, force_close=True))
+            _session(ServerConnector(limit=0, force_close=True))
         )
         return self
 
@@ -99,40 +101,50 @@
         await self._stack.aclose()
 
     @asynccontextmanager
-    async def open(self, call: ServerCall) -> AsyncIterator[ClientResponse]:
+    async def open(
+        self, call: ServerCall, record: SendRecord
+    ) -> AsyncIterator[ClientResponse]:
         """Send a call and yield the response before its body is read.
 
-        Errors of aiohttp are not converted.
+        Errors of aiohttp are not converted. `record` tells how many sends
+        came before the one that was answered or failed.
         """
-        response = await self._send(call)
+        response = await self._send(call, record)
         async with response:
             yield response
 
-    async def _send(self, call: ServerCall) -> ClientResponse:
-        session = self._session_for(call)
+    async def _send(
+        self, call: ServerCall, record: SendRecord
+    ) -> ClientResponse:
         for retries_left in range(MAX_STALE_RETRIES, -1, -1):
-            use = _ConnectionUse()
+            use = ConnectionUse()
             try:
-                return await session.request(
-                    call.method,
-                    URL(f'http://{call.address}{call.path}', encoded=True),
-                    data=call.body or None,
-                    headers=call.headers,
-                    skip_auto_headers=SKIPPED_AUTO_HEADERS,
-                    allow_redirects=False,
-                    timeout=ClientTimeout(
-                        total=None, sock_connect=CONNECT_TIMEOUT_S
-                    ),
-                    trace_request_ctx=use,
-                )
+                return await self._send_once(call, use, bool(retries_left))
             except (ClientError, OSError) as error:
-                if not use.is_stale():
+                if not use.closed_while_idle():
                     raise
                 self._record_stale(call, error)
                 if not call.repeatable or not retries_left:
                     raise
+                record.broken += 1
         raise AssertionError('unreachable')
 
+    async def _send_once(
+        self, call: ServerCall, use: ConnectionUse, may_reuse: bool
+    ) -> ClientResponse:
+        assert self._unpooled is not None
+        session = self._session_for(call) if may_reuse else self._unpooled
+        CURRENT_USE.set(use)
+        return await session.request(
+            call.method,
+            URL(f'http://{call.address}{call.path}', encoded=True),
+            data=call.body or None,
+            headers=call.headers,
+            skip_auto_headers=SKIPPED_AUTO_HEADERS,
+            allow_redirects=False,
+            timeout=ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        )
+
     def _session_for(self, call: ServerCall) -> ClientSession:
         assert self._pooled is not None and self._unpooled is not None
         stale_at_s = self._stale_at_s_by_address.get(call.address)
@@ -153,11 +165,9 @@
         ).info('server had closed the idle connection')
 
 
-def _session(connector: TCPConnector) -> ClientSession:
-    trace = TraceConfig()
-    trace.on_connection_reuseconn.append(_record_reuse)
+def _session(connector: ServerConnector) -> ClientSession:
     session = ClientSession(
-        connector=connector, auto_decompress=False, trace_configs=[trace]
+        connector=connector, auto_decompress=False, request_class=ServerRequest
     )
     # By default aiohttp repeats a PUT or DELETE whose connection breaks, even
     # if the server has run it. There is no public option to turn this off.
@@ -165,13 +175,5 @@
     return session
 
 
-async def _record_reuse(
-    session: ClientSession, context: SimpleNamespace, params: Any
-) -> None:
-    use = context.trace_request_ctx
-    if isinstance(use, _ConnectionUse):
-        use.reused = True
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/anvilcove/platform/exchange.py
+++ b/anvilcove/platform/exchange.py
@@ -11,7 +11,11 @@
     ServerDisconnectedError,
 )
 
-from anvilcove.platform.connections import ServerCall, ServerConnections
+from anvilcove.platform.connections import (
+    SendRecord,
+    ServerCall,
+    ServerConnections,
+)
 from anvilcove.platform.names import (
     ATTEMPT_ID,
     NOT_EXECUTED,
@@ -23,6 +27,7 @@
     EndpointCrashed,
     EndpointFailed,
     EndpointNotRun,
+    EndpointRefused,
 )
 
 OVERLOADED_STATUSES = (429, 503)
@@ -32,7 +37,9 @@
 
 @asynccontextmanager
 async def exchange(
-    connections: ServerConnections, call: ServerCall
+    connections: ServerConnections,
+    call: ServerCall,
+    record: SendRecord | None = None,
 ) -> AsyncIterator[ClientResponse]:
     """Send a call and yield the response before its body is read.
 
@@ -41,8 +48,9 @@
     has a timeout here: callers have to limit the rest of the exchange.
     """
     address, attempt_id = call.address, call.attempt_id
+    record = record or SendRecord()
     try:
-        async with connections.open(call) as response:
+        async with connections.open(call, record) as response:
             echoed = response.headers.get(ATTEMPT_ID, '')
             if attempt_id and echoed and echoed != attempt_id:
                 # Don't reuse this connection: the response to this call may
@@ -52,22 +60,32 @@
                     f'{address}: answer to attempt {echoed[:40]}'
                 )
             if _is_refusal(response):
-                raise _not_run_error(address, response)
+                raise _refusal_error(address, response, record)
             yield response
-    except ConnectionTimeoutError as error:
-        raise EndpointNotRun(
-            f'{address}: {error}', unreachable=True
-        ) from error
-    except ClientConnectorError as error:
+    except EndpointFailed as error:
+        error.sends += record.broken
+        raise
+    except (ConnectionTimeoutError, ClientConnectorError) as error:
+        if record.broken:
+            raise EndpointCrashed(
+                f'{address}: {error}, after the connection broke',
+                sends=record.broken,
+            ) from error
         raise EndpointNotRun(
             f'{address}: {error}', unreachable=True
         ) from error
     except ServerDisconnectedError as error:
-        raise EndpointCrashed(f'{address}: {error!r}') from error
+        raise EndpointCrashed(
+            f'{address}: {error!r}', sends=record.broken + 1
+        ) from error
     except TimeoutError as error:
-        raise EndpointFailed(f'{address}: no answer in time') from error
+        raise EndpointFailed(
+            f'{address}: no answer in time', sends=record.broken + 1
+        ) from error
     except (ClientError, OSError, ValueError) as error:
-        raise EndpointCrashed(f'{address}: {error!r}'[:300]) from error
+        raise EndpointCrashed(
+            f'{address}: {error!r}'[:300], sends=record.broken + 1
+        ) from error
 
 
 def _is_refusal(response: ClientResponse) -> bool:
@@ -77,11 +95,16 @@
     )
 
 
-def _not_run_error(address: str, response: ClientResponse) -> EndpointNotRun:
+def _refusal_error(
+    address: str, response: ClientResponse, record: SendRecord
+) -> EndpointNotRun | EndpointRefused:
     status = response.status
-    return EndpointNotRun(
-        f'{address}: status {status}', overloaded=status in OVERLOADED_STATUSES
-    )
+    reason = f'{address}: status {status}'
+    overloaded = status in OVERLOADED_STATUSES
+    if record.broken:
+        # The broken sends are added when the error leaves the exchange.
+        return EndpointRefused(reason, sends=0, overloaded=overloaded)
+    return EndpointNotRun(reason, overloaded=overloaded)
 
 
 def server_load(response: ClientResponse) -> EngineLoad | None:
--- a/anvilcove/platform/servers.py
+++ b/anvilcove/platform/servers.py
@@ -6,7 +6,11 @@
 from aiohttp import ClientPayloadError, ClientResponse
 from multidict import CIMultiDict
 
-from anvilcove.platform.connections import ServerCall, ServerConnections
+from anvilcove.platform.connections import (
+    SendRecord,
+    ServerCall,
+    ServerConnections,
+)
 from anvilcove.platform.exchange import (
     check_framing,
     exchange,
@@ -44,7 +48,8 @@
         """Return the complete answer, or raise an EndpointError."""
         headers = forwarded_headers(request, instance, remaining_s)
         call = _server_call(address, request, headers, repeatable)
-        async with exchange(self._connections, call) as response:
+        record = SendRecord()
+        async with exchange(self._connections, call, record) as response:
             check_framing(response)
             try:
                 body = await response.read()
@@ -59,6 +64,7 @@
                 body=body,
                 stamp=stamp,
                 load=server_load(response),
+                sends=record.broken + 1,
             )
 
 
--- a/anvilcove/ports/errors.py
+++ b/anvilcove/ports/errors.py
@@ -47,7 +47,30 @@
 
 
 class EndpointFailed(EndpointError):
-    """Raised when a call failed after it may have started to run."""
+    """Raised when a call failed after it may have started to run.
+
+    `sends` counts the sends of the call that may have run.
+    """
+
+    def __init__(self, reason: str, *, sends: int = 1) -> None:
+        """Create the error; by default the call was sent once."""
+        super().__init__(reason)
+        self.sends = sends
+
+
+class EndpointRefused(EndpointFailed):
+    """Raised when an endpoint refused a call that may have run all the same.
+
+    An earlier send of the call may have run there. `overloaded`: the endpoint
+    refused the call because of its load.
+    """
+
+    def __init__(
+        self, reason: str, *, sends: int = 1, overloaded: bool = False
+    ) -> None:
+        """Create the error; the flag is off by default."""
+        super().__init__(reason, sends=sends)
+        self.overloaded = overloaded
 
 
 class EndpointCrashed(EndpointFailed):
--- a/anvilcove/ports/servers.py
+++ b/anvilcove/ports/servers.py
@@ -27,13 +27,17 @@
 
 
 class ServerAnswer(Struct):
-    """Complete answer; `stamp` is the server's proof that it ran the call."""
+    """Complete answer; `stamp` is the server's proof that it ran the call.
+
+    `sends` counts the sends of the call that may have run.
+    """
 
     status: int
     headers: Headers
     body: bytes
     stamp: str = ''
     load: EngineLoad | None = None
+    sends: int = 1
 
 
 class CallerAnswer(Struct):
--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -21,7 +21,9 @@
 from anvilcove.ports.errors import (
     EndpointCrashed,
     EndpointError,
+    EndpointFailed,
     EndpointNotRun,
+    EndpointRefused,
 )
 from anvilcove.ports.servers import (
     CallerAnswer,
@@ -306,7 +308,7 @@
         if error is not None:
             raise error
         answer = attempt.task.result()
-        progress.executions += 1
+        progress.executions += answer.sends
         progress.may_have_run = True
         success = answer.status < 500
         self._pools.finish(
@@ -340,9 +342,14 @@
             if error.unreachable:
                 outcome = CRASH
         else:
-            progress.executions += 1
+            progress.executions += (
+                error.sends if isinstance(error, EndpointFailed) else 1
+            )
             progress.may_have_run = True
-            outcome = CRASH if isinstance(error, EndpointCrashed) else ERROR
+            if isinstance(error, EndpointCrashed):
+                outcome = CRASH
+            elif isinstance(error, EndpointRefused) and error.overloaded:
+                outcome = OVERLOADED
         self._pools.finish(
             attempt.state, outcome, latency_s, progress.route.name, INTERACTIVE
         )
--- /dev/null
+++ b/features/retries.feature
@@ -0,0 +1,37 @@
+Feature: A run that broke off is counted, also if the call is sent again
+  Clients, forwarder and items against servers on loopback addresses that send
+  raw bytes and break connections at chosen moments.
+
+  Scenario Outline: A request whose runs break off reaches no further servers
+    Guards against a run that is not counted because its connection was taken
+    for an idle one and the server refused the repetition.
+    Given 5 raw servers that have each answered a request on a kept connection
+    And each breaks its connections after it has run q1 for <run> s and then <then>
+    When q1 is forwarded on a route with 2 attempts
+    Then 2 servers have begun to run q1
+    And the caller gets status 502
+
+    Examples:
+      | run   | then                    |
+      | 0.005 | refuses connections     |
+      | 0.005 | answers as not run      |
+      | 0.005 | answers as not that one |
+      | 0.03  | refuses connections     |
+      | 0.03  | answers as not run      |
+
+  Scenario: A repetition that runs is counted as a second run
+    Guards against a request that runs twice at one server, and then at as
+    many further servers as if it had run once.
+    Given 5 raw servers that have each answered a request on a kept connection
+    And each breaks its connections after it has run q1 for 0.005 s and then fails
+    When q1 is forwarded on a route with 2 attempts
+    Then 1 servers have begun to run q1
+    And the caller gets status 500
+
+  Scenario: A request that waited at idle connections is sent at last on a new one
+    Guards against a healthy server that counts as crashed because it has
+    closed several idle connections.
+    Given 1 raw server with 4 kept connections that it resets when used
+    When q1 is forwarded on a route with 2 attempts
+    Then the caller gets status 200
+    And the server has received q1 on 3 connections
