Count runs of streams that break off before their answer

Callers saw: a resumable stream whose runs broke off before the first part reached every server, beyond the attempts of its route (rule BUDGET).

Cause: an attempt was counted only once the headers of its answer had arrived.

Evidence: 5 servers that break the connection after 30 ms of the run, without an answer; a route with 2 attempts: Then 2 servers have begun to run q1 ASSERT FAILED: [['q0', 'q1'], ['q0', 'q1'], ['q0', 'q1'], ['q0', 'q1'], ['q0', 'q1']]

Each attempt that fails after it may have run is counted now, with the number of its sends that the error carries.

--- a/anvilcove/proxy/streams.py
+++ b/anvilcove/proxy/streams.py
@@ -13,7 +13,11 @@
     OVERLOADED,
     RouteRequest,
 )
-from anvilcove.ports.errors import EndpointError, EndpointNotRun
+from anvilcove.ports.errors import (
+    EndpointError,
+    EndpointFailed,
+    EndpointNotRun,
+)
 from anvilcove.ports.servers import CallerAnswer, CallerRequest
 from anvilcove.ports.streams import StreamClient, StreamSink
 from anvilcove.proxy.forwarder import MAX_NOT_RUN_SENDS, choose_service
@@ -31,7 +35,11 @@
 
 
 class StreamProgress:
-    """Attempts of one stream and how much of it was sent to the caller."""
+    """Attempts of one stream and how much of it was sent to the caller.
+
+    `attempts` counts the sends that broke off and that an endpoint may have
+    run.
+    """
 
     __slots__ = (
         'started',
@@ -99,6 +107,9 @@
                 progress.not_run_count += 1
                 outcome = OVERLOADED if error.overloaded else CRASH
             except EndpointError as error:
+                progress.attempts += (
+                    error.sends if isinstance(error, EndpointFailed) else 1
+                )
                 progress.may_have_run = True
                 outcome = CRASH
                 logger.bind(
@@ -137,7 +148,6 @@
             route.resumable,
             progress.last_event_id,
         ) as answer:
-            progress.attempts += 1
             progress.may_have_run = True
             if not progress.started:
                 progress.started = True
--- a/features/retries.feature
+++ b/features/retries.feature
@@ -35,3 +35,12 @@
     When q1 is forwarded on a route with 2 attempts
     Then the caller gets status 200
     And the server has received q1 on 3 connections
+
+  Scenario: A stream whose runs break off before their answer reaches no further servers
+    Guards against runs of a resumable stream that are counted only once their
+    answer has begun.
+    Given 5 raw servers that have each answered a request on a kept connection
+    And each breaks its connections after it has run q1 for 0.03 s and then refuses connections
+    When q1 is forwarded on a route of resumable streams with 2 attempts
+    Then 2 servers have begun to run q1
+    And the caller gets status 502
--- a/features/steps/retry_steps.py
+++ b/features/steps/retry_steps.py
@@ -5,12 +5,13 @@
 
 from behave import given, then, when
 
-from anvilcove.control.desired import SAFE, Route, Target
+from anvilcove.control.desired import SAFE, STREAM, Route, Target
 from anvilcove.control.endpoints import EndpointEntry, EndpointRegistry
-from anvilcove.platform.servers import PlatformServers
+from anvilcove.platform.servers import PlatformServers, PlatformStreams
 from anvilcove.ports.servers import CallerRequest
 from anvilcove.proxy.forwarder import Forwarder
 from anvilcove.proxy.pools import EndpointPools
+from anvilcove.proxy.streams import StreamForwarder
 from anvilcove.settings.node import (
     NodeBounds,
     NodeListeners,
@@ -207,30 +208,48 @@
     return registry
 
 
+def pools_of(context):
+    """Return the slots of the raw servers."""
+    return EndpointPools(
+        settings(),
+        registry_of(context.servers),
+        SystemClock(),
+        random.Random(1),
+        NodeMetrics(),
+    )
+
+
 def forwarder_of(context):
     """Return a forwarder to the raw servers."""
-    clock, rng, metrics = SystemClock(), random.Random(1), NodeMetrics()
-    pools = EndpointPools(
-        settings(), registry_of(context.servers), clock, rng, metrics
-    )
     return Forwarder(
         settings(),
-        pools,
+        pools_of(context),
         PlatformServers(context.connections),
-        clock,
-        rng,
-        metrics,
+        SystemClock(),
+        random.Random(1),
+        NodeMetrics(),
         dict,
     )
 
 
-def route_with(attempts):
+def stream_forwarder_of(context):
+    """Return a forwarder of streams of the raw servers."""
+    return StreamForwarder(
+        pools_of(context),
+        PlatformStreams(context.connections),
+        SystemClock(),
+        random.Random(1),
+    )
+
+
+def route_with(attempts, kind=SAFE):
     """Return a route of requests that may run more than once."""
     return Route(
         name='shop',
         host='h',
         prefix='/p/',
-        kind=SAFE,
+        kind=kind,
+        resumable=kind == STREAM,
         timeout_s=2.0,
         objective_s=0.5,
         priority=1,
@@ -309,6 +328,18 @@
     )
 
 
+@when(
+    'q1 is forwarded on a route of resumable streams with {attempts:d} attempts'
+)
+def forward_stream(context, attempts):
+    """Forward a stream that fails before its first part."""
+    context.answer = context.loop.run_until_complete(
+        stream_forwarder_of(context).forward(
+            request_for('q1'), route_with(attempts, STREAM), sink=None
+        )
+    )
+
+
 @then('{count:d} servers have begun to run q1')
 def check_servers(context, count):
     """Count the servers that ran the request."""
