Do not take an error of the caller's connection for one of the server

Cause: the error of the write to the caller (ConnectionResetError) was raised within the exchange with the server, which took it for a broken connection of the server. It needs a write between the disconnect and the cancellation of the handler.

Evidence: 3 servers that stream, a sink that raises ConnectionResetError: Then 1 servers have begun to run q1 ASSERT FAILED: [['q1'], ['q1'], ['q1']] and the log says: endpoint ejected

Errors of writes to the caller now end the stream as broken.

--- a/anvilcove/proxy/streams.py
+++ b/anvilcove/proxy/streams.py
@@ -1,6 +1,7 @@
 """Forward streamed answers; resume broken ones at other endpoints."""
 
 import random
+from collections.abc import Awaitable
 
 from loguru import logger
 
@@ -31,7 +32,15 @@
 
 
 class StreamBroken(Exception):
-    """Raised when a stream fails after its first part was sent."""
+    """Raised when a stream fails after its first part or its caller left."""
+
+
+async def _to_caller(sending: Awaitable[None]) -> None:
+    """Await a send to the caller; an error is not one of the endpoint."""
+    try:
+        await sending
+    except OSError as error:
+        raise StreamBroken(f'caller disconnected: {error}') from error
 
 
 class StreamProgress:
@@ -151,9 +160,9 @@
             progress.may_have_run = True
             if not progress.started:
                 progress.started = True
-                await sink.start(answer.status, answer.headers)
+                await _to_caller(sink.start(answer.status, answer.headers))
             async for piece in answer.pieces:
-                await sink.write(piece.data)
+                await _to_caller(sink.write(piece.data))
                 if piece.event_id is not None:
                     progress.last_event_id = piece.event_id
 
--- a/features/retries.feature
+++ b/features/retries.feature
@@ -44,3 +44,12 @@
     When q1 is forwarded on a route of resumable streams with 2 attempts
     Then 2 servers have begun to run q1
     And the caller gets status 502
+
+  Scenario: A stream is not resumed after its caller has disconnected
+    Guards against an error of the caller's connection that is taken for one of
+    the server's.
+    Given 3 raw servers that each answer with a stream
+    When q1 is forwarded as a resumable stream to a caller that has disconnected
+    Then 1 servers have begun to run q1
+    And the stream is reported as broken
+    And no endpoint counts as failed
--- a/features/steps/retry_steps.py
+++ b/features/steps/retry_steps.py
@@ -11,7 +11,7 @@
 from anvilcove.ports.servers import CallerRequest
 from anvilcove.proxy.forwarder import Forwarder
 from anvilcove.proxy.pools import EndpointPools
-from anvilcove.proxy.streams import StreamForwarder
+from anvilcove.proxy.streams import StreamBroken, StreamForwarder
 from anvilcove.settings.node import (
     NodeBounds,
     NodeListeners,
@@ -37,6 +37,11 @@
     b'HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: q1\r\n'
     b'Content-Length: 0\r\n\r\n'
 )
+STREAMED = (
+    b'HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Stamp: s\r\n'
+    b'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
+    b'f\r\nid: 1\ndata: x\n\n\r\n0\r\n\r\n'
+)
 # What a server does after it has broken its connections.
 AFTERWARDS = {
     'refuses connections': None,
@@ -145,6 +150,23 @@
     return send_bytes
 
 
+async def stream_answer(server, writer, attempt):
+    """Run a request and answer it with a stream of one event."""
+    server.runs.append(attempt)
+    writer.write(STREAMED % attempt.encode())
+
+
+class DisconnectedSink:
+    """Stream sink of a caller that has disconnected."""
+
+    async def start(self, status, headers):
+        """Accept the headers."""
+
+    async def write(self, piece):
+        """Fail as a write to a closed connection does."""
+        raise ConnectionResetError('Cannot write to closing transport')
+
+
 def request_for(attempt, deadline_s=2.0):
     """Return a request of a caller."""
     now = SystemClock().now()
@@ -329,7 +351,8 @@
 
 
 @when(
-    'q1 is forwarded on a route of resumable streams with {attempts:d} attempts'
+    'q1 is forwarded on a route of resumable streams with {attempts:d} '
+    'attempts'
 )
 def forward_stream(context, attempts):
     """Forward a stream that fails before its first part."""
@@ -340,6 +363,45 @@
     )
 
 
+@given('{count:d} raw servers that each answer with a stream')
+def start_streaming(context, count):
+    """Start servers that stream."""
+    start_servers(context, count)
+    for server in context.servers:
+        server.behaviours = [stream_answer]
+
+
+@when(
+    'q1 is forwarded as a resumable stream to a caller that has disconnected'
+)
+def forward_to_disconnected(context):
+    """Forward a stream whose parts cannot be written."""
+    context.forwarder = stream_forwarder_of(context)
+    try:
+        context.answer = context.loop.run_until_complete(
+            context.forwarder.forward(
+                request_for('q1'), route_with(3, STREAM), DisconnectedSink()
+            )
+        )
+    except StreamBroken as error:
+        context.answer = error
+
+
+@then('the stream is reported as broken')
+def check_stream_broken(context):
+    """Check that forwarding ended with StreamBroken."""
+    assert isinstance(context.answer, StreamBroken), context.answer
+
+
+@then('no endpoint counts as failed')
+def check_none_ejected(context):
+    """Check that no endpoint was ejected."""
+    states = context.forwarder._pools.registry.view.by_id.values()
+    assert all(state.ejected_until_s == 0 for state in states), [
+        state.ejected_until_s for state in states
+    ]
+
+
 @then('{count:d} servers have begun to run q1')
 def check_servers(context, count):
     """Count the servers that ran the request."""
