Count only status 500 as a failure of a reward call

Cause: the forwarder counted each answer of status 500 and above, also 502, 503 without Not-Executed, and 504, which a server sends at the deadline.

Evidence: 3 servers that each answer 2 calls with the status, a route with 4 attempts. For 502, 503 and 504, each: Then its item is completed ASSERT FAILED: ItemResult(item_id='i1', completed=False, ...) Answers of status 500 that are cut off or belong to another attempt passed before: they raise AnswerMismatch and were not counted.

The platform's client now says which answers report a failed run (500), and only these are counted.

--- a/anvilcove/platform/servers.py
+++ b/anvilcove/platform/servers.py
@@ -27,6 +27,11 @@
 from anvilcove.ports.servers import CallerRequest, Headers, ServerAnswer
 from anvilcove.ports.streams import StreamAnswer, StreamPiece
 
+# Status of a server's report that the run of a call failed. Other statuses
+# say nothing about the call: they come from a server that is overloaded, or
+# out of time, or from a gateway.
+STATUS_RUN_FAILED = 500
+
 
 class PlatformServers:
     """Client that sends requests to servers over HTTP."""
@@ -65,6 +70,7 @@
                 stamp=stamp,
                 load=server_load(response),
                 sends=record.broken + 1,
+                run_failed=response.status == STATUS_RUN_FAILED,
             )
 
 
--- a/anvilcove/ports/servers.py
+++ b/anvilcove/ports/servers.py
@@ -29,7 +29,8 @@
 class ServerAnswer(Struct):
     """Complete answer; `stamp` is the server's proof that it ran the call.
 
-    `sends` counts the sends of the call that may have run.
+    `sends` counts the sends of the call that may have run. `run_failed`: the
+    server reports that it ran the call and that the run failed.
     """
 
     status: int
@@ -38,12 +39,13 @@
     stamp: str = ''
     load: EngineLoad | None = None
     sends: int = 1
+    run_failed: bool = False
 
 
 class CallerAnswer(Struct):
     """Answer to a caller; `retry_after_s` is set only for a refusal.
 
-    `server_failures` counts the attempts that a server ran and that failed.
+    `server_failures` counts the answers of servers that report a failed run.
     """
 
     status: int
--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -325,7 +325,7 @@
                 answer.status, answer.headers, answer.body, stamp=answer.stamp
             )
         progress.last_error_answer = answer
-        progress.server_failures += 1
+        progress.server_failures += answer.run_failed
         return None
 
     def _record_failure(
--- a/anvilcove/standins/memory_engines.py
+++ b/anvilcove/standins/memory_engines.py
@@ -190,17 +190,21 @@
         every = self.failing_every.get(address, 0)
         count = sum(run_address == address for run_address, _ in self.runs)
         if every and count % every == 0:
-            return ServerAnswer(500, [], b'', stamp='failed')
+            return _failed_answer()
         if address in self.breaking:
             raise EndpointCrashed('broken off by the test')
         remaining_failures = self.failing.get(request.request_id, 0)
         if remaining_failures:
             self.failing[request.request_id] = remaining_failures - 1
-            return ServerAnswer(500, [], b'', stamp='failed')
+            return _failed_answer()
         stamp = f'stamp-{request.request_id}'
         return ServerAnswer(200, [], request.body, stamp=stamp)
 
 
+def _failed_answer() -> ServerAnswer:
+    return ServerAnswer(500, [], b'', stamp='failed', run_failed=True)
+
+
 class MemoryStreams:
     """Client of simulated services that stream `events` events."""
 
--- a/features/retries.feature
+++ b/features/retries.feature
@@ -1,5 +1,5 @@
 Feature: A run that broke off is counted, also if the call is sent again
-  Clients, forwarder and items against servers on loopback addresses that send
+  Clients, forwarders and reward calls against servers on loopback addresses that send
   raw bytes and break connections at chosen moments.
 
   Scenario Outline: A request whose runs break off reaches no further servers
@@ -53,3 +53,19 @@
     Then 1 servers have begun to run q1
     And the stream is reported as broken
     And no endpoint counts as failed
+
+  Scenario Outline: Only an answer of a failed run counts against a reward call
+    Guards against an item that is errored because a server was overloaded,
+    out of time or not reached.
+    Given 3 raw servers that each answer 2 requests with <answer>
+    When the reward call q1 is made on a route with 4 attempts
+    Then its item is <outcome>
+
+    Examples:
+      | answer                                             | outcome   |
+      | HTTP/1.1 500 S~Attempt-Id: q1~Content-Length: 0~~  | errored   |
+      | HTTP/1.1 502 S~Attempt-Id: q1~Content-Length: 0~~  | completed |
+      | HTTP/1.1 503 S~Attempt-Id: q1~Content-Length: 0~~  | completed |
+      | HTTP/1.1 504 S~Attempt-Id: q1~Content-Length: 0~~  | completed |
+      | HTTP/1.1 500 S~Attempt-Id: q9~Content-Length: 0~~  | completed |
+      | HTTP/1.1 500 S~Attempt-Id: q1~Content-Length: 2~~x | completed |
--- a/features/steps/retry_steps.py
+++ b/features/steps/retry_steps.py
@@ -5,8 +5,19 @@
 
 from behave import given, then, when
 
-from anvilcove.control.desired import SAFE, STREAM, Route, Target
+from anvilcove.control.desired import (
+    SAFE,
+    STREAM,
+    DesiredState,
+    DesiredStateView,
+    Route,
+    Target,
+)
 from anvilcove.control.endpoints import EndpointEntry, EndpointRegistry
+from anvilcove.jobs.progress import ItemProgress
+from anvilcove.jobs.reward_calls import RewardCalls
+from anvilcove.jobs.reward_gate import RewardGate
+from anvilcove.jobs.types import Item, RewardCall
 from anvilcove.platform.servers import PlatformServers, PlatformStreams
 from anvilcove.ports.servers import CallerRequest
 from anvilcove.proxy.forwarder import Forwarder
@@ -141,6 +152,17 @@
     return run_and_break
 
 
+def sending_last(data):
+    """Return a behaviour that answers with these bytes and closes."""
+
+    async def send_and_close(server, writer, attempt):
+        server.runs.append(attempt)
+        writer.write(data)
+        writer.close()
+
+    return send_and_close
+
+
 def sending(data):
     """Return a behaviour that answers with these bytes and runs nothing."""
 
@@ -402,6 +424,41 @@
     ]
 
 
+@given('{count:d} raw servers that each answer {times:d} requests with {text}')
+def start_answering(context, count, times, text):
+    """Start servers; a tilde in the answer stands for the end of a line."""
+    start_servers(context, count)
+    data = text.replace('~', '\r\n').encode()
+    for server in context.servers:
+        server.behaviours = [sending_last(data)] * times
+
+
+@when('the reward call q1 is made on a route with {attempts:d} attempts')
+def call_reward(context, attempts):
+    """Score an item and keep its result."""
+    desired = DesiredStateView()
+    desired.apply(DesiredState(1, (route_with(attempts),)), 0.0)
+    rewards = RewardCalls(
+        forwarder_of(context),
+        desired,
+        RewardGate(registry_of(context.servers)),
+        SystemClock(),
+        random.Random(1),
+    )
+    call = RewardCall('q1', 'h', '/p/1', [('Attempt-Id', 'q1')], b'x')
+    item = Item('i1', '/i/1', {}, b'', 10, 'g', reward=call)
+    context.result = context.loop.run_until_complete(
+        rewards.score(ItemProgress(item, 0.0))
+    )
+
+
+@then('its item is {outcome}')
+def check_item(context, outcome):
+    """Check whether the item was completed."""
+    expected = outcome == 'completed'
+    assert context.result.completed == expected, context.result
+
+
 @then('{count:d} servers have begun to run q1')
 def check_servers(context, count):
     """Count the servers that ran the request."""
