Take only the own deadline of an item for the end of its lifetime

Cause: OSError(ETIMEDOUT) has the class TimeoutError. Raised by a reward call, it passed the forwarder, which handles EndpointError only, and ItemRunner.run took it for the deadline. Other errors of the system ended the task of the item without a result, also when an engine's stream raised them.

Evidence: an engine stream and a reward call whose client raises the error.

The run of an item compares the deadline's own context, expired() or not. An OSError of an engine's stream or of a send is a failed attempt.

--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -30,6 +30,7 @@
     TokenEvent,
 )
 from anvilcove.ports.errors import (
+    EndpointCrashed,
     EndpointError,
     EndpointNotRun,
     EndpointRefused,
@@ -94,10 +95,9 @@
         `deadline_at_s`. Items of lower `rank` get engine slots first.
         """
         item = progress.item
+        lifetime = asyncio.timeout(max(deadline_at_s - self._clock.now(), 0.0))
         try:
-            async with asyncio.timeout(
-                max(deadline_at_s - self._clock.now(), 0.0)
-            ):
+            async with lifetime:
                 result = await self._generate(
                     spec, progress, rank, deadline_at_s
                 )
@@ -105,6 +105,8 @@
                 if result is None:
                     result = await self._rewards.score(progress)
         except TimeoutError:
+            if not lifetime.expired():
+                raise
             result = ItemResult(item.item_id, completed=False)
             logger.bind(
                 job=spec.job_id,
@@ -276,7 +278,10 @@
                 if handle.move_requested:
                     raise RunMoved(handle.endpoint)
                 return await anext(stream)
-        except TimeoutError as error:
+        except OSError as error:
+            # A connection that ends with ETIMEDOUT raises TimeoutError, too.
+            if handle.timeout is None or not handle.timeout.expired():
+                raise EndpointCrashed(f'{error!r}') from error
             if handle.move_requested:
                 raise RunMoved(handle.endpoint) from error
             raise EndpointError(f'no event for {timeout_s} s') from error
--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -302,6 +302,8 @@
         route = progress.route
         latency_s = self._clock.now() - attempt.started_at_s
         error = attempt.task.exception()
+        if isinstance(error, OSError):
+            error = EndpointCrashed(f'{error!r}')
         if isinstance(error, EndpointError):
             self._record_failure(progress, attempt, error, latency_s)
             return None
--- a/anvilcove/standins/memory_engines.py
+++ b/anvilcove/standins/memory_engines.py
@@ -52,6 +52,9 @@
         self.broken: set[str] = set()
         # Remaining failures by item.
         self.failing: dict[str, int] = {}
+        # Errors by item that end the connection of its next runs, and the
+        # number of events before.
+        self.connection_errors: dict[str, tuple[list[OSError], int]] = {}
         # Whether every item fails.
         self.fails_all_items = False
         self.rejected: set[str] = set()
@@ -111,6 +114,9 @@
                 await asyncio.sleep(EVENT_PERIOD_S * engine.slowdown)
                 while engine.loading:
                     await asyncio.sleep(EVENT_PERIOD_S)
+                errors, events = engine.connection_errors.get(item, ([], 0))
+                if errors and number > events:
+                    raise errors.pop()
                 break_at = engine.break_after.get(item)
                 if (
                     break_at is not None
@@ -158,6 +164,9 @@
         self.silent: set[str] = set()
         # Remaining failures by request identifier.
         self.failing: dict[str, int] = {}
+        # Errors by request identifier that end the connection of its next
+        # sends.
+        self.connection_errors: dict[str, list[OSError]] = {}
         self.refusing: set[str] = set()
         # Services that drop the connection after running the request.
         self.breaking: set[str] = set()
@@ -191,6 +200,9 @@
         count = sum(run_address == address for run_address, _ in self.runs)
         if every and count % every == 0:
             return _failed_answer()
+        errors = self.connection_errors.get(request.request_id)
+        if errors:
+            raise errors.pop()
         if address in self.breaking:
             raise EndpointCrashed('broken off by the test')
         remaining_failures = self.failing.get(request.request_id, 0)
--- a/features/batch_jobs.feature
+++ b/features/batch_jobs.feature
@@ -151,6 +151,24 @@
     And 4 s go by
     Then every daemon lists 16 completed results of job j1 in the same order
 
+  Scenario Outline: An error of a connection is not the end of its item
+    Guards against an error of the operating system that ends an item, such as
+    the one that has the class of an elapsed deadline.
+    Given a platform with 4 engines and daemons a, b and c
+    And the connection of item 3 of job j1 ends 2 times with <error> after 2 events
+    And the connection of the reward call of item 4 of job j1 ends 5 times with <error>
+    When daemon a accepts job j1 with 16 items
+    And 6 s go by
+    Then every daemon lists 16 completed results of job j1 in the same order
+    And item 3 of job j1 was resumed after event 2
+
+    Examples:
+      | error        |
+      | ETIMEDOUT    |
+      | ECONNRESET   |
+      | ECONNABORTED |
+      | EMFILE       |
+
   Scenario: Generations are stopped when the trainer ends their job
     Guards against engines that work for a job that has ended.
     Given a platform with 1 engines and daemons a, b and c
--- a/features/steps/batch_job_steps.py
+++ b/features/steps/batch_job_steps.py
@@ -1,6 +1,8 @@
 """Steps for batch jobs and version orders, on virtual time."""
 
 import asyncio
+import errno
+import os
 
 from behave import given, then, use_step_matcher, when
 from memory_site import MODEL, MemorySite, job_spec
@@ -282,6 +284,34 @@
     context.memory.servers.failing[f'{job}-r{number}'] = count
 
 
+def connection_errors(name, count):
+    """Return errors of the operating system by the name of their number."""
+    number = getattr(errno, name)
+    return [OSError(number, os.strerror(number)) for _ in range(count)]
+
+
+@given(
+    'the connection of item {number:d} of job {job} ends {count:d} times with '
+    '{error} after {events:d} events'
+)
+def end_item_connection(context, number, job, count, error, events):
+    """Let the first runs of an item end with an error of the system."""
+    errors = connection_errors(error, count)
+    for engine in context.memory.engines:
+        engine.connection_errors[f'{job}-{number}'] = (errors, events)
+
+
+@given(
+    'the connection of the reward call of item {number:d} of job {job} ends '
+    '{count:d} times with {error}'
+)
+def end_reward_connection(context, number, job, count, error):
+    """Let the first sends of a reward call end with an error."""
+    context.memory.servers.connection_errors[f'{job}-r{number}'] = (
+        connection_errors(error, count)
+    )
+
+
 @when('daemon {name} ends job {job}')
 def end_job(context, name, job):
     """End a job as its trainer does."""
