Accept only answers that surely belong to their call

Cause: (1) bytes that arrive while a connection is idle were kept and read as the answer of the next call; (2) an answer without an id was taken for that of any call, a refusal as well; (3) calls without an id accepted any answer; (4) a repetition with the same id could follow on the same connection; (5) the connection of a mismatched answer was closed only if its body was still outstanding.

A connection with unread bytes is closed at once. Without an id, an answer is accepted on a new connection, or if that status was seen without an id on a new one and the answer before carried an id; else the call may have run. Calls avoid a connection whose last call had their id and, if they may run once, one whose last answer had no id.

Not told apart: an order from a second answer of the order before; and where servers refuse without an id, such a refusal that follows an answer with one.

--- a/anvilcove/platform/client_protocol.py
+++ b/anvilcove/platform/client_protocol.py
@@ -5,10 +5,13 @@
 from functools import partial
 from typing import Any
 
-from aiohttp import ClientRequest, ClientResponse, TCPConnector
+from aiohttp import ClientError, ClientRequest, ClientResponse, TCPConnector
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.client_reqrep import ConnectionKey
 from aiohttp.connector import Connection
 
+from anvilcove.platform.names import ATTEMPT_ID
+
 # A server that has closed an idle connection resets a call within about one
 # round trip. A connection that breaks later was carrying a running request.
 CLOSED_ROUND_TRIPS = 2.0
@@ -16,8 +19,16 @@
 MAX_CLOSED_S = 0.1
 
 
+class UnsuitableConnection(ClientError):
+    """Raised before a call is sent on a connection that it must not use."""
+
+
 class ServerProtocol(ResponseHandler):
-    """Protocol of one connection to a server."""
+    """Protocol of one connection to a server.
+
+    A connection that receives bytes while no call uses it is closed: they
+    would be read as the answer to the next call.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         """Start without a call."""
@@ -26,37 +37,84 @@
         self.connect_s: float | None = None
         # Whether bytes have arrived since the current call was sent.
         self.received = False
+        self.idle = False
+        # The last use, the attempt id of its call, and whether its answer
+        # carried an id.
+        self.last_use: ConnectionUse | None = None
+        self.last_attempt_id = ''
+        self.last_identified = True
 
     def set_response_params(self, **parameters: Any) -> None:
         """Prepare for the answer of the next call."""
         self.received = False
+        self.idle = False
         super().set_response_params(**parameters)
 
     def data_received(self, data: bytes) -> None:
         """Process bytes of the server."""
+        # The reader of an answer that is complete may ask for more: no bytes.
+        if self.idle and data:
+            self.close()
+            return
         self.received = self.received or bool(data)
         super().data_received(data)
+        # The end of an answer makes the connection idle, also if the same
+        # bytes begin another answer.
+        if self.idle and self.should_close:
+            self.close()
 
 
 class ConnectionUse:
     """Use of a connection by one send of a call."""
 
-    __slots__ = ('reused', '_started_at_s', '_protocol')
+    __slots__ = (
+        'reused',
+        'follows_identified',
+        '_repeatable',
+        '_started_at_s',
+        '_protocol',
+    )
 
-    def __init__(self) -> None:
+    def __init__(self, repeatable: bool) -> None:
         """Start before a connection is chosen."""
         self.reused = False
+        # Whether the answer before on this connection carried an id.
+        self.follows_identified = True
+        self._repeatable = repeatable
         self._started_at_s = _now()
         self._protocol: ServerProtocol | None = None
 
-    def begin(self, protocol: ServerProtocol) -> None:
-        """Record the connection on which the call is about to be sent."""
+    def begin(self, protocol: ServerProtocol, attempt_id: str) -> None:
+        """Record the connection on which the call is about to be sent.
+
+        Raises UnsuitableConnection if a second answer of the call before
+        could not be told from the answer to this one.
+        """
         now = _now()
-        self._protocol = protocol
-        self.reused = protocol.connect_s is not None
         if protocol.connect_s is None:
             protocol.connect_s = now - self._started_at_s
+        else:
+            self.reused = True
+            self.follows_identified = protocol.last_identified
+            same_id = attempt_id and attempt_id == protocol.last_attempt_id
+            unclear = not self._repeatable and not self.follows_identified
+            if same_id or unclear:
+                raise UnsuitableConnection('a second answer may follow')
+        self._protocol = protocol
         self._started_at_s = now
+        protocol.last_use = self
+        protocol.last_attempt_id = attempt_id
+
+    def record_answer(self, identified: bool) -> None:
+        """Record whether the answer carries an id."""
+        if self._protocol is not None and self._protocol.last_use is self:
+            self._protocol.last_identified = identified
+
+    def discard(self) -> None:
+        """Close the connection unless another call uses it by now."""
+        protocol = self._protocol
+        if protocol is not None and protocol.last_use is self:
+            protocol.close()
 
     def closed_while_idle(self) -> bool:
         """Tell whether an error now probably means a closed idle connection.
@@ -82,20 +140,34 @@
         """Send the request."""
         protocol = conn.protocol
         assert isinstance(protocol, ServerProtocol)
-        CURRENT_USE.get().begin(protocol)
+        attempt_id = self.headers.get(ATTEMPT_ID, '')
+        CURRENT_USE.get().begin(protocol, attempt_id)
         return await super().send(conn)
 
 
 class ServerConnector(TCPConnector):
-    """Connector that opens connections with ServerProtocol."""
+    """Connector that opens connections with ServerProtocol.
+
+    There are no public options for what it overrides.
+    """
 
     def __init__(self, **options: Any) -> None:
         """Create the connector with the options of a TCPConnector."""
         super().__init__(**options)
-        # There is no public option for the class of the protocol.
         factory = partial(ServerProtocol, self._loop)
         self._factory = factory  # type: ignore[assignment]
 
+    def _release(
+        self,
+        key: ConnectionKey,
+        protocol: ResponseHandler,
+        *,
+        should_close: bool = False,
+    ) -> None:
+        super()._release(key, protocol, should_close=should_close)
+        assert isinstance(protocol, ServerProtocol)
+        protocol.idle = True
+
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/anvilcove/platform/connections.py
+++ b/anvilcove/platform/connections.py
@@ -16,11 +16,13 @@
 from msgspec import Struct
 from yarl import URL
 
+from anvilcove.platform.answer_identity import AnswerIdentity
 from anvilcove.platform.client_protocol import (
     CURRENT_USE,
     ConnectionUse,
     ServerConnector,
     ServerRequest,
+    UnsuitableConnection,
 )
 
 # Servers announce that they close idle connections after 10 s; the pool closes
@@ -62,19 +64,27 @@
     """Record of the sends of one call.
 
     `broken` counts those whose connection broke before the last one. The
-    server may have run each of them.
+    server may have run each of them. `use` is that of the last one.
     """
 
     broken: int = 0
+    use: ConnectionUse | None = None
 
 
 class ServerConnections:
     """HTTP sessions for calls to servers; an async context manager."""
 
-    __slots__ = ('_stack', '_pooled', '_unpooled', '_stale_at_s_by_address')
+    __slots__ = (
+        'identity',
+        '_stack',
+        '_pooled',
+        '_unpooled',
+        '_stale_at_s_by_address',
+    )
 
     def __init__(self) -> None:
         """Create the object; the sessions open when the context is entered."""
+        self.identity = AnswerIdentity()
         self._stack = AsyncExitStack()
         self._pooled: ClientSession | None = None
         self._unpooled: ClientSession | None = None
@@ -117,9 +127,11 @@
         self, call: ServerCall, record: SendRecord
     ) -> ClientResponse:
         for retries_left in range(MAX_STALE_RETRIES, -1, -1):
-            use = ConnectionUse()
+            record.use = use = ConnectionUse(call.repeatable)
             try:
                 return await self._send_once(call, use, bool(retries_left))
+            except UnsuitableConnection:
+                continue
             except (ClientError, OSError) as error:
                 if not use.closed_while_idle():
                     raise
--- a/anvilcove/platform/engines.py
+++ b/anvilcove/platform/engines.py
@@ -129,7 +129,8 @@
             'POST', address, '/-/order', headers, body, repeatable=True
         )
         async with exchange(self._connections, call) as response:
-            await response.read()
+            if _is_report(await response.read()):
+                raise AnswerMismatch('order: answered with a report')
             status = response.status
             return ORDER_OUTCOME_BY_STATUS.get(
                 status, f'{REFUSED}: status {status}'
@@ -158,6 +159,14 @@
                 raise AnswerMismatch(f'report: {error}') from error
 
 
+def _is_report(body: bytes) -> bool:
+    """Tell whether a body is that of a report, which no order returns."""
+    try:
+        return 'models' in decode_object(body)
+    except BodyError:
+        return False
+
+
 def _check_status(response: ClientResponse) -> None:
     status = response.status
     if status == 500:
--- a/anvilcove/platform/exchange.py
+++ b/anvilcove/platform/exchange.py
@@ -11,6 +11,7 @@
     ServerDisconnectedError,
 )
 
+from anvilcove.platform.answer_identity import is_refusal
 from anvilcove.platform.connections import (
     SendRecord,
     ServerCall,
@@ -18,21 +19,19 @@
 )
 from anvilcove.platform.names import (
     ATTEMPT_ID,
-    NOT_EXECUTED,
     SERVER_LOAD,
 )
 from anvilcove.ports.engines import EngineLoad
 from anvilcove.ports.errors import (
     AnswerMismatch,
     EndpointCrashed,
+    EndpointError,
     EndpointFailed,
     EndpointNotRun,
     EndpointRefused,
 )
 
 OVERLOADED_STATUSES = (429, 503)
-# Another server instance has the address and did not run the call.
-STATUS_MISDIRECTED = 421
 
 
 @asynccontextmanager
@@ -43,25 +42,25 @@
 ) -> AsyncIterator[ClientResponse]:
     """Send a call and yield the response before its body is read.
 
-    Raises AnswerMismatch if the response echoes another attempt, and
+    Raises AnswerMismatch if the response may be that of another call, and
     EndpointNotRun only if the server certainly ran nothing. Only connecting
     has a timeout here: callers have to limit the rest of the exchange.
     """
-    address, attempt_id = call.address, call.attempt_id
+    address = call.address
     record = record or SendRecord()
     try:
         async with connections.open(call, record) as response:
-            echoed = response.headers.get(ATTEMPT_ID, '')
-            if attempt_id and echoed and echoed != attempt_id:
-                # Don't reuse this connection: the response to this call may
-                # still follow and would be read as that of the next call.
-                response.close()
-                raise AnswerMismatch(
-                    f'{address}: answer to attempt {echoed[:40]}'
-                )
-            if _is_refusal(response):
+            _check_identity(connections, call, response, record)
+            if is_refusal(response):
                 raise _refusal_error(address, response, record)
-            yield response
+            try:
+                yield response
+            except EndpointError:
+                # The answer may not be that of this call, whose own answer
+                # would then be read as that of the next one.
+                if record.use is not None:
+                    record.use.discard()
+                raise
     except EndpointFailed as error:
         error.sends += record.broken
         raise
@@ -88,11 +87,25 @@
         ) from error
 
 
-def _is_refusal(response: ClientResponse) -> bool:
-    return (
-        NOT_EXECUTED in response.headers
-        or response.status == STATUS_MISDIRECTED
-    )
+def _check_identity(
+    connections: ServerConnections,
+    call: ServerCall,
+    response: ClientResponse,
+    record: SendRecord,
+) -> None:
+    """Raise an error if the response may be that of another call."""
+    assert record.use is not None
+    identity = connections.identity
+    if identity.belongs_to(call.attempt_id, response, record.use):
+        return
+    echoed = response.headers.get(ATTEMPT_ID, '')
+    if is_refusal(response) and not echoed:
+        raise EndpointRefused(
+            f'{call.address}: status {response.status} without an attempt id',
+            overloaded=response.status in OVERLOADED_STATUSES,
+        )
+    record.use.discard()
+    raise AnswerMismatch(f'{call.address}: answer to attempt {echoed[:40]!r}')
 
 
 def _refusal_error(
--- a/anvilcove/ports/errors.py
+++ b/anvilcove/ports/errors.py
@@ -61,8 +61,8 @@
 class EndpointRefused(EndpointFailed):
     """Raised when an endpoint refused a call that may have run all the same.
 
-    An earlier send of the call may have run there. `overloaded`: the endpoint
-    refused the call because of its load.
+    An earlier send of the call may have run there, or the refusal may belong
+    to another call. `overloaded`: the endpoint refused because of its load.
     """
 
     def __init__(
