Confirm refusals without an id, and answer them with 503

Cause: such refusals were believed only after one on a new connection, and a request whose refusals were in doubt was answered as one that may have run.

A refusal without an id is confirmed by the next answer on its connection, if that carries the id of its call: no other answer was outstanding. A repeatable request that was only refused is answered with 503; it still counts as run against the attempts of its route. A refusal after a send that broke is an EndpointFailed, and answered with 502 as before.

--- a/anvilcove/platform/answer_identity.py
+++ b/anvilcove/platform/answer_identity.py
@@ -15,8 +15,10 @@
 
     A server may answer a call a second time when the next call on its
     connection waits for an answer. An answer without an id is accepted on a
-    reused connection only if it is of a kind that servers send without an id
-    on new connections, and the answer before it carried its id.
+    reused connection only if it is of a kind that servers send without an id,
+    and the answer before it carried its id. A server is known to send a kind
+    so if it does on a new connection, or if the next call on the connection
+    is answered with its id: no other answer was outstanding.
     """
 
     __slots__ = ('_kinds_without_id',)
@@ -35,6 +37,8 @@
         echoed = response.headers.get(ATTEMPT_ID, '')
         use.record_answer(bool(echoed))
         if echoed:
+            if echoed == attempt_id and use.follows_unclear_kind:
+                self._record_kind(use.follows_unclear_kind)
             return echoed == attempt_id
         if not attempt_id and SERVER_STAMP not in response.headers:
             return not (use.reused and is_refusal(response))
@@ -42,7 +46,10 @@
         if not use.reused:
             self._record_kind(kind)
             return True
-        return use.follows_identified and kind in self._kinds_without_id
+        if use.follows_identified and kind in self._kinds_without_id:
+            return True
+        use.record_answer(identified=False, unclear_kind=kind)
+        return False
 
     def _record_kind(self, kind: str) -> None:
         if kind not in self._kinds_without_id:
--- a/anvilcove/platform/client_protocol.py
+++ b/anvilcove/platform/client_protocol.py
@@ -43,6 +43,8 @@
         self.last_use: ConnectionUse | None = None
         self.last_attempt_id = ''
         self.last_identified = True
+        # Kind of the last answer if it was not surely that of its call.
+        self.unclear_kind = ''
 
     def set_response_params(self, **parameters: Any) -> None:
         """Prepare for the answer of the next call."""
@@ -70,6 +72,7 @@
     __slots__ = (
         'reused',
         'follows_identified',
+        'follows_unclear_kind',
         '_repeatable',
         '_started_at_s',
         '_protocol',
@@ -80,6 +83,8 @@
         self.reused = False
         # Whether the answer before on this connection carried an id.
         self.follows_identified = True
+        # Kind of that answer if it was not surely that of its call.
+        self.follows_unclear_kind = ''
         self._repeatable = repeatable
         self._started_at_s = _now()
         self._protocol: ServerProtocol | None = None
@@ -96,6 +101,7 @@
         else:
             self.reused = True
             self.follows_identified = protocol.last_identified
+            self.follows_unclear_kind = protocol.unclear_kind
             same_id = attempt_id and attempt_id == protocol.last_attempt_id
             unclear = not self._repeatable and not self.follows_identified
             if same_id or unclear:
@@ -105,10 +111,11 @@
         protocol.last_use = self
         protocol.last_attempt_id = attempt_id
 
-    def record_answer(self, identified: bool) -> None:
-        """Record whether the answer carries an id."""
+    def record_answer(self, identified: bool, unclear_kind: str = '') -> None:
+        """Record whether the answer carries an id, and its kind if unclear."""
         if self._protocol is not None and self._protocol.last_use is self:
             self._protocol.last_identified = identified
+            self._protocol.unclear_kind = unclear_kind
 
     def discard(self) -> None:
         """Close the connection unless another call uses it by now."""
--- a/anvilcove/platform/exchange.py
+++ b/anvilcove/platform/exchange.py
@@ -110,13 +110,13 @@
 
 def _refusal_error(
     address: str, response: ClientResponse, record: SendRecord
-) -> EndpointNotRun | EndpointRefused:
+) -> EndpointNotRun | EndpointFailed:
     status = response.status
     reason = f'{address}: status {status}'
     overloaded = status in OVERLOADED_STATUSES
     if record.broken:
         # The broken sends are added when the error leaves the exchange.
-        return EndpointRefused(reason, sends=0, overloaded=overloaded)
+        return EndpointFailed(reason, sends=0)
     return EndpointNotRun(reason, overloaded=overloaded)
 
 
--- a/anvilcove/ports/errors.py
+++ b/anvilcove/ports/errors.py
@@ -59,10 +59,10 @@
 
 
 class EndpointRefused(EndpointFailed):
-    """Raised when an endpoint refused a call that may have run all the same.
+    """Raised when an endpoint refused a call, but maybe another one.
 
-    An earlier send of the call may have run there, or the refusal may belong
-    to another call. `overloaded`: the endpoint refused because of its load.
+    The call itself may have run. `overloaded`: the endpoint refused because
+    of its load.
     """
 
     def __init__(
--- a/anvilcove/proxy/streams.py
+++ b/anvilcove/proxy/streams.py
@@ -18,6 +18,7 @@
     EndpointError,
     EndpointFailed,
     EndpointNotRun,
+    EndpointRefused,
 )
 from anvilcove.ports.servers import CallerAnswer, CallerRequest
 from anvilcove.ports.streams import StreamClient, StreamSink
@@ -119,8 +120,10 @@
                 progress.attempts += (
                     error.sends if isinstance(error, EndpointFailed) else 1
                 )
-                progress.may_have_run = True
-                outcome = CRASH
+                refused = isinstance(error, EndpointRefused)
+                if not (refused and route.resumable):
+                    progress.may_have_run = True
+                outcome = OVERLOADED if refused else CRASH
                 logger.bind(
                     request=request.request_id,
                     endpoint=state.endpoint,
--- a/features/second_answers.feature
+++ b/features/second_answers.feature
@@ -44,6 +44,27 @@
     And q4 is sent on the kept connection
     Then it fails and has not run
 
+  Scenario: A refusal without an id is confirmed by the next answer
+    Guards against a server whose refusals are never believed because its
+    connections are kept.
+    Given 1 raw servers that have each answered a request on a kept connection
+    And the server refuses q1 without an id
+    When q1 is sent on the kept connection
+    Then it fails and may have run
+    Given the server answers q2 and refuses q3 without an id
+    When q2 is sent on the kept connection
+    And q3 is sent on the kept connection
+    Then it fails and has not run
+
+  Scenario: A repeatable request that is only refused is refused
+    Guards against a caller that is told that its request failed, and not when
+    to send it again.
+    Given 3 raw servers that have each answered a request on a kept connection
+    And each server refuses q1 without an id
+    When q1 is forwarded on a route with 2 attempts
+    Then the caller gets status 503
+    And 2 servers have received q1
+
   Scenario: A request that may run once does not follow an answer without an id
     Guards against a request that counts as not run because of the second
     refusal of the call before it.
--- a/features/steps/second_answer_steps.py
+++ b/features/steps/second_answer_steps.py
@@ -376,6 +376,20 @@
 )
 
 
+@given('each server refuses {one:w} without an id')
+def refuse_at_each(context, one):
+    """Refuse the next request at each server."""
+    for server in context.servers:
+        server.behaviours = [sending(SHED)]
+
+
+@then('{count:d} servers have received {attempt:w}')
+def check_reached(context, count, attempt):
+    """Count the servers that the request reached."""
+    received = [server.received for server in context.servers]
+    assert sum(attempt in names for names in received) == count, received
+
+
 @given('the server refuses {one:w} without an id')
 def refuse_one(context, one):
     """Refuse the next request."""
