--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -29,7 +29,12 @@
     ItemRejected,
     TokenEvent,
 )
-from anvilcove.ports.errors import EndpointError, EndpointNotRun
+from anvilcove.ports.errors import (
+    EndpointCrashed,
+    EndpointError,
+    EndpointNotRun,
+    EndpointRefused,
+)
 from anvilcove.state.clock import Clock
 
 # An attempt fails if its engine sends nothing for this long. Loading a weight
@@ -90,10 +95,9 @@
         `deadline_at_s`. Items of lower `rank` get engine slots first.
         """
         item = progress.item
+        lifetime = asyncio.timeout(max(deadline_at_s - self._clock.now(), 0.0))
         try:
-            async with asyncio.timeout(
-                max(deadline_at_s - self._clock.now(), 0.0)
-            ):
+            async with lifetime:
                 result = await self._generate(
                     spec, progress, rank, deadline_at_s
                 )
@@ -101,6 +105,8 @@
                 if result is None:
                     result = await self._rewards.score(progress)
         except TimeoutError:
+            if not lifetime.expired():
+                raise
             result = ItemResult(item.item_id, completed=False)
             logger.bind(
                 job=spec.job_id,
@@ -276,7 +282,10 @@
                 if handle.move_requested:
                     raise RunMoved(handle.endpoint)
                 return await anext(stream)
-        except TimeoutError as error:
+        except OSError as error:
+            # A connection that ends with ETIMEDOUT raises TimeoutError, too.
+            if handle.timeout is None or not handle.timeout.expired():
+                raise EndpointCrashed(f'{error!r}') from error
             if handle.move_requested:
                 raise RunMoved(handle.endpoint) from error
             raise EndpointError(f'no event for {timeout_s} s') from error
@@ -355,7 +364,7 @@
     ) -> None:
         if isinstance(error, EndpointNotRun) and not error.unreachable:
             self._slots.engine_records.on_refusal(entry.endpoint)
-        elif isinstance(error, StaleWeights):
+        elif isinstance(error, StaleWeights | EndpointRefused):
             self._slots.engine_records.on_refusal(entry.endpoint)
         else:
             self._slots.engine_records.on_failure(entry.endpoint)
--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -21,7 +21,9 @@
 from anvilcove.ports.errors import (
     EndpointCrashed,
     EndpointError,
+    EndpointFailed,
     EndpointNotRun,
+    EndpointRefused,
 )
 from anvilcove.ports.servers import (
     CallerAnswer,
@@ -300,13 +302,15 @@
         route = progress.route
         latency_s = self._clock.now() - attempt.started_at_s
         error = attempt.task.exception()
+        if isinstance(error, OSError):
+            error = EndpointCrashed(f'{error!r}')
         if isinstance(error, EndpointError):
             self._record_failure(progress, attempt, error, latency_s)
             return None
         if error is not None:
             raise error
         answer = attempt.task.result()
-        progress.executions += 1
+        progress.executions += answer.sends
         progress.may_have_run = True
         success = answer.status < 500
         self._pools.finish(
@@ -323,7 +327,7 @@
                 answer.status, answer.headers, answer.body, stamp=answer.stamp
             )
         progress.last_error_answer = answer
-        progress.server_failures += 1
+        progress.server_failures += answer.run_failed
         return None
 
     def _record_failure(
@@ -340,9 +344,18 @@
             if error.unreachable:
                 outcome = CRASH
         else:
-            progress.executions += 1
-            progress.may_have_run = True
-            outcome = CRASH if isinstance(error, EndpointCrashed) else ERROR
+            progress.executions += (
+                error.sends if isinstance(error, EndpointFailed) else 1
+            )
+            refused = isinstance(error, EndpointRefused)
+            # A repeatable request that was only refused is refused, too: its
+            # caller may send it again even if it has run.
+            if not (refused and progress.route.repeatable):
+                progress.may_have_run = True
+            if isinstance(error, EndpointCrashed):
+                outcome = CRASH
+            elif isinstance(error, EndpointRefused) and error.overloaded:
+                outcome = OVERLOADED
         self._pools.finish(
             attempt.state, outcome, latency_s, progress.route.name, INTERACTIVE
         )
@@ -395,7 +408,8 @@
     def _refusal_reason(self, progress: RequestProgress) -> str:
         if self._pools.available_count(progress.service) == 0:
             return 'no endpoint'
-        return 'refused by endpoints' if progress.not_run_count else 'no room'
+        refused = progress.not_run_count or progress.executions
+        return 'refused by endpoints' if refused else 'no room'
 
     def _max_wait_s(
         self, progress: RequestProgress, deadline_at_s: float
--- a/anvilcove/proxy/streams.py
+++ b/anvilcove/proxy/streams.py
@@ -1,6 +1,7 @@
 """Forward streamed answers; resume broken ones at other endpoints."""
 
 import random
+from collections.abc import Awaitable
 
 from loguru import logger
 
@@ -13,7 +14,12 @@
     OVERLOADED,
     RouteRequest,
 )
-from anvilcove.ports.errors import EndpointError, EndpointNotRun
+from anvilcove.ports.errors import (
+    EndpointError,
+    EndpointFailed,
+    EndpointNotRun,
+    EndpointRefused,
+)
 from anvilcove.ports.servers import CallerAnswer, CallerRequest
 from anvilcove.ports.streams import StreamClient, StreamSink
 from anvilcove.proxy.forwarder import MAX_NOT_RUN_SENDS, choose_service
@@ -27,11 +33,23 @@
 
 
 class StreamBroken(Exception):
-    """Raised when a stream fails after its first part was sent."""
+    """Raised when a stream fails after its first part or its caller left."""
+
+
+async def _to_caller(sending: Awaitable[None]) -> None:
+    """Await a send to the caller; an error is not one of the endpoint."""
+    try:
+        await sending
+    except OSError as error:
+        raise StreamBroken(f'caller disconnected: {error}') from error
 
 
 class StreamProgress:
-    """Attempts of one stream and how much of it was sent to the caller."""
+    """Attempts of one stream and how much of it was sent to the caller.
+
+    `attempts` counts the sends that broke off and that an endpoint may have
+    run.
+    """
 
     __slots__ = (
         'started',
@@ -99,8 +117,13 @@
                 progress.not_run_count += 1
                 outcome = OVERLOADED if error.overloaded else CRASH
             except EndpointError as error:
-                progress.may_have_run = True
-                outcome = CRASH
+                progress.attempts += (
+                    error.sends if isinstance(error, EndpointFailed) else 1
+                )
+                refused = isinstance(error, EndpointRefused)
+                if not (refused and route.resumable):
+                    progress.may_have_run = True
+                outcome = OVERLOADED if refused else CRASH
                 logger.bind(
                     request=request.request_id,
                     endpoint=state.endpoint,
@@ -137,13 +160,12 @@
             route.resumable,
             progress.last_event_id,
         ) as answer:
-            progress.attempts += 1
             progress.may_have_run = True
             if not progress.started:
                 progress.started = True
-                await sink.start(answer.status, answer.headers)
+                await _to_caller(sink.start(answer.status, answer.headers))
             async for piece in answer.pieces:
-                await sink.write(piece.data)
+                await _to_caller(sink.write(piece.data))
                 if piece.event_id is not None:
                     progress.last_event_id = piece.event_id
 
