Report a request that may have run as failed, not as not run

Cause: the stand-in refused without echoing the id, unlike the servers of the protocol, and a scenario that expects 503 of it had been met by the promise. Change: the stand-in echoes the id; only a refusal that surely belongs to the call counts as not run. The scenario of now expects 502 in place of 503, which is the stricter answer. second_answers, retries, explaining, forwarding and platform_adapter pass.

--- a/anvilcove/platform/standin.py
+++ b/anvilcove/platform/standin.py
@@ -206,13 +206,13 @@
         if request.raw_path == '/-/report':
             return self._report()
         if request.headers.get(EXPECT_INSTANCE, '') != self.instance:
-            return web.Response(status=421, headers={NOT_EXECUTED: '1'})
+            return _refusal(request, 421)
         if request.raw_path == '/-/order':
             return self._accept_order(json.decode(await request.read()))
         body = await request.read()
         full = self.loading or self.running >= self.slots
         if full or self.faults.refusing:
-            return web.Response(status=503, headers={NOT_EXECUTED: '1'})
+            return _refusal(request, 503)
         attempt = request.headers.get(ATTEMPT_ID, '')
         digest = hashlib.sha256(body).hexdigest()[:8]
         self.runs.append((attempt, request.raw_path, digest))
@@ -323,6 +323,14 @@
         )
 
 
+def _refusal(request: web.BaseRequest, status: int) -> web.Response:
+    """Return the refusal of a request that was not run."""
+    headers = {NOT_EXECUTED: '1'}
+    if ATTEMPT_ID in request.headers:
+        headers[ATTEMPT_ID] = request.headers[ATTEMPT_ID]
+    return web.Response(status=status, headers=headers)
+
+
 async def _send_half(
     request: web.BaseRequest, answer: web.Response
 ) -> web.StreamResponse:
--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -347,11 +347,7 @@
             progress.executions += (
                 error.sends if isinstance(error, EndpointFailed) else 1
             )
-            refused = isinstance(error, EndpointRefused)
-            # A repeatable request that was only refused is refused, too: its
-            # caller may send it again even if it has run.
-            if not (refused and progress.route.repeatable):
-                progress.may_have_run = True
+            progress.may_have_run = True
             if isinstance(error, EndpointCrashed):
                 outcome = CRASH
             elif isinstance(error, EndpointRefused) and error.overloaded:
@@ -408,8 +404,7 @@
     def _refusal_reason(self, progress: RequestProgress) -> str:
         if self._pools.available_count(progress.service) == 0:
             return 'no endpoint'
-        refused = progress.not_run_count or progress.executions
-        return 'refused by endpoints' if refused else 'no room'
+        return 'refused by endpoints' if progress.not_run_count else 'no room'
 
     def _max_wait_s(
         self, progress: RequestProgress, deadline_at_s: float
--- a/anvilcove/proxy/streams.py
+++ b/anvilcove/proxy/streams.py
@@ -120,9 +120,8 @@
                 progress.attempts += (
                     error.sends if isinstance(error, EndpointFailed) else 1
                 )
+                progress.may_have_run = True
                 refused = isinstance(error, EndpointRefused)
-                if not (refused and route.resumable):
-                    progress.may_have_run = True
                 outcome = OVERLOADED if refused else CRASH
                 logger.bind(
                     request=request.request_id,
--- a/features/second_answers.feature
+++ b/features/second_answers.feature
@@ -56,13 +56,13 @@
     And q3 is sent on the kept connection
     Then it fails and has not run
 
-  Scenario: A repeatable request that is only refused is refused
-    Guards against a caller that is told that its request failed, and not when
-    to send it again.
+  Scenario: A request that may have run is not reported as not run
+    Guards against a false promise to a caller: a refusal without an id may be
+    the second answer to another request.
     Given 3 raw servers that have each answered a request on a kept connection
     And each server refuses q1 without an id
     When q1 is forwarded on a route with 2 attempts
-    Then the caller gets status 503
+    Then the caller gets status 502
     And 2 servers have received q1
 
   Scenario: A request that may run once does not follow an answer without an id
