Let each daemon and the store's stand-in have a clock of their own

Change: an optional [clock] table of the settings, which only the soak writes, moves the monotonic clocks of a daemon by an offset; MemoryStore has an offset too. The defaults change nothing. The wire module gains the path that ends a job.

--- a/anvilcove/node/app.py
+++ b/anvilcove/node/app.py
@@ -54,7 +54,7 @@
         self._settings_error = ''
         self._changes_after_restart: list[str] = []
         self._adapters = adapters
-        self._clock = SystemClock()
+        self._clock = SystemClock(settings.clock)
         self._rng = random.Random()
         self._nonce = secrets.token_hex(6)
         self._tasks: list[asyncio.Task[None]] = []
@@ -99,7 +99,7 @@
             engines=clients.engines,
             rows=adapters.rows,
             clock=clock,
-            lease_clock=SuspendAwareClock(),
+            lease_clock=SuspendAwareClock(self.settings.clock),
             rng=self._rng,
         )
         self.components = NodeComponents(
--- a/anvilcove/platform/settings.py
+++ b/anvilcove/platform/settings.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from typing import Any
 
+from anvilcove.settings.clock import ClockSettings
 from anvilcove.settings.loader import SettingsError
 from anvilcove.settings.node import (
     NodeBounds,
@@ -60,6 +61,8 @@
         peer_port=internal_ports[0],
         memory_mb=int(data.get('limits', {}).get('memory-mb', 0)),
         metrics_port=internal_ports[1],
+        # The platform has no such table; the soak writes it.
+        clock=ClockSettings(float(data.get('clock', {}).get('offset-s', 0))),
     )
 
 
--- a/anvilcove/platform/standin_wire.py
+++ b/anvilcove/platform/standin_wire.py
@@ -33,6 +33,7 @@
     lookup_port: int
     peers_port: int
     grace_s: float
+    clock_offset_s: float = 0.0
 
 
 class RouteSpec(Struct):
@@ -94,6 +95,8 @@
 address = "{host.store}"
 row-bytes = 65536
 cross-shard = true
+[clock]
+offset-s = {host.clock_offset_s}
 """
 
 
@@ -195,6 +198,11 @@
     return f'/-/lots/{job_id}?after={position}'
 
 
+def job_path(job_id: str) -> str:
+    """Return the path for ending a job."""
+    return f'/-/lots/{job_id}'
+
+
 def results_headers(host: str, wait_s: float) -> dict[str, str]:
     """Return the headers of a read that waits up to `wait_s` for results."""
     return {'Host': host, WAIT_MS: str(int(wait_s * 1000))}
--- a/anvilcove/settings/node.py
+++ b/anvilcove/settings/node.py
@@ -2,6 +2,8 @@
 
 from msgspec import Struct, field
 
+from anvilcove.settings.clock import ClockSettings
+
 
 class NodeListeners(Struct):
     """Addresses that the daemon listens on, ip:port each."""
@@ -51,6 +53,7 @@
     memory_mb: int = 0
     # Port of the metrics; the second of the internal ports.
     metrics_port: int = 0
+    clock: ClockSettings = ClockSettings()
 
 
 # Settings that a reload changes without a restart of the process.
--- a/anvilcove/standins/memory_store.py
+++ b/anvilcove/standins/memory_store.py
@@ -55,6 +55,8 @@
         self.objects: dict[str, bytes] = {}
         self.version = 0
         self.transactions = 0
+        # Offset of the store's clock; it changes when the store restarts.
+        self.clock_offset_s = 0.0
         self._changed = asyncio.Event()
 
     async def transact(self, change: RowTransaction) -> TransactionOutcome:
@@ -170,7 +172,7 @@
 
     def store_ms(self) -> float:
         """Return the time of the store in milliseconds."""
-        return self._loop.time() * 1000
+        return (self._loop.time() + self.clock_offset_s) * 1000
 
     async def _simulate_call(self) -> None:
         await asyncio.sleep(RESPONSE_TIME_S * self.faults.slow)
--- a/anvilcove/state/clock.py
+++ b/anvilcove/state/clock.py
@@ -5,6 +5,8 @@
 import time
 from typing import Protocol
 
+from anvilcove.settings.clock import ClockSettings
+
 
 class Clock(Protocol):
     """Interface of a monotonic clock."""
@@ -17,13 +19,17 @@
 
 
 class SystemClock:
-    """Monotonic clock of the operating system."""
+    """Monotonic clock of the operating system, moved by an offset."""
 
-    __slots__ = ()
+    __slots__ = ('_offset_s',)
+
+    def __init__(self, settings: ClockSettings) -> None:
+        """Read the clock that the settings select."""
+        self._offset_s = settings.offset_s
 
     def now(self) -> float:
         """Return monotonic seconds."""
-        return time.monotonic()
+        return time.monotonic() + self._offset_s
 
     async def sleep(self, seconds: float) -> None:
         """Wait for a number of seconds."""
@@ -41,7 +47,7 @@
 
     def now(self) -> float:
         """Return seconds since the host booted, suspension included."""
-        return time.clock_gettime(time.CLOCK_BOOTTIME)
+        return time.clock_gettime(time.CLOCK_BOOTTIME) + self._offset_s
 
 
 def seconds_until_tick(now: float, period_s: float, phase: float) -> float:
