--- a/anvilcove/cli/soak.py
+++ b/anvilcove/cli/soak.py
@@ -7,7 +7,8 @@
 from msgspec import json
 
 from anvilcove.cli.registry import program
-from anvilcove.soak.run import SoakSettings, soak
+from anvilcove.soak.run import soak
+from anvilcove.soak.settings import SoakSettings
 
 FLAGS = flags.FLAGS
 flags.DEFINE_integer(
@@ -21,6 +22,11 @@
 )
 flags.DEFINE_integer('fault_count', 8, 'Number of faults in a run.')
 flags.DEFINE_integer('daemon_count', 4, 'Number of daemons.')
+flags.DEFINE_integer('engine_count', 3, 'Number of model servers.')
+flags.DEFINE_integer('server_count', 3, 'Number of plain servers.')
+flags.DEFINE_multi_string(
+    'kind', [], 'Kind of fault to draw from; repeat it for several.'
+)
 flags.DEFINE_boolean('keep_logs', False, 'Keep the logs of every run.')
 
 
@@ -37,6 +43,9 @@
             seconds=FLAGS.fault_s,
             faults=FLAGS.fault_count,
             daemons=FLAGS.daemon_count,
+            engines=FLAGS.engine_count,
+            servers=FLAGS.server_count,
+            kinds=FLAGS.kind,
             keep_logs=FLAGS.keep_logs,
         )
         outcome = asyncio.run(soak(settings))
--- a/anvilcove/platform/standin.py
+++ b/anvilcove/platform/standin.py
@@ -7,9 +7,11 @@
 import asyncio
 import hashlib
 from base64 import b64decode, b64encode
+from collections import Counter
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs, unquote
-from weakref import WeakSet
+from weakref import WeakKeyDictionary, WeakSet
 
 from aiohttp import web
 from msgspec import json
@@ -23,6 +25,18 @@
     SERVER_STAMP,
     WEIGHT_VERSIONS,
 )
+from anvilcove.platform.standin_faults import (
+    CRASHING,
+    FAILING,
+    FAILURE_TIME_S,
+    REJECTED,
+    UNSEEN_RUN_S,
+    ServerFaults,
+    content_marker,
+    late_response,
+    lateness_s,
+    reset_connection,
+)
 from anvilcove.ports.errors import (
     ObjectNotFound,
     StoreAnswerLost,
@@ -153,35 +167,14 @@
     )
 
 
-class ServerFaults:
-    """Fault switches of one server, set by tests and the soak."""
-
-    def __init__(self) -> None:
-        """Create the switches with all faults off."""
-        # Requests start to run but get no response.
-        self.silent = False
-        # Plain servers run requests and respond with status 500.
-        self.failing = False
-        # Requests are rejected with status 503 and do not run.
-        self.refusing = False
-        # Connections break while their request runs.
-        self.breaking = False
-        # Connections break halfway through the body of a response.
-        self.cutting = False
-        # Reused connections are closed as soon as a request arrives.
-        self.drops_idle = False
-        # Time that a plain server takes for a request.
-        self.work_s = 0.02
-        # Number of the event after which streams break off, None for never.
-        self.break_after: int | None = None
-
-
 class ServerStandin:
     """Stand-in for a plain server or, with a model, a model server."""
 
     def __init__(self, instance: str, model: str = '', slots: int = 8) -> None:
         """Create a server; a model server holds version 1 of its model."""
+        self.name = instance
         self.instance = instance
+        self.starts = 1
         self.model = model
         self.slots = slots
         self.version = 1
@@ -190,8 +183,21 @@
         self.running = 0
         self.faults = ServerFaults()
         self._used_transports: WeakSet[asyncio.BaseTransport] = WeakSet()
+        # Second responses that are due on a connection.
+        self._late_responses: WeakKeyDictionary[
+            asyncio.WriteTransport, bytes
+        ] = WeakKeyDictionary()
+        self._running_unseen: set[str] = set()
+        self._load_timer: asyncio.TimerHandle | None = None
+        # Called when a content crashes the server.
+        self.on_crash: Callable[[], None] = lambda: None
+        # Time, attempt id and path of each crash.
+        self.crashes: list[tuple[float, str, str]] = []
+        # Number of responses by attempt id and status, 500 and 422 only.
+        self.failures: Counter[tuple[str, int]] = Counter()
         # Attempt id, path and body digest of each request that began to run.
         self.runs: list[tuple[str, str, str]] = []
+        self.run_at_s: list[float] = []
         # Weight versions that generated an event, by item and event number.
         self.versions_by_event: dict[tuple[str, int], set[int]] = {}
 
@@ -210,27 +216,97 @@
         if request.raw_path == '/-/order':
             return self._accept_order(json.decode(await request.read()))
         body = await request.read()
+        self._send_late_response(transport)
+        attempt = request.headers.get(ATTEMPT_ID, '')
         full = self.loading or self.running >= self.slots
-        if full or self.faults.refusing:
+        if full or self.faults.refusing or attempt in self._running_unseen:
             return web.Response(status=503, headers={NOT_EXECUTED: '1'})
-        attempt = request.headers.get(ATTEMPT_ID, '')
         digest = hashlib.sha256(body).hexdigest()[:8]
         self.runs.append((attempt, request.raw_path, digest))
+        self.run_at_s.append(asyncio.get_running_loop().time())
         self.running += 1
         try:
-            if self.faults.silent:
-                await asyncio.sleep(3600)
-            if self.model:
-                return await self._generate(request, attempt)
-            await asyncio.sleep(self.faults.work_s)
-            if self.faults.breaking:
-                transport.abort()
-            answer = self._answer(attempt, digest)
-            if self.faults.cutting:
-                return await _send_half(request, answer)
-            return answer
+            return await self._run(request, attempt, digest)
         finally:
             self.running -= 1
+            self._schedule_faults(transport, attempt, digest)
+
+    async def _run(
+        self, request: web.BaseRequest, attempt: str, digest: str
+    ) -> web.StreamResponse:
+        transport = request.transport
+        assert transport is not None
+        marker = content_marker(request.raw_path)
+        if marker:
+            return await self._run_harmful(marker, request.raw_path, attempt)
+        if self.faults.silent:
+            await asyncio.sleep(3600)
+        if self.model:
+            return await self._generate(request, attempt)
+        if self.faults.break_after_s:
+            await self._run_unseen(transport, attempt)
+        await asyncio.sleep(self.faults.work_s)
+        if self.faults.breaking:
+            transport.abort()
+        answer = self._answer(attempt, digest)
+        if self.faults.cutting:
+            return await _send_half(request, answer)
+        return answer
+
+    async def _run_harmful(
+        self, marker: str, path: str, attempt: str
+    ) -> web.Response:
+        if marker == CRASHING:
+            now_s = asyncio.get_running_loop().time()
+            self.crashes.append((now_s, attempt, path))
+            self.on_crash()
+            await asyncio.sleep(3600)
+        await asyncio.sleep(FAILURE_TIME_S)
+        assert marker in (FAILING, REJECTED)
+        status = 500 if marker == FAILING else 422
+        self.failures[(attempt, status)] += 1
+        return web.Response(status=status, headers=self._headers(attempt))
+
+    async def _run_unseen(
+        self, transport: asyncio.BaseTransport, attempt: str
+    ) -> None:
+        """Break the connection of a request and go on with the run."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.faults.break_after_s, reset_connection, transport)
+        self._running_unseen.add(attempt)
+        loop.call_later(UNSEEN_RUN_S, self._running_unseen.discard, attempt)
+        await asyncio.sleep(UNSEEN_RUN_S)
+
+    def _schedule_faults(
+        self, transport: asyncio.WriteTransport, attempt: str, digest: str
+    ) -> None:
+        """Prepare what follows a response on its connection."""
+        loop = asyncio.get_running_loop()
+        if self.faults.resets_after:
+            loop.call_later(0.005, reset_connection, transport)
+        if self.faults.late_id:
+            other = self.runs[-2][0] if len(self.runs) > 1 else 'unknown'
+            self._late_responses[transport] = late_response(
+                self.faults.late_id, self.instance, attempt, digest, other
+            )
+            loop.call_later(
+                lateness_s(attempt), self._send_late_response, transport
+            )
+
+    def _send_late_response(self, transport: asyncio.WriteTransport) -> None:
+        """Send the second response that is due, before any other one."""
+        late = self._late_responses.pop(transport, b'')
+        if late and not transport.is_closing():
+            transport.write(late)
+
+    def restart(self) -> None:
+        """Come back as a new instance that has the same weights."""
+        self.starts += 1
+        self.instance = f'{self.name}.{self.starts}'
+        self.order_count = 0
+        self.loading = False
+        if self._load_timer is not None:
+            self._load_timer.cancel()
 
     def _answer(self, attempt: str, digest: str) -> web.Response:
         return web.Response(
@@ -284,7 +360,7 @@
             return web.Response(status=200)
         self.order_count += 1
         self.loading = True
-        asyncio.get_running_loop().call_later(
+        self._load_timer = asyncio.get_running_loop().call_later(
             LOAD_TIME_S, self._finish_loading, data['version']
         )
         return web.Response(status=202)
@@ -318,7 +394,7 @@
                 'state': 'ready',
                 'models': models if self.model else [],
                 'sequence': 1,
-                'born': 1,
+                'born': self.starts,
             }
         )
 
--- /dev/null
+++ b/anvilcove/platform/standin_faults.py
@@ -0,0 +1,97 @@
+"""Fault switches and harmful contents of the stand-in of a server."""
+
+import asyncio
+import contextlib
+import hashlib
+import socket
+import struct
+
+from anvilcove.platform.names import ATTEMPT_ID, SERVER_STAMP
+
+# Prefixes of the last segment of a path that select what its content does.
+CRASHING = 'crash-'
+FAILING = 'fail-'
+REJECTED = 'reject-'
+# Ids that a late second response carries: that of the request which it
+# repeats, that of an earlier one, or none.
+SAME_ID, OTHER_ID, NO_ID = 'same', 'other', 'none'
+# Time that a failing content runs.
+FAILURE_TIME_S = 0.3
+# Time that a run goes on after the fault has broken its connection.
+UNSEEN_RUN_S = 0.6
+MAX_LATENESS_S = 0.3
+# Closing a socket with this option resets the connection.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
+
+class ServerFaults:
+    """Fault switches of one server, set by tests and the soak."""
+
+    def __init__(self) -> None:
+        """Create the switches with all faults off."""
+        # Requests start to run but get no response.
+        self.silent = False
+        # Plain servers run requests and respond with status 500.
+        self.failing = False
+        # Requests are rejected with status 503 and do not run.
+        self.refusing = False
+        # Connections break while their request runs.
+        self.breaking = False
+        # Connections break halfway through the body of a response.
+        self.cutting = False
+        # Reused connections are closed as soon as a request arrives.
+        self.drops_idle = False
+        # Time that a plain server takes for a request.
+        self.work_s = 0.02
+        # Number of the event after which streams break off, None for never.
+        self.break_after: int | None = None
+        # Id of a second response that follows each response, '' for none.
+        self.late_id = ''
+        # Connections are reset after the last byte of a response.
+        self.resets_after = False
+        # Time after which connections of plain servers break while their
+        # request runs on and is refused when it is repeated; 0 for never.
+        self.break_after_s = 0.0
+
+
+def content_marker(path: str) -> str:
+    """Return the marker of a harmful content, '' for an ordinary one."""
+    name = path.rpartition('/')[2]
+    for marker in (CRASHING, FAILING, REJECTED):
+        if name.startswith(marker):
+            return marker
+    return ''
+
+
+def late_response(
+    kind: str, instance: str, attempt: str, digest: str, other: str
+) -> bytes:
+    """Return the bytes of a second response to `attempt`."""
+    request_id = other if kind == OTHER_ID else attempt
+    body = f'{request_id}:{digest}'
+    lines = [
+        'HTTP/1.1 200 OK',
+        f'{SERVER_STAMP}: {instance}.{request_id}',
+        f'Content-Length: {len(body)}',
+    ]
+    if kind != NO_ID:
+        lines.append(f'{ATTEMPT_ID}: {request_id}')
+    return '\r\n'.join([*lines, '', body]).encode()
+
+
+def lateness_s(attempt: str) -> float:
+    """Return the delay of a second response, derived from its request."""
+    share = hashlib.sha256(attempt.encode()).digest()[1] / 255
+    return 0.005 + share * MAX_LATENESS_S
+
+
+def reset_connection(transport: asyncio.BaseTransport) -> None:
+    """Reset a connection instead of closing it in the ordinary way."""
+    opened = transport.get_extra_info('socket')
+    if opened is not None:
+        with contextlib.suppress(OSError):
+            opened.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+    if isinstance(transport, asyncio.WriteTransport):
+        transport.abort()
--- a/anvilcove/soak/callers.py
+++ b/anvilcove/soak/callers.py
@@ -3,14 +3,17 @@
 import asyncio
 import hashlib
 import itertools
+import math
 import random
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 from msgspec import Struct, field
 
+from anvilcove.platform.standin_faults import FAILING
 from anvilcove.platform.standin_wire import (
     ItemSpec,
     JobResult,
+    job_path,
     lookup_path,
     read_addresses,
     read_page,
@@ -29,6 +32,8 @@
     ONCE,
     REWARDS,
     SHOP,
+    STATUS_S,
+    UNSCORED,
     LoopbackSite,
 )
 
@@ -40,6 +45,11 @@
 GROUPS, GROUP_SIZE = 4, 4
 MAX_READ_PAUSE_S = 0.4
 READ_WAIT_S = 0.3
+# Share of calls whose caller keeps the daemon that answered before.
+SAME_DAEMON_SHARE = 0.9
+CRASHING_PAUSE_S = 0.3
+REREAD_PAUSE_S = 0.3
+ENDED_SHARE = 0.5
 
 
 class CallRecord(Struct):
@@ -53,6 +63,9 @@
     # Number of starts of the daemon, -1 if it was restarted meanwhile.
     start_number: int
     intact: bool = True
+    sent_s: float = 0.0
+    # Whether the connection ended before the response.
+    cut: bool = False
 
 
 class JobRecord(Struct):
@@ -62,7 +75,17 @@
     min_version: int
     item_ids: list[str]
     accepted: bool = False
+    # Some of its items can't be completed.
+    harmful: bool = False
+    # Time of the first submission, and of the first call that ends the job.
+    submitted_s: float = math.inf
+    ended_s: float = math.inf
+    end_confirmed_s: float = math.inf
     results: list[JobResult] = field(default_factory=list)
+    # Time at which each result was read first.
+    read_at_s: list[float] = field(default_factory=list)
+    # Daemons that answered a read of the accepted job with status 404.
+    unknown_at: list[str] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
 
 
@@ -79,6 +102,7 @@
         self.jobs: list[JobRecord] = []
         self.version = 1
         self.trainer_stopped = False
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """Send requests and jobs until cancelled."""
@@ -86,14 +110,21 @@
             total=REQUEST_DEADLINE_S + 1, sock_connect=CONNECT_TIMEOUT_S
         )
         async with ClientSession(timeout=timeout) as session:
-            await asyncio.gather(
-                self._look_up(session),
-                self._call(session, 'safe', SHOP),
-                self._call(session, 'safe', SHOP),
-                self._call(session, 'once', ONCE),
-                self._call(session, 'extra', EXTRA),
-                self._train(session),
-            )
+            try:
+                await asyncio.gather(
+                    self._look_up(session),
+                    self._call(session, 'safe', SHOP),
+                    self._call(session, 'safe', SHOP),
+                    self._call(session, 'once', ONCE),
+                    self._call(session, 'extra', EXTRA),
+                    self._call_crashing(session),
+                    self._train(session),
+                    self._submit_harmful(session),
+                    self._read_again(session),
+                )
+            finally:
+                for task in self._tasks:
+                    task.cancel()
 
     async def read_all(self, session: ClientSession, job: JobRecord) -> int:
         """Read results until the job is complete or none are added.
@@ -123,42 +154,78 @@
     async def _call(
         self, session: ClientSession, kind: str, prefix: str
     ) -> None:
+        address, status = '', 0
         while True:
             await asyncio.sleep(self._rng.uniform(0, 2 * MEAN_PAUSE_S))
+            # An open connection is used until its daemon is gone.
+            if not status or self._rng.random() > SAME_DAEMON_SHARE:
+                address = self._rng.choice(self._addresses)
             request_id = f'{kind}-{next(self._ids)}'
-            address = self._rng.choice(self._addresses)
-            body = request_id.encode() * 3
-            digest = hashlib.sha256(body).hexdigest()[:8]
-            status, intact, start_number = 0, True, self._start_number(address)
-            try:
-                async with session.post(
-                    f'http://{address}{prefix}{request_id}',
-                    data=body,
-                    headers=request_headers(
-                        HOST, request_id, REQUEST_DEADLINE_S
-                    ),
-                ) as response:
-                    answer = await response.read()
-                    status = response.status
-                    if status == 200:
-                        intact = answer == f'{request_id}:{digest}'.encode()
-            except (ClientError, TimeoutError, OSError):
-                # Nothing is guaranteed without a response; status stays 0.
-                pass
-            at_s = asyncio.get_running_loop().time()
-            if start_number != self._start_number(address):
-                start_number = -1
-            self.calls.append(
-                CallRecord(
-                    request_id,
-                    kind,
-                    status,
-                    at_s,
+            status = await self._call_once(
+                session, kind, address, f'{prefix}{request_id}', request_id
+            )
+
+    async def _call_crashing(self, session: ClientSession) -> None:
+        """Send contents that crash servers, each time at any daemon."""
+        while True:
+            await asyncio.sleep(CRASHING_PAUSE_S)
+            for content in sorted(self._site.crashing_contents):
+                address = self._rng.choice(self._addresses)
+                request_id = f'{content}-{next(self._ids)}'
+                await self._call_once(
+                    session,
+                    'crashing',
                     address,
-                    start_number,
-                    intact,
+                    f'{SHOP}{content}',
+                    request_id,
+                    content,
                 )
+
+    async def _call_once(
+        self,
+        session: ClientSession,
+        kind: str,
+        address: str,
+        path: str,
+        request_id: str,
+        content: str = '',
+    ) -> int:
+        """Send a request, record the call and return its status."""
+        body = (content or request_id).encode() * 3
+        digest = hashlib.sha256(body).hexdigest()[:8]
+        status, intact, cut = 0, True, False
+        sent_s = asyncio.get_running_loop().time()
+        start_number = self._start_number(address)
+        try:
+            async with session.post(
+                f'http://{address}{path}',
+                data=body,
+                headers=request_headers(HOST, request_id, REQUEST_DEADLINE_S),
+            ) as response:
+                answer = await response.read()
+                status = response.status
+                if status == 200:
+                    intact = answer == f'{request_id}:{digest}'.encode()
+        except (ClientError, TimeoutError, OSError) as error:
+            # Little is guaranteed without a response; status stays 0.
+            cut = not isinstance(error, TimeoutError)
+        at_s = asyncio.get_running_loop().time()
+        if start_number != self._start_number(address):
+            start_number = -1
+        self.calls.append(
+            CallRecord(
+                request_id,
+                kind,
+                status,
+                at_s,
+                address,
+                start_number,
+                intact,
+                sent_s,
+                cut,
             )
+        )
+        return status
 
     def _start_number(self, address: str) -> int:
         """Return how often the daemon at an address has been started."""
@@ -171,31 +238,97 @@
                 return
             job = self.make_job(step)
             self.jobs.append(job)
-            tasks = [asyncio.create_task(self._run_step(session, job))]
-            await asyncio.wait(tasks, timeout=STEP_TIMEOUT_S)
+            step_run = asyncio.create_task(self._run_step(session, job))
+            self._tasks.add(step_run)
+            await asyncio.wait([step_run], timeout=STEP_TIMEOUT_S)
             self.version += 1
             self._site.name_version(self.version)
 
-    def make_job(self, step: int) -> JobRecord:
+    def make_job(self, step: int, groups: int = GROUPS) -> JobRecord:
         """Create the job of a step with random item identifiers."""
         items = [
             f'i{step}x{n}x{self._rng.randrange(10**6)}'
-            for n in range(GROUPS * GROUP_SIZE)
+            for n in range(groups * GROUP_SIZE)
         ]
         oldest = max(self.version - 1, 1)
         return JobRecord(
             f'j{step}x{self._rng.randrange(10**6)}', oldest, items
         )
 
+    async def _submit_harmful(self, session: ClientSession) -> None:
+        """Submit jobs with harmful items and end them after their time."""
+        while True:
+            prefix, for_s = await self._site.harmful_items.get()
+            job = self.make_job(next(self._ids), groups=2)
+            job.harmful = True
+            for position in range(0, len(job.item_ids), GROUP_SIZE):
+                job.item_ids[position] = prefix + job.item_ids[position]
+            self.jobs.append(job)
+            for work in (
+                self._run_harmful(session, job),
+                self._end_later(session, job, for_s),
+            ):
+                self._tasks.add(asyncio.create_task(work))
+
+    async def _run_harmful(
+        self, session: ClientSession, job: JobRecord
+    ) -> None:
+        await self._submit_until_accepted(session, job)
+        while job.ended_s == math.inf:
+            await self._read_results(session, job, len(job.results))
+            await asyncio.sleep(MAX_READ_PAUSE_S)
+
+    async def _end_later(
+        self, session: ClientSession, job: JobRecord, for_s: float
+    ) -> None:
+        await asyncio.sleep(for_s)
+        await self._end(session, job)
+
     async def _run_step(self, session: ClientSession, job: JobRecord) -> None:
-        while not job.accepted:
-            job.accepted = await self._submit(session, job)
-            await asyncio.sleep(MEAN_PAUSE_S)
+        await self._submit_until_accepted(session, job)
         while len(job.results) < len(job.item_ids):
             await self._read_results(session, job, len(job.results))
             if job.results and self._rng.random() < 0.1:
                 await self._read_results(session, job, 0)
             await asyncio.sleep(MAX_READ_PAUSE_S * self._rng.random())
+        if self._rng.random() < ENDED_SHARE:
+            await self._end(session, job)
+
+    async def _submit_until_accepted(
+        self, session: ClientSession, job: JobRecord
+    ) -> None:
+        job.submitted_s = asyncio.get_running_loop().time()
+        while not job.accepted and job.ended_s == math.inf:
+            job.accepted = await self._submit(session, job)
+            await asyncio.sleep(MEAN_PAUSE_S)
+
+    async def _end(self, session: ClientSession, job: JobRecord) -> None:
+        """End a job, again and again until a daemon has confirmed it."""
+        loop = asyncio.get_running_loop()
+        job.ended_s = loop.time()
+        while True:
+            address = self._rng.choice(self._addresses)
+            url = f'http://{address}{job_path(job.job_id)}'
+            try:
+                async with session.delete(
+                    url, headers={'Host': HOST}
+                ) as response:
+                    if response.status == 404 and job.accepted:
+                        job.unknown_at.append(address)
+                    if response.status in (200, 404):
+                        job.end_confirmed_s = loop.time()
+                        return
+            except (ClientError, TimeoutError, OSError):
+                pass
+            await asyncio.sleep(MEAN_PAUSE_S)
+
+    async def _read_again(self, session: ClientSession) -> None:
+        """Read jobs that have results again from their start."""
+        while True:
+            await asyncio.sleep(REREAD_PAUSE_S)
+            known = [job for job in self.jobs if job.results]
+            if known:
+                await self._read_results(session, self._rng.choice(known), 0)
 
     def submission(self, job: JobRecord) -> bytes:
         """Return the request body that submits a job."""
@@ -204,11 +337,12 @@
                 item_id=item_id,
                 path=f'{JOBS}{item_id}',
                 group=f'g{position // GROUP_SIZE}',
-                reward_path=f'{REWARDS}{item_id}',
+                reward_path=_reward_path(item_id),
             )
             for position, item_id in enumerate(job.item_ids)
         ]
-        return submission(HOST, MODEL, job.min_version, GROUPS, items)
+        groups = len(items) // GROUP_SIZE
+        return submission(HOST, MODEL, job.min_version, groups, items)
 
     async def _submit(self, session: ClientSession, job: JobRecord) -> bool:
         body = self.submission(job)
@@ -233,8 +367,9 @@
         try:
             async with session.get(url, headers=headers) as response:
                 data = await response.read()
-                if response.status == 404:
-                    job.faults.append(f'{address} says it is unknown')
+                age_s = asyncio.get_running_loop().time() - job.submitted_s
+                if response.status == 404 and age_s < STATUS_S:
+                    job.unknown_at.append(address)
                 if response.status != 200:
                     return
         except (ClientError, TimeoutError, OSError):
@@ -243,6 +378,7 @@
         if page is None or page.total != len(job.item_ids):
             job.faults.append(f'{address} sent {data[:60]!r}')
             return
+        now_s = asyncio.get_running_loop().time()
         for offset, result in enumerate(page.results):
             index = position + offset
             if index < len(job.results):
@@ -250,3 +386,9 @@
                     job.faults.append(f'position {index} changed')
             elif index == len(job.results):
                 job.results.append(result)
+                job.read_at_s.append(now_s)
+
+
+def _reward_path(item_id: str) -> str:
+    marker = FAILING if item_id.startswith(UNSCORED) else ''
+    return f'{REWARDS}{marker}{item_id}'
--- a/anvilcove/soak/checks.py
+++ b/anvilcove/soak/checks.py
@@ -1,14 +1,31 @@
 """Checks of guarantees against the records of callers and servers."""
 
+import math
 from collections import Counter
 
 from anvilcove.platform.standin import complete_text
 from anvilcove.platform.standin_wire import JobResult, reward_id
 from anvilcove.soak.callers import Callers, JobRecord
-from anvilcove.soak.site import LoopbackSite
+from anvilcove.soak.site import (
+    ITEM_LIFETIME_S,
+    MAX_ITEM_ATTEMPTS,
+    MAX_REWARD_ATTEMPTS,
+    FaultPeriod,
+    LoopbackSite,
+)
 
 # Responses that arrive within this time of each other may be reordered.
 MAX_REORDERING_S = 0.5
+MAX_ATTEMPTS = 2
+# Time after a fault in which no time bound holds, and the number of late
+# retries of a crashing content that may reach servers.
+CONTACT_S = 3.0
+MAX_LATE_RETRIES = 3
+# Time after which an ended job must not run.
+CANCEL_S = 3.0
+PLANNED_STOPS = ('daemon stopped as planned', 'daemons stopped in turn')
+LINK_FAULTS = ('link of a server harmed',)
+CONTENT_FAULTS = ('contents crash servers', 'items crash engines')
 REFUSAL_STATUSES = (408, 421, 429, 503)
 
 
@@ -20,6 +37,11 @@
         *_check_single_runs(site),
         *_check_routes(callers),
         *_check_exits(site),
+        *_check_attempts(site, callers),
+        *_check_planned_stops(site, callers),
+        *_check_ended_jobs(site, callers),
+        *_check_crashes(site),
+        *_check_failures(site),
     ]
     for job in callers.jobs:
         violations += [
@@ -96,6 +118,8 @@
 def _check_job(site: LoopbackSite, job: JobRecord) -> list[str]:
     """Check that a job lists each item at most once, and check its results."""
     violations = [f'exactly_once: {fault}' for fault in job.faults]
+    if job.unknown_at:
+        violations.append(f'readable: unknown to {Counter(job.unknown_at)}')
     ids = [result.item_id for result in job.results]
     if len(ids) != len(set(ids)) or not set(ids) <= set(job.item_ids):
         violations.append('exactly_once: an item is listed twice or unknown')
@@ -110,7 +134,7 @@
     """Check the output, score and model versions of a result."""
     item = result.item_id
     if not result.completed:
-        return [f'exactly_once: {item} is errored']
+        return _check_errored(site, job, result)
     violations = []
     if result.output != complete_text(item):
         violations.append(f'whole_answers: the text of {item}')
@@ -128,10 +152,135 @@
     return violations
 
 
+def _check_errored(
+    site: LoopbackSite, job: JobRecord, result: JobResult
+) -> list[str]:
+    """Check that an item was given up for a reason."""
+    item = result.item_id
+    servers = [*site.servers, *site.engines]
+
+    def failures(request_id: str, status: int) -> int:
+        return sum(server.failures[(request_id, status)] for server in servers)
+
+    read_s = job.read_at_s[job.results.index(result)]
+    age_s = read_s - job.submitted_s
+    if (
+        read_s > job.ended_s
+        or age_s > ITEM_LIFETIME_S
+        or failures(item, 422)
+        or failures(item, 500) >= MAX_ITEM_ATTEMPTS
+        or failures(reward_id(item), 500) >= MAX_REWARD_ATTEMPTS
+    ):
+        return []
+    return [f'errored: {item} after {age_s:.1f} s without a reason']
+
+
+def _check_attempts(site: LoopbackSite, callers: Callers) -> list[str]:
+    """Check that a request runs on at most as many servers as allowed."""
+    requests = {c.request_id for c in callers.calls if c.kind != 'crashing'}
+    harmed = [p for p in site.fault_periods if p.kind in LINK_FAULTS]
+    servers_by_request: dict[str, set[str]] = {}
+    for server in site.servers:
+        if server.crashes:
+            continue
+        for run, at_s in zip(server.runs, server.run_at_s, strict=True):
+            # Servers that were cut off meanwhile don't count.
+            if run[0] in requests and not _is_within(at_s, harmed, 0.0):
+                servers_by_request.setdefault(run[0], set()).add(server.name)
+    return [
+        f'budget: {request} ran on {sorted(names)}'
+        for request, names in servers_by_request.items()
+        if len(names) > MAX_ATTEMPTS
+    ]
+
+
+def _check_planned_stops(site: LoopbackSite, callers: Callers) -> list[str]:
+    """Check that no request that has run is cut off by planned stops."""
+    ran = {run[0] for server in site.servers for run in server.runs}
+    planned = [p for p in site.fault_periods if p.kind in PLANNED_STOPS]
+    others = [p for p in site.fault_periods if p.kind not in PLANNED_STOPS]
+    return [
+        f'planned_stop: {call.daemon} cut {call.request_id} off'
+        for call in callers.calls
+        if call.cut
+        and call.request_id in ran
+        and _is_within(call.at_s, planned, 1.0)
+        and not any(
+            p.started_s <= call.at_s and call.sent_s <= p.ended_s + CONTACT_S
+            for p in others
+        )
+    ]
+
+
+def _check_ended_jobs(site: LoopbackSite, callers: Callers) -> list[str]:
+    """Check that no item of an ended job starts to run."""
+    confirmed_s = {
+        item: job.end_confirmed_s
+        for job in callers.jobs
+        for item in job.item_ids
+    }
+    violations = []
+    for engine in site.engines:
+        for run, at_s in zip(engine.runs, engine.run_at_s, strict=True):
+            after_s = at_s - confirmed_s.get(run[0], math.inf)
+            if after_s > CANCEL_S and not _is_within(
+                at_s, site.fault_periods, CONTACT_S
+            ):
+                violations.append(
+                    f'cancel: {run[0]} ran {after_s:.1f} s after the end'
+                )
+    return violations
+
+
+def _check_crashes(site: LoopbackSite) -> list[str]:
+    """Check that few retries of a crashing content reach servers."""
+    crashes_by_path: dict[str, list[tuple[float, str]]] = {}
+    for server in [*site.servers, *site.engines]:
+        for at_s, attempt, path in server.crashes:
+            crashes_by_path.setdefault(path, []).append((at_s, attempt))
+    others = [p for p in site.fault_periods if p.kind not in CONTENT_FAULTS]
+    violations = []
+    for path, crashes in crashes_by_path.items():
+        crashes.sort()
+        late = [
+            at_s
+            for at_s, _ in crashes[3:]
+            if at_s > crashes[2][0] + CONTACT_S
+            and not _is_within(at_s, others, CONTACT_S)
+        ]
+        if len(late) > MAX_LATE_RETRIES:
+            violations.append(
+                f'budget: {path} crashed {len(crashes)} runs, {len(late)} of'
+                f' them late'
+            )
+    return violations
+
+
+def _check_failures(site: LoopbackSite) -> list[str]:
+    """Check that items that fail at each run are given up in time."""
+    failures: Counter[tuple[str, int]] = Counter()
+    for engine in site.engines:
+        failures.update(engine.failures)
+    return [
+        f'budget: {item} got {count} responses of {status}'
+        for (item, status), count in failures.items()
+        if count > (3 if status == 422 else 3 * MAX_ITEM_ATTEMPTS)
+    ]
+
+
+def _is_within(
+    at_s: float, periods: list[FaultPeriod], after_s: float
+) -> bool:
+    """Return whether a time lies in a period or shortly after it."""
+    return any(p.started_s <= at_s <= p.ended_s + after_s for p in periods)
+
+
 def incomplete_jobs(callers: Callers) -> list[str]:
     """Return a line for each accepted job that lacks results."""
     return [
         f'{job.job_id} has {len(job.results)} of {len(job.item_ids)} results'
         for job in callers.jobs
-        if job.accepted and len(job.results) < len(job.item_ids)
+        if job.accepted
+        and not job.harmful
+        and len(job.results) < len(job.item_ids)
     ]
--- /dev/null
+++ b/anvilcove/soak/content_faults.py
@@ -0,0 +1,80 @@
+"""Contents that crash or fail the servers that run them."""
+
+import asyncio
+import random
+from collections import Counter
+
+from anvilcove.platform.standin_faults import (
+    CRASHING,
+    FAILING,
+    REJECTED,
+)
+from anvilcove.soak.faults import (
+    MAX_DURATION_S,
+    fault,
+)
+from anvilcove.soak.site import UNSCORED, LoopbackSite
+
+# Callers send a harmful content for this multiple of a fault's duration.
+HARMFUL_FACTOR = 4.0
+FAILURE_POLL_S = 0.05
+KILLING_FAILURES = 2
+
+
+@fault('contents crash servers')
+async def crash_servers(
+    site: LoopbackSite, rng: random.Random, for_s: float
+) -> None:
+    """Send a request again and again that crashes the servers that run it."""
+    content = f'{CRASHING}{rng.randrange(10**6)}'
+    site.crashing_contents.add(content)
+    await asyncio.sleep(HARMFUL_FACTOR * for_s)
+    site.crashing_contents.discard(content)
+
+
+@fault('items crash engines')
+async def crash_engines(
+    site: LoopbackSite, rng: random.Random, for_s: float
+) -> None:
+    """Submit items that crash the engines that run them."""
+    await _submit_harmful(site, CRASHING, for_s)
+
+
+@fault('items fail')
+async def fail_items(
+    site: LoopbackSite, rng: random.Random, for_s: float
+) -> None:
+    """Submit items that fail, are rejected or are never scored."""
+    prefixes = (FAILING, REJECTED, UNSCORED)
+    await asyncio.gather(
+        *(_submit_harmful(site, prefix, for_s) for prefix in prefixes)
+    )
+
+
+@fault('owners of failing items killed')
+async def kill_owners_of_failing_items(
+    site: LoopbackSite, rng: random.Random, for_s: float
+) -> None:
+    """Kill all daemons whenever an item has failed twice under its owner."""
+    submitted = asyncio.create_task(
+        _submit_harmful(site, FAILING, MAX_DURATION_S)
+    )
+    counted = Counter[str]()
+    while not submitted.done():
+        await asyncio.sleep(FAILURE_POLL_S)
+        failures = Counter[str]()
+        for engine in site.engines:
+            for (item, _), count in engine.failures.items():
+                failures[item] += count
+        if max((failures - counted).values(), default=0) >= KILLING_FAILURES:
+            await asyncio.gather(*(daemon.kill() for daemon in site.daemons))
+            await asyncio.gather(*(daemon.start() for daemon in site.daemons))
+            counted = failures
+
+
+async def _submit_harmful(
+    site: LoopbackSite, prefix: str, for_s: float
+) -> None:
+    """Have a job with harmful items submitted, and ended later."""
+    await site.harmful_items.put((prefix, HARMFUL_FACTOR * for_s))
+    await asyncio.sleep(HARMFUL_FACTOR * for_s)
--- /dev/null
+++ b/anvilcove/soak/daemon_faults.py
@@ -0,0 +1,142 @@
+"""Faults of daemons: kills, stops, pauses and loss of power."""
+
+import asyncio
+import random
+import signal
+
+from anvilcove.soak.faults import (
+    POWER_LOSS,
+    fault,
+    sample_daemons,
+)
+from anvilcove.soak.proxy import DELAY, ONE_WAY, PASS, RESET, SILENT
+from anvilcove.soak.site import DaemonProcess, LoopbackSite
+
+
+@fault('daemons killed')
+async def kill_daemons(
+    site: LoopbackSite, rng: random.Random, for_s: float
+) -> None:
+    """Kill a random set of daemons and restart them."""
+    chosen = sample_daemons(site, rng)
+    await asyncio.gather(*(daemon.kill() for daemon in chosen))
+    await asyncio.sleep(rng.uniform(0.0, for_s / 2))
+    await asyncio.gather(*(daemon.start() for daemon in chosen))
+
+
+@fault('daemon stopped as planned')
+async def stop_daemon(
+    site: LoopbackSite, rng: random.Random, for_s: float
+) -> None:
+    """Stop a daemon gracefully and restart it."""
+    daemon = rng.choice(site.daemons)
+    await daemon.stop()
+    await daemon.start()
+
+
+@fault('daemons stopped in turn')
+async def stop_daemons_in_turn(
+    site: LoopbackSite, rng: random.Random, for_s: float
+) -> None:
+    """Stop each daemon before the one before it is back."""
+
+    async def stop_and_start(daemon: DaemonProcess) -> None:
+        await daemon.stop()
+        await daemon.start()
+
+    tasks = []
+    for daemon in sample_daemons(site, rng):
+        tasks.append(asyncio.create_task(stop_and_start(daemon)))
+        await asyncio.sleep(rng.uniform(0.3, 1.5))
+    await asyncio.gather(*tasks)
+
+
+@fault('daemon paused')
+async def pause_daemon(
+    site: LoopbackSite, rng: random.Random, for_s: float
+) -> None:
+    """Suspend a daemon with SIGSTOP."""
+    daemon = rng.choice(site.daemons)
+    daemon.signal(signal.SIGSTOP)
+    await asyncio.sleep(for_s)
+    daemon.signal(signal.SIGCONT)
+
+
+@fault('daemon without processor')
+async def withhold_processor(
+    site: LoopbackSite, rng: random.Random, for_s: float
+) -> None:
+    """Suspend and resume several daemons in quick succession."""
+    chosen = sample_daemons(site, rng)
+    end_s = asyncio.get_running_loop().time() + for_s
+    while asyncio.get_running_loop().time() < end_s:
+        for daemon in chosen:
+            daemon.signal(signal.SIGSTOP)
+        await asyncio.sleep(rng.uniform(0.02, 0.3))
+        for daemon in chosen:
+            daemon.signal(signal.SIGCONT)
+        await asyncio.sleep(rng.uniform(0.005, 0.1))
+
+
+@fault('daemons paused while rows change')
+async def pause_daemons_during_changes(
+    site: LoopbackSite, rng: random.Random, for_s: float
+) -> None:
+    """Suspend daemons so that changes of rows wait in their sockets."""
+    chosen = sample_daemons(site, rng)
+    for daemon in chosen:
+        daemon.signal(signal.SIGSTOP)
+    await write_desired_states(site, rng, for_s)
+    await asyncio.sleep(for_s)
+    await write_desired_states(site, rng, for_s)
+    for daemon in chosen:
+        daemon.signal(signal.SIGCONT)
+
+
+@fault(POWER_LOSS)
+async def lose_power(
+    site: LoopbackSite, rng: random.Random, for_s: float
+) -> None:
+    """Kill and restart all daemons, with an undisturbed store or without."""
+    disturbance = rng.choice(['none', 'away', 'slow', 'restart'])
+    faults = site.store.faults
+    faults.away = disturbance == 'away'
+    faults.slow = 60.0 if disturbance == 'slow' else 1.0
+    await asyncio.gather(*(daemon.kill() for daemon in site.daemons))
+
+    async def restart(daemon: DaemonProcess) -> None:
+        await asyncio.sleep(rng.uniform(0.0, 0.3))
+        await daemon.start()
+
+    tasks = [asyncio.create_task(restart(d)) for d in site.daemons]
+    if disturbance == 'restart':
+        await site.restart_store(rng, rng.uniform(0.2, 1.5))
+    await asyncio.gather(*tasks, asyncio.sleep(rng.uniform(0.5, 2.0)))
+    faults.away, faults.slow = False, 1.0
+
+
+@fault('daemons restarted with a disturbed store link')
+async def restart_disturbed(
+    site: LoopbackSite, rng: random.Random, for_s: float
+) -> None:
+    """Restart daemons whose connections to the store are disturbed."""
+    chosen = sample_daemons(site, rng)
+    await asyncio.gather(*(daemon.kill() for daemon in chosen))
+    for daemon in chosen:
+        daemon.store_proxy.mode = rng.choice([DELAY, SILENT, ONE_WAY, RESET])
+    await asyncio.gather(*(daemon.start() for daemon in chosen))
+    await asyncio.sleep(for_s)
+    for daemon in chosen:
+        daemon.store_proxy.mode = PASS
+
+
+@fault('desired states in quick succession')
+async def write_desired_states(
+    site: LoopbackSite, rng: random.Random, for_s: float
+) -> None:
+    """Write several desired states that keep or add the extra route."""
+    for _ in range(rng.randint(1, 6)):
+        version = site.config_version + rng.randint(1, 3)
+        extra = site.config_extra or rng.random() < 0.5
+        site.write_config(version, extra)
+        await asyncio.sleep(0.1)
--- a/anvilcove/soak/proxy.py
+++ b/anvilcove/soak/proxy.py
@@ -2,16 +2,22 @@
 
 import asyncio
 import contextlib
+import random
+
+from anvilcove.platform.standin_faults import reset_connection
 
 PASS = 'pass'
 DELAY = 'delay'
 SILENT = 'silent'
 ONE_WAY = 'one way'
 RESET = 'reset'
+SPLIT = 'split'
 
 CHUNK_BYTES = 65_536
 POLL_S = 0.05
 DELAY_S = 0.3
+MAX_PIECES = 12
+PIECE_PAUSE_S = 0.002
 
 
 class FaultProxy:
@@ -31,13 +37,18 @@
         self._server = await asyncio.start_server(self._relay, ip, int(port))
 
     async def stop(self) -> None:
-        """Stop listening and abort every connection."""
+        """Stop listening and reset every connection."""
         if self._server is not None:
             self._server.close()
+        tasks = self.reset_connections()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def reset_connections(self) -> list[asyncio.Task[None]]:
+        """Reset every connection and return the tasks that do it."""
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        return tasks
 
     async def _relay(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -48,6 +59,9 @@
         with contextlib.suppress(OSError, asyncio.CancelledError):
             await self._connect(reader, writer)
         self._tasks.discard(task)
+        # An abort without unread data would look like an ordinary end.
+        if self.mode == RESET or task.cancelling():
+            reset_connection(writer.transport)
         writer.transport.abort()
 
     async def _connect(
@@ -68,7 +82,11 @@
             ),
         ]
         try:
-            await asyncio.wait(forwarders, return_when=asyncio.FIRST_COMPLETED)
+            done, _ = await asyncio.wait(
+                forwarders, return_when=asyncio.FIRST_COMPLETED
+            )
+            if any(forwarder.exception() for forwarder in done):
+                reset_connection(writer.transport)
             # Leave time to deliver what the other side still sends.
             await asyncio.sleep(POLL_S)
         finally:
@@ -92,8 +110,20 @@
                 await asyncio.sleep(DELAY_S)
             if not data:
                 return
-            writer.write(data)
-            await writer.drain()
+            for piece in self._split(data):
+                writer.write(piece)
+                await writer.drain()
+                if len(piece) < len(data):
+                    await asyncio.sleep(PIECE_PAUSE_S)
 
     def _is_blocked(self, to_target: bool) -> bool:
         return self.mode == SILENT or (self.mode == ONE_WAY and not to_target)
+
+    def _split(self, data: bytes) -> list[bytes]:
+        """Return the data in the pieces in which they are sent."""
+        if self.mode != SPLIT or len(data) < 2:
+            return [data]
+        count = min(random.randint(2, MAX_PIECES), len(data))
+        cuts = sorted(random.sample(range(1, len(data)), count - 1))
+        ends = [*cuts, len(data)]
+        return [data[a:b] for a, b in zip([0, *cuts], ends, strict=True)]
--- a/anvilcove/soak/run.py
+++ b/anvilcove/soak/run.py
@@ -4,6 +4,7 @@
 import random
 import shutil
 import tempfile
+from importlib import import_module
 from pathlib import Path
 
 from aiohttp import ClientSession, ClientTimeout
@@ -13,26 +14,21 @@
 from anvilcove.soak.checks import find_violations, incomplete_jobs
 from anvilcove.soak.closing import final_violations
 from anvilcove.soak.faults import inject_faults, plan_faults
+from anvilcove.soak.settings import SoakSettings
 from anvilcove.soak.site import LoopbackSite
 
-STARTUP_S = 4.0
+# Modules that register faults when they are imported.
+FAULT_MODULES = (
+    'anvilcove.soak.content_faults',
+    'anvilcove.soak.daemon_faults',
+    'anvilcove.soak.server_faults',
+    'anvilcove.soak.store_faults',
+)
 # Time after the last fault within which accepted jobs must be complete.
 COMPLETION_TIMEOUT_S = 15.0
 POLL_S = 0.5
 
 
-class SoakSettings(Struct):
-    """Seed, duration and size of a run."""
-
-    seed: int
-    seconds: float = 10.0
-    faults: int = 8
-    daemons: int = 4
-    engines: int = 3
-    servers: int = 3
-    keep_logs: bool = False
-
-
 class SoakOutcome(Struct):
     """Counts and violated guarantees of one run."""
 
@@ -47,22 +43,29 @@
 
 async def soak(settings: SoakSettings) -> SoakOutcome:
     """Run the soak test for one seed and return its outcome."""
+    for name in FAULT_MODULES:
+        import_module(name)
     folder = Path(tempfile.mkdtemp(prefix='anvilcove-soak-'))
     site = LoopbackSite(
-        folder, settings.daemons, settings.engines, settings.servers
+        folder,
+        settings.daemons,
+        settings.engines,
+        settings.servers,
+        settings.seed,
     )
     callers = Callers(site, random.Random(settings.seed))
     calling: asyncio.Task[None] | None = None
     broken: list[str] = []
     try:
         await site.start()
-        await asyncio.sleep(STARTUP_S)
+        await site.wait_until_ready()
         calling = asyncio.create_task(callers.run())
-        planned = plan_faults(settings.seed, settings.seconds, settings.faults)
+        planned = plan_faults(settings)
         await asyncio.gather(
             inject_faults(site, planned), asyncio.sleep(settings.seconds)
         )
-        broken += await final_violations(site)
+        if settings.closing:
+            broken += await final_violations(site)
         await _await_jobs(callers)
     finally:
         if calling is not None:
--- /dev/null
+++ b/anvilcove/soak/settings.py
@@ -0,0 +1,19 @@
+"""Settings of a soak run."""
+
+from msgspec import Struct, field
+
+
+class SoakSettings(Struct):
+    """Seed, duration and size of a run."""
+
+    seed: int
+    seconds: float = 10.0
+    faults: int = 8
+    daemons: int = 4
+    engines: int = 3
+    servers: int = 3
+    # Kinds of faults to draw from; all kinds and series if empty.
+    kinds: list[str] = field(default_factory=list)
+    # Whether the checks that need a site without faults are made.
+    closing: bool = True
+    keep_logs: bool = False
--- a/anvilcove/soak/site.py
+++ b/anvilcove/soak/site.py
@@ -1,12 +1,16 @@
 """Simulated platform and daemon processes on loopback addresses."""
 
 import asyncio
+import math
 import os
+import random
 import signal
 import sys
+from functools import partial
 from pathlib import Path
 
-from aiohttp import web
+from aiohttp import ClientError, ClientSession, web
+from msgspec import Struct
 
 from anvilcove.control.desired import JOB, SAFE, STREAM, UNSAFE
 from anvilcove.platform.standin import (
@@ -44,15 +48,30 @@
 STORE_PORT, SERVER_PORT, PROXY_PORT = 8200, 8300, 8400
 GRACE_S = 5.0
 SLOTS = 8
+# Prefix of items whose reward call fails.
+UNSCORED = 'unscored-'
+ITEM_LIFETIME_S, MAX_ITEM_ATTEMPTS, MAX_REWARD_ATTEMPTS = 60.0, 3, 4
+STATUS_S = 120.0
+# The clocks of the daemons and the store start below, near or above this.
+STORE_ORIGIN_S = 1e6
+# Time after which the row of a crashed server expires.
+ROW_EXPIRY_S = 1.5
+READY_TIMEOUT_S, READY_POLL_S = 30.0, 0.1
 ROUTES = (
     RouteSpec('shop', SHOP, SAFE, 'app', 300, 2),
     RouteSpec('once', ONCE, UNSAFE, 'app', 300, 2),
-    RouteSpec('reward', REWARDS, SAFE, 'app', 500, 4),
-    RouteSpec('job', JOBS, JOB, 'llm', 400, 3),
+    RouteSpec('reward', REWARDS, SAFE, 'app', 500, MAX_REWARD_ATTEMPTS),
+    RouteSpec('job', JOBS, JOB, 'llm', 400, MAX_ITEM_ATTEMPTS),
     RouteSpec('stream', STREAMS, STREAM, 'llm', 400, 2),
 )
 
 
+def random_clock_offset_s(rng: random.Random) -> float:
+    """Return an offset far below, near or far above that of the store."""
+    near = rng.uniform(STORE_ORIGIN_S - 300, STORE_ORIGIN_S + 300)
+    return rng.choice([rng.uniform(0, 1e4), near, rng.uniform(2e6, 3e6)])
+
+
 class DaemonProcess:
     """A daemon process that can be stopped and restarted."""
 
@@ -151,21 +170,37 @@
                 lookup_port=LOOKUP_PORT,
                 peers_port=PEERS_PORT,
                 grace_s=GRACE_S,
+                clock_offset_s=random_clock_offset_s(self._site.rng),
             )
         )
 
 
+class FaultPeriod(Struct):
+    """Kind of a fault and the time in which it was active."""
+
+    kind: str
+    started_s: float
+    ended_s: float = math.inf
+
+
 class LoopbackSite:
     """Store, servers and daemons of one soak run."""
 
     def __init__(
-        self, folder: Path, daemons: int, engines: int, servers: int
+        self,
+        folder: Path,
+        daemons: int,
+        engines: int,
+        servers: int,
+        seed: int = 0,
     ) -> None:
         """Create the parts of the site without starting them."""
         self.folder = folder
+        self.rng = random.Random(seed)
         pid = os.getpid()
         self.subnet = f'127.{1 + pid // 250 % 250}.{1 + pid % 250}'
         self.store = MemoryStore(asyncio.get_running_loop())
+        self.store.clock_offset_s = STORE_ORIGIN_S
         self.daemons: list[DaemonProcess] = []
         for number in range(daemons):
             self.daemons.append(DaemonProcess(self, number))
@@ -174,18 +209,25 @@
         ]
         self.servers = [ServerStandin(f's{n}') for n in range(servers)]
         self.server_proxies: dict[str, FaultProxy] = {}
+        # Names of the servers that have crashed and are not back yet.
+        self.crashed: set[str] = set()
+        self.fault_periods: list[FaultPeriod] = []
+        # Names of contents that callers send again and again.
+        self.crashing_contents: set[str] = set()
+        # Prefixes of items for the trainer to submit, and their time.
+        self.harmful_items: asyncio.Queue[tuple[str, float]] = asyncio.Queue()
         self.draining: set[str] = set()
         self.config_version = 1
         # Whether the desired state contains the extra route.
         self.config_extra = False
+        self._store_lock = asyncio.Lock()
+        self._store_runner: web.ServerRunner | None = None
         self._runners: list[web.ServerRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Start the platform, then the daemons."""
-        store = StoreStandin(self.store)
-        address = f'{self.subnet}.2:{STORE_PORT}'
-        self._runners.append(await serve(store.handle, address))
+        await self._start_store()
         backends = [*self.engines, *self.servers]
         for number, server in enumerate(backends):
             ip = f'{self.subnet}.{100 + number}'
@@ -193,7 +235,8 @@
                 await serve(server.handle, f'{ip}:{SERVER_PORT}')
             )
             proxy = FaultProxy(f'{ip}:{PROXY_PORT}', f'{ip}:{SERVER_PORT}')
-            self.server_proxies[server.instance] = proxy
+            self.server_proxies[server.name] = proxy
+            server.on_crash = partial(self._on_crash, server)
             await proxy.start()
         self.write_config(1)
         self._tasks.append(asyncio.create_task(self._announce()))
@@ -201,18 +244,65 @@
             await daemon.store_proxy.start()
             await daemon.start()
 
+    async def wait_until_ready(self) -> None:
+        """Wait until all daemons are ready."""
+        async with (
+            asyncio.timeout(READY_TIMEOUT_S),
+            ClientSession() as session,
+        ):
+            for daemon in self.daemons:
+                url = f'http://{daemon.ip}:{READY_PORT}/-/readyz'
+                while not await _is_ready(session, url):
+                    await asyncio.sleep(READY_POLL_S)
+
     async def stop(self) -> None:
         """Stop all daemons, proxies and servers of the site."""
         for task in self._tasks:
             task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         await asyncio.gather(*(daemon.kill() for daemon in self.daemons))
         for proxy in [
             *self.server_proxies.values(),
             *(d.store_proxy for d in self.daemons),
         ]:
             await proxy.stop()
-        for runner in self._runners:
-            await runner.cleanup()
+        for runner in [self._store_runner, *self._runners]:
+            if runner is not None:
+                await runner.cleanup()
+
+    async def _start_store(self) -> None:
+        address = f'{self.subnet}.2:{STORE_PORT}'
+        self._store_runner = await serve(
+            StoreStandin(self.store).handle, address
+        )
+
+    async def restart_store(self, rng: random.Random, away_s: float) -> None:
+        """Restart the store, which keeps its rows but not its clock."""
+        async with self._store_lock:
+            for daemon in self.daemons:
+                daemon.store_proxy.reset_connections()
+            assert self._store_runner is not None
+            await self._store_runner.cleanup()
+            await asyncio.sleep(away_s)
+            self.store.clock_offset_s = random_clock_offset_s(rng)
+            await self._start_store()
+
+    def _on_crash(self, server: ServerStandin) -> None:
+        if server.name not in self.crashed:
+            self.crashed.add(server.name)
+            self._tasks.append(asyncio.create_task(self._crash(server)))
+
+    async def _crash(self, server: ServerStandin) -> None:
+        """Reset the connections of a server and restart it later."""
+        row = endpoint_row(server.instance)
+        proxy = self.server_proxies[server.name]
+        await proxy.stop()
+        await asyncio.sleep(ROW_EXPIRY_S)
+        self.store.apply(RowTransaction(removals=[row]))
+        await asyncio.sleep(self.rng.uniform(0.5, 2.0))
+        server.restart()
+        await proxy.start()
+        self.crashed.discard(server.name)
 
     def write_config(self, version: int, extra: bool = False) -> None:
         """Write a desired state, with one more route if `extra` is set.
@@ -235,8 +325,10 @@
     async def _announce(self) -> None:
         while True:
             for server in [*self.engines, *self.servers]:
+                if server.name in self.crashed:
+                    continue
                 service = 'llm' if server.model else 'app'
-                address = self.server_proxies[server.instance].listen
+                address = self.server_proxies[server.name].listen
                 entry = server.endpoint_row_value(service, address, 'z')
                 if server.instance in self.draining:
                     entry = draining_row_value(entry)
@@ -249,3 +341,11 @@
     def _put(self, row: RowId, value: bytes) -> None:
         change = RowTransaction(writes=[RowWrite(row, value)])
         self.store.apply(change)
+
+
+async def _is_ready(session: ClientSession, url: str) -> bool:
+    try:
+        async with session.get(url) as response:
+            return response.status == 200
+    except (ClientError, OSError):
+        return False
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -7,19 +7,33 @@
 
 from behave import given, then, when
 
-from anvilcove.soak.run import SoakSettings, soak
+from anvilcove.soak.run import soak
+from anvilcove.soak.settings import SoakSettings
 
 
 @given('a soak test with seed {seed:d} and {faults:d} faults in {seconds:g} s')
 def run_soak(context, seed, faults, seconds):
-    """Run the soak test on the loop of the scenario."""
-    settings = SoakSettings(
-        seed=seed,
-        seconds=seconds,
-        faults=faults,
-        daemons=3,
-        keep_logs=True,
+    """Run the soak test with all kinds of faults."""
+    run(context, SoakSettings(seed, seconds, faults))
+
+
+@given(
+    'a soak test of "{kinds}" with seed {seed:d} and {faults:d} faults in'
+    ' {seconds:g} s'
+)
+def run_soak_of_kinds(context, kinds, seed, faults, seconds):
+    """Run the soak test with some kinds of faults, no closing checks."""
+    kinds = kinds.split(', ')
+    run(
+        context,
+        SoakSettings(seed, seconds, faults, kinds=kinds, closing=False),
     )
+
+
+def run(context, settings):
+    """Run a soak test on the loop of the scenario."""
+    settings.daemons = 3
+    settings.keep_logs = True
     context.outcome = context.loop.run_until_complete(soak(settings))
     context.add_cleanup(
         shutil.rmtree, context.outcome.logs, ignore_errors=True
