Store the endpoints of failures with their count, and at once

Cause: an owner counts an item as failed after max-attempts different endpoints. Change: the row holds the endpoints beside the counts; a failure is committed without the window. An owner that dies within the commit still loses one run.

--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -340,7 +340,7 @@
     ) -> EngineRequirements:
         item = progress.item
         service = route.targets[0].service
-        excluded = progress.failed_endpoints
+        excluded = progress.failures.endpoints
         if len(excluded) >= self._slots.engine_count(service):
             excluded = set()
         return EngineRequirements(
--- a/anvilcove/jobs/job_run.py
+++ b/anvilcove/jobs/job_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import secrets
+from copy import deepcopy
 from functools import partial
 
 from loguru import logger
@@ -18,8 +19,8 @@
 )
 from anvilcove.jobs.types import (
     Commit,
-    FailureCounts,
     Item,
+    ItemFailures,
     ItemResult,
     JobSpec,
     TextPart,
@@ -123,8 +124,8 @@
             item: len(part.texts) for item, part in checkpoints.items()
         }
         self._running: dict[str, ItemProgress] = {}
-        # Counts that the next commit stores. Replaced, never changed, since a
-        # commit without an answer is sent again as it was.
+        # What the next commit stores. Entries are replaced, never changed,
+        # since a commit without an answer is sent again as it was.
         self._failures_by_item = dict(job.head.failures_by_item)
         # Set and replaced after each commit.
         self._committed_event = asyncio.Event()
@@ -200,8 +201,8 @@
         restored = self._restored_checkpoints.pop(item.item_id, None)
         if restored is not None:
             progress.restore(restored)
-        progress.failures = replace(
-            self._failures_by_item.get(item.item_id, FailureCounts())
+        progress.failures = deepcopy(
+            self._failures_by_item.get(item.item_id, ItemFailures())
         )
         progress.store_failures = partial(self._store_failures, progress)
         self._running[item.item_id] = progress
@@ -224,9 +225,9 @@
 
         The next owner would otherwise send it as often once more.
         """
-        item_id, counts = progress.item.item_id, replace(progress.failures)
-        self._failures_by_item[item_id] = counts
-        while self.job.head.failures_by_item.get(item_id) != counts:
+        item_id, failures = progress.item.item_id, deepcopy(progress.failures)
+        self._failures_by_item[item_id] = failures
+        while self.job.head.failures_by_item.get(item_id) != failures:
             self._wake_event.set()
             await self._committed_event.wait()
 
@@ -238,9 +239,12 @@
         except TimeoutError:
             return
         self._wake_event.clear()
-        if self.owned and self.job.head.listed + len(self._uncommitted) < (
+        complete = self.job.head.listed + len(self._uncommitted) >= (
             self.job.head.total
-        ):
+        )
+        # An owner that dies within the window forgets failures.
+        failed = self._failures_by_item != self.job.head.failures_by_item
+        if self.owned and not complete and not failed:
             await self._clock.sleep(COMMIT_WINDOW_S)
 
     async def _commit(self) -> None:
@@ -309,11 +313,11 @@
 
     def _failures_without(
         self, results: list[ItemResult]
-    ) -> dict[str, FailureCounts]:
+    ) -> dict[str, ItemFailures]:
         listed = {result.item_id for result in results}
         return {
-            item_id: counts
-            for item_id, counts in self._failures_by_item.items()
+            item_id: failures
+            for item_id, failures in self._failures_by_item.items()
             if item_id not in listed
         }
 
--- a/anvilcove/jobs/progress.py
+++ b/anvilcove/jobs/progress.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from anvilcove.jobs.types import FailureCounts, Item, ItemResult, TextPart
+from anvilcove.jobs.types import Item, ItemFailures, ItemResult, TextPart
 from anvilcove.ports.engines import TokenEvent
 
 
@@ -28,7 +28,6 @@
         'was_reset',
         'attempts',
         'failures',
-        'failed_endpoints',
         'store_failures',
         'endpoint',
         'moves',
@@ -60,11 +59,10 @@
         # Whether the text was discarded; its checkpoints then no longer match.
         self.was_reset = False
         self.attempts = 0
-        # Answers that reported a failure, also to earlier owners of the job,
-        # and the endpoints that reported a failed item.
-        self.failures = FailureCounts()
-        self.failed_endpoints: set[str] = set()
-        # Stores the counts so that they outlast this daemon.
+        # Failures that were reported to this owner of the job or to earlier
+        # ones.
+        self.failures = ItemFailures()
+        # Stores the failures so that they outlast this daemon.
         self.store_failures: Callable[[], Awaitable[None]] | None = None
 
     def append(self, event: TokenEvent) -> None:
@@ -81,7 +79,7 @@
     async def record_failure(self, endpoint: str) -> None:
         """Count an answer that reported a failed item, and store the count."""
         self.failures.runs += 1
-        self.failed_endpoints.add(endpoint)
+        self.failures.endpoints.add(endpoint)
         if self.store_failures is not None:
             await self.store_failures()
 
@@ -99,7 +97,7 @@
         """
         if self.failures.runs < max_attempts:
             return False
-        if len(self.failed_endpoints) >= max_attempts:
+        if len(self.failures.endpoints) >= max_attempts:
             return True
         return self.failures.runs >= 2 * max_attempts
 
--- a/anvilcove/jobs/types.py
+++ b/anvilcove/jobs/types.py
@@ -54,11 +54,15 @@
     items: list[Item]
 
 
-class FailureCounts(Struct, array_like=True):
-    """Failed runs of an item and of its reward call."""
+class ItemFailures(Struct, array_like=True):
+    """Answers that reported a failed run of an item or of its reward call.
+
+    `endpoints` are those that reported a failed run of the item.
+    """
 
     runs: int = 0
     reward_calls: int = 0
+    endpoints: set[str] = field(default_factory=set)
 
 
 class JobHead(Struct, array_like=True):
@@ -89,7 +93,7 @@
     tokens: int
     age_ms: float = 0.0
     # Items without a result that have failed before.
-    failures_by_item: dict[str, FailureCounts] = field(default_factory=dict)
+    failures_by_item: dict[str, ItemFailures] = field(default_factory=dict)
 
     @property
     def finished(self) -> bool:
