Keep contents that share their crashes with others isolated

The quarantine rejects a content that was in flight at two crashes, also if another content caused both. With isolation this is rare; a path that does not isolate would refuse innocent contents. Cause: crashes are counted for each content in flight, independent of the others. Change: a content with two crashes stays isolated while others with two crashes were in flight at each of them. It is rejected once these are cleared, or after a third crash. Contents with two crashes go first into the shared counts, in up to half of the room, so that others do not displace them. Evidence: without the rule, 'Two contents that share two crashes run isolated until one is cleared' fails with "Reject(crashes=2)"; without the order, 'Rejected contents are shared although many others were in flight' fails.

--- a/anvilcove/decisions/quarantine.py
+++ b/anvilcove/decisions/quarantine.py
@@ -5,8 +5,10 @@
 from anvilcove.messages.peers import SuspectDigest
 from anvilcove.settings.daemon import HostSettings
 
-# Crashes after which a content is rejected.
+# Crashes after which a content is rejected, and after which it is rejected
+# even if other contents may have caused these crashes.
 REJECT_AFTER = 2
+REJECT_ALWAYS_AFTER = 3
 # Prefix of the endpoint in a digest that carries cleared crashes instead of
 # crashes. A crash is cleared by a completed run or by `retract_crashes`. Both
 # counts only grow, so peers merge them by maximum in any order.
@@ -35,15 +37,22 @@
 
     def open_crashes(self) -> int:
         """Return the number of crashes that were not cleared."""
-        return sum(
-            max(count - self.cleared.get(endpoint, 0), 0)
-            for endpoint, count in self.crashes.items()
-        )
+        return sum(self.open_crashes_at(endpoint) for endpoint in self.crashes)
+
+    def open_crashes_at(self, endpoint: str) -> int:
+        """Return the number of crashes of an endpoint not cleared."""
+        count = self.crashes.get(endpoint, 0) - self.cleared.get(endpoint, 0)
+        return max(count, 0)
 
 
 @policy('quarantine', 'content')
 class ContentQuarantine:
-    """Isolate a content after its first crash, reject it after two."""
+    """Isolate a content after its first crash, reject it after two.
+
+    If at each of its crashes another content with several crashes was in
+    flight, it may be innocent. It then stays isolated until the other ones are
+    cleared or it has a third crash.
+    """
 
     __slots__ = ('_record_by_content',)
 
@@ -93,8 +102,15 @@
             return Allow()
         if crashes < REJECT_AFTER:
             return Isolate(crashes)
+        if crashes < REJECT_ALWAYS_AFTER and self._is_ambiguous(record):
+            return Isolate(crashes)
         return Reject(crashes)
 
+    def open_crashes(self, content: str) -> int:
+        """Return the crashes of a content that were not cleared."""
+        record = self._record_by_content.get(content)
+        return record.open_crashes() if record is not None else 0
+
     def merge(self, now: float, digests: list[SuspectDigest]) -> None:
         """Merge the counts of a peer by maximum."""
         for digest in digests:
@@ -108,9 +124,13 @@
             _counts(record, cleared)[endpoint] = digest.crashes
 
     def digests(self, now: float) -> list[SuspectDigest]:
-        """Return the counts to gossip, last changed content first."""
+        """Return the counts to share, last changed content first.
+
+        Contents with REJECT_AFTER crashes precede the others, so that these
+        don't displace them, and take up to half of the room.
+        """
         digests: list[SuspectDigest] = []
-        for content, record in reversed(self._record_by_content.items()):
+        for content, record in self._records_to_share():
             if len(digests) >= DIGEST_LIMIT:
                 break
             for prefix, counts in (
@@ -127,6 +147,30 @@
                 )
         return digests
 
+    def _records_to_share(self) -> list[tuple[str, CrashRecord]]:
+        newest_first = list(reversed(self._record_by_content.items()))
+        rejected = [
+            (content, record)
+            for content, record in newest_first
+            if record.open_crashes() >= REJECT_AFTER
+        ][: DIGEST_LIMIT // 2 // REJECT_AFTER]
+        first = {content for content, _ in rejected}
+        others = [pair for pair in newest_first if pair[0] not in first]
+        return rejected + others
+
+    def _is_ambiguous(self, record: CrashRecord) -> bool:
+        """Tell whether other contents may have caused all open crashes."""
+        others = [
+            other
+            for other in self._record_by_content.values()
+            if other is not record and other.open_crashes() >= REJECT_AFTER
+        ]
+        return all(
+            any(other.open_crashes_at(endpoint) for other in others)
+            for endpoint in record.crashes
+            if record.open_crashes_at(endpoint)
+        )
+
     def _touch(self, now: float, content: str) -> CrashRecord:
         record = self._record_by_content.pop(content, None) or CrashRecord()
         record.updated_at_s = now
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -7,7 +7,7 @@
 from msgspec.structs import replace
 
 from anvilcove.commands.requests.crashes import CrashAccounting
-from anvilcove.decisions.quarantine import ContentQuarantine
+from anvilcove.decisions.quarantine import DIGEST_LIMIT, ContentQuarantine
 from anvilcove.decisions.types import CRASH, Allow, Isolate, Reject
 from anvilcove.messages.membership import ENGINE, EndpointMember
 from anvilcove.ports.errors import EndpointNotRun
@@ -130,3 +130,95 @@
     """Check the verdict after two crashes."""
     verdict = context.quarantine.verdict(context.now, CONTENT)
     assert verdict == Reject(2), verdict
+
+
+@given('a content and another one that were in flight at 2 crashes')
+def share_crashes(context):
+    """Count two crashes for both contents."""
+    context.quarantine = ContentQuarantine(None)
+    context.now = 1.0
+    for endpoint in ('e1', 'e2'):
+        context.quarantine.crashed(1.0, endpoint, [CONTENT, 'other'])
+
+
+@given('a content in flight at a crash of each of two other contents')
+def share_with_two(context):
+    """Count a crash with each of two contents."""
+    context.quarantine = ContentQuarantine(None)
+    context.now = 1.0
+    context.quarantine.crashed(1.0, 'e1', [CONTENT, 'first'])
+    context.quarantine.crashed(1.0, 'e2', [CONTENT, 'second'])
+
+
+@given('a second crash of each of the two others')
+def crash_alone(context):
+    """Count a crash for each of them alone."""
+    context.quarantine.crashed(1.0, 'e3', ['first'])
+    context.quarantine.crashed(1.0, 'e4', ['second'])
+
+
+@given('a content that has crashed 2 endpoints')
+def crash_two(context):
+    """Count two crashes for one content."""
+    context.quarantine = ContentQuarantine(None)
+    context.now = 1.0
+    for endpoint in ('e1', 'e2'):
+        context.quarantine.crashed(1.0, endpoint, [CONTENT])
+
+
+@when('the other content runs to its end')
+def finish_other(context):
+    """Clear the crashes of the other content."""
+    context.quarantine.finished(1.0, 'other')
+
+
+@when('the content crashes a third endpoint alone')
+def crash_third(context):
+    """Count a third crash for the content only."""
+    context.quarantine.crashed(1.0, 'e3', [CONTENT])
+
+
+@when('{count:d} other contents were in flight at later crashes')
+def crash_others(context, count):
+    """Count one crash for each of the other contents."""
+    for number in range(count):
+        context.quarantine.crashed(1.0, f'f{number}', [f'other {number}'])
+
+
+@then('both may run isolated')
+def check_both_isolated(context):
+    """Check the verdict on both contents."""
+    for content in (CONTENT, 'other'):
+        verdict = context.quarantine.verdict(1.0, content)
+        assert verdict == Isolate(2), verdict
+
+
+@then('the content is rejected and the other one may run')
+def check_one_rejected(context):
+    """Check the verdict on both contents."""
+    assert context.quarantine.verdict(1.0, CONTENT) == Reject(2)
+    assert context.quarantine.verdict(1.0, 'other') == Allow()
+
+
+@then('the content may run isolated and the two others are rejected')
+def check_two_rejected(context):
+    """Check the verdict on the three contents."""
+    assert context.quarantine.verdict(1.0, CONTENT) == Isolate(2)
+    for content in ('first', 'second'):
+        assert context.quarantine.verdict(1.0, content) == Reject(2), content
+
+
+@then('the content is rejected for good')
+def check_third(context):
+    """Check the verdict after the third crash."""
+    assert context.quarantine.verdict(1.0, CONTENT) == Reject(3)
+
+
+@then('the shared counts of one host get the content rejected at another')
+def check_shared(context):
+    """Merge the digests at another host and check their number."""
+    digests = context.quarantine.digests(1.0)
+    assert len(digests) <= DIGEST_LIMIT, len(digests)
+    other = ContentQuarantine(None)
+    other.merge(1.0, digests)
+    assert other.verdict(1.0, CONTENT) == Reject(2)
