Stop sending contents that crash their endpoints

Cause: the path of the users' platform had no quarantine; only the daemon's own interface has one. Change: ContentCrashes counts crashes per content and start of an endpoint with the quarantine's policy. A broken connection counts only if nothing had arrived from the run and the endpoint is gone: one probe connection is refused, or its entry vanishes. After two crashes (three, if other contents share them) a request that has not run is refused with 503 and an item or reward call waits without a slot. The counts are in the rows of the daemons, written at once and merged by maximum. An attempt that could follow the second crash waits for the probe, and a request that ends after two crashes is answered 0.5 s later, so that its next try meets a daemon that knows the content. Why it works: every daemon learns of a crash within 0.5 s, daemons that start read the rows of all daemons, and the counts do not depend on request ids.

--- a/anvilcove/control/nodes.py
+++ b/anvilcove/control/nodes.py
@@ -1,13 +1,16 @@
 """Announcements of the daemons and the directory that is built of them."""
 
+import asyncio
 import random
 from collections.abc import Callable
 
 from loguru import logger
-from msgspec import Struct, msgpack
+from msgspec import Struct, field, msgpack
 
+from anvilcove.control.crashes import ContentCrashes
 from anvilcove.control.row_values import decode_value
 from anvilcove.decisions.succession import fallback_owner, takeover_rank
+from anvilcove.messages.peers import SuspectDigest
 from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
 from anvilcove.ports.store import (
     RowId,
@@ -56,6 +59,8 @@
     desired_state_age_s: float = 0.0
     # Whether the process before this one on the host had left as planned.
     planned_restart: bool = False
+    # Crashes of endpoints by content, of all daemons as far as known here.
+    suspects: list[SuspectDigest] = field(default_factory=list)
 
     @property
     def recently_restarted(self) -> bool:
@@ -71,14 +76,20 @@
         'nonce',
         'rows_read_at',
         '_settings',
+        '_crashes',
         '_heartbeat_watch',
         '_timed_out_hosts',
     )
 
     def __init__(
-        self, settings: NodeSettings, clock: Clock, nonce: str
+        self,
+        settings: NodeSettings,
+        crashes: ContentCrashes,
+        clock: Clock,
+        nonce: str,
     ) -> None:
         """Start without other daemons."""
+        self._crashes = crashes
         self.by_host: dict[str, NodeRow] = {}
         self.nonce = nonce
         self._settings = settings
@@ -97,6 +108,7 @@
                 self.by_host.pop(row.id.key, None)
             else:
                 self.by_host[node.host] = node
+                self._crashes.merge(node.suspects)
         self._record_heartbeats()
 
     def reset_heartbeat_timers(self) -> None:
@@ -247,6 +259,8 @@
         '_row',
         '_store',
         '_clock',
+        '_crashes',
+        '_due_event',
         '_holds_orders_lease',
         '_desired_state',
     )
@@ -256,6 +270,7 @@
         settings: NodeSettings,
         nonce: str,
         store: StorePort,
+        crashes: ContentCrashes,
         clock: Clock,
         holds_orders_lease: Callable[[], bool],
         desired_state: Callable[[], tuple[int, float]],
@@ -279,19 +294,29 @@
         self._holds_orders_lease = holds_orders_lease
         self._desired_state = desired_state
         self._store = store
+        self._crashes = crashes
+        self._due_event = asyncio.Event()
         self._clock = clock
 
     async def run(self) -> None:
         """Write a heartbeat every HEARTBEAT_PERIOD_S, without end."""
         await self._read_former_row()
         while True:
+            self._due_event.clear()
             written = await self.write_heartbeat()
-            await self._clock.sleep(
-                HEARTBEAT_PERIOD_S if written else HEARTBEAT_RETRY_S
-            )
+            period_s = HEARTBEAT_PERIOD_S if written else HEARTBEAT_RETRY_S
+            try:
+                async with asyncio.timeout(period_s):
+                    await self._due_event.wait()
+            except TimeoutError:
+                continue
+
+    def write_soon(self) -> None:
+        """Write the next heartbeat as soon as the last one has ended."""
+        self._due_event.set()
 
     async def _read_former_row(self) -> None:
-        """Find out whether the process before this one left as planned."""
+        """Continue from the row of the process before this one."""
         host = self._row.host
         try:
             page = await self._store.read_range(
@@ -301,7 +326,9 @@
             logger.bind(reason=str(error)).info('former row not read')
             return
         former = decode_value(page.rows[0], NodeRow) if page.rows else None
-        self._row.planned_restart = former is not None and former.leaving
+        if former is not None:
+            self._row.planned_restart = former.leaving
+            self._crashes.merge(former.suspects)
 
     async def leave(self) -> None:
         """Announce that this daemon is leaving; try up to twice."""
@@ -312,6 +339,7 @@
     async def write_heartbeat(self) -> bool:
         """Write the row once; return whether it was acknowledged."""
         self._row.beat += 1
+        self._row.suspects = self._crashes.digests()
         self._row.orders = self._holds_orders_lease()
         version, age_s = self._desired_state()
         self._row.desired_state = version
--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from anvilcove.control.crashes import ContentCrashes
 from anvilcove.control.desired import DesiredStateView, Route
 from anvilcove.control.endpoints import EndpointEntry
 from anvilcove.jobs.engine_records import IntervalMeter
@@ -31,6 +32,7 @@
 )
 from anvilcove.ports.errors import EndpointError, EndpointNotRun
 from anvilcove.state.clock import Clock
+from anvilcove.state.content import request_content_hash
 
 # An attempt fails if its engine sends nothing for this long. Loading a weight
 # version, which pauses the runs of an engine, takes about a second.
@@ -56,6 +58,7 @@
         '_engines',
         '_desired',
         '_rewards',
+        '_crashes',
         '_clock',
         '_rng',
     )
@@ -66,6 +69,7 @@
         engines: EngineClient,
         desired: DesiredStateView,
         rewards: RewardCalls,
+        crashes: ContentCrashes,
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -74,6 +78,7 @@
         self._engines = engines
         self._desired = desired
         self._rewards = rewards
+        self._crashes = crashes
         self._clock = clock
         self._rng = rng
 
@@ -90,6 +95,9 @@
         `deadline_at_s`. Items of lower `rank` get engine slots first.
         """
         item = progress.item
+        progress.content = request_content_hash(
+            'POST', spec.host, item.path, item.body
+        )
         try:
             async with asyncio.timeout(
                 max(deadline_at_s - self._clock.now(), 0.0)
@@ -150,6 +158,9 @@
             if route is None:
                 await self._sleep_with_jitter(MAX_RETRY_DELAY_S)
                 continue
+            await self._crashes.wait_until_allowed(
+                progress.item.item_id, progress.content
+            )
             requirements = self._requirements(spec, progress, route)
             wait_started_at_s = self._clock.now()
             entry = await self._slots.acquire(requirements, rank)
@@ -163,6 +174,7 @@
             except ItemRejected:
                 return self._errored_result(spec, progress, 'rejected')
             except ItemFailed:
+                self._crashes.finished(progress.content)
                 self._slots.engine_records.on_item_failure(entry.endpoint)
                 progress.record_failure(entry.endpoint)
                 if progress.failures_exhausted(route.max_attempts):
@@ -253,6 +265,8 @@
             else:
                 self._check_event(spec, route, progress, event)
                 progress.append(event)
+                if len(progress.texts) == 1:
+                    self._crashes.finished(progress.content)
                 handle.events = len(progress.texts)
                 if timeout_s == NEXT_EVENT_TIMEOUT_S:
                     self._slots.engine_records.on_event_interval(
@@ -355,6 +369,10 @@
             self._slots.engine_records.on_refusal(entry.endpoint)
         else:
             self._slots.engine_records.on_failure(entry.endpoint)
+        if not progress.texts:
+            self._crashes.on_failure(
+                progress.item.item_id, progress.content, entry.endpoint, error
+            )
         logger.bind(
             job=spec.job_id,
             request=progress.item.item_id,
--- a/anvilcove/jobs/progress.py
+++ b/anvilcove/jobs/progress.py
@@ -21,6 +21,7 @@
 
     __slots__ = (
         'item',
+        'content',
         'texts',
         'versions',
         'was_reset',
@@ -41,6 +42,8 @@
     def __init__(self, item: Item, started_at_s: float) -> None:
         """Start without generated text."""
         self.item = item
+        # Hash of the request that generates the text.
+        self.content = ''
         self.started_at_s = started_at_s
         # Total time spent waiting for engine slots.
         self.waited_s = 0.0
--- a/anvilcove/jobs/reward_calls.py
+++ b/anvilcove/jobs/reward_calls.py
@@ -4,6 +4,7 @@
 
 from loguru import logger
 
+from anvilcove.control.crashes import ContentCrashes
 from anvilcove.control.desired import DesiredStateView, Route
 from anvilcove.jobs.progress import ItemProgress
 from anvilcove.jobs.reward_gate import RewardGate
@@ -11,6 +12,7 @@
 from anvilcove.ports.servers import CallerAnswer, CallerRequest
 from anvilcove.proxy.forwarder import Forwarder
 from anvilcove.state.clock import Clock
+from anvilcove.state.content import request_content_hash
 
 RETRY_DELAY_S = 0.05
 MAX_RETRY_DELAY_S = 0.5
@@ -21,13 +23,21 @@
 class RewardCalls:
     """Send reward calls until they succeed or fail too often."""
 
-    __slots__ = ('_forwarder', '_desired', '_gate', '_clock', '_rng')
+    __slots__ = (
+        '_forwarder',
+        '_desired',
+        '_gate',
+        '_crashes',
+        '_clock',
+        '_rng',
+    )
 
     def __init__(
         self,
         forwarder: Forwarder,
         desired: DesiredStateView,
         gate: RewardGate,
+        crashes: ContentCrashes,
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -35,6 +45,7 @@
         self._forwarder = forwarder
         self._desired = desired
         self._gate = gate
+        self._crashes = crashes
         self._clock = clock
         self._rng = rng
 
@@ -46,8 +57,12 @@
         reward = progress.item.reward
         if reward is None:
             return progress.completed_result('')
+        content = request_content_hash(
+            'POST', reward.host, reward.path, reward.body
+        )
         retry_delay_s = RETRY_DELAY_S
         while True:
+            await self._crashes.wait_until_allowed(reward.request_id, content)
             state = self._desired.current
             route = (
                 state.find_route(reward.host, reward.path) if state else None
--- a/anvilcove/node/adapters.py
+++ b/anvilcove/node/adapters.py
@@ -8,6 +8,7 @@
 
 from anvilcove.node.service import NodeService
 from anvilcove.ports.engines import EngineClient
+from anvilcove.ports.probes import EndpointProbe
 from anvilcove.ports.rows import RowReader
 from anvilcove.ports.servers import ServerClient
 from anvilcove.ports.store import StorePort
@@ -17,11 +18,12 @@
 
 
 class EndpointClients(Struct):
-    """Clients for the requests, streams and engine calls to endpoints."""
+    """Clients for requests, streams, engine calls and checks."""
 
     servers: ServerClient
     streams: StreamClient
     engines: EngineClient
+    probe: EndpointProbe
 
 
 class Listeners(Protocol):
--- a/anvilcove/node/app.py
+++ b/anvilcove/node/app.py
@@ -97,6 +97,7 @@
             servers=clients.servers,
             streams=clients.streams,
             engines=clients.engines,
+            probe=clients.probe,
             rows=adapters.rows,
             clock=clock,
             lease_clock=SuspendAwareClock(),
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -7,6 +7,7 @@
 
 from msgspec import Struct
 
+from anvilcove.control.crashes import ContentCrashes
 from anvilcove.control.desired import DesiredStateView
 from anvilcove.control.endpoints import EndpointRegistry
 from anvilcove.control.leases import Lease
@@ -26,6 +27,7 @@
 from anvilcove.jobs.sweep import JobSweeper
 from anvilcove.node.service import NodeService, NodeState
 from anvilcove.ports.engines import EngineClient
+from anvilcove.ports.probes import EndpointProbe
 from anvilcove.ports.rows import RowReader
 from anvilcove.ports.servers import ServerClient
 from anvilcove.ports.store import StoredRow, StorePort
@@ -59,6 +61,7 @@
     servers: ServerClient
     streams: StreamClient
     engines: EngineClient
+    probe: EndpointProbe
     rows: RowReader
     clock: Clock
     lease_clock: Clock
@@ -81,7 +84,16 @@
         self.state = NodeState()
         self.desired = DesiredStateView()
         self.registry = EndpointRegistry()
-        self.nodes = NodeDirectory(settings, dependencies.clock, nonce)
+        self.crashes = ContentCrashes(
+            settings,
+            self.registry,
+            dependencies.probe,
+            dependencies.clock,
+            self.metrics,
+        )
+        self.nodes = NodeDirectory(
+            settings, self.crashes, dependencies.clock, nonce
+        )
         self.jobs_view = JobsView(dependencies.clock)
         self.watches = self._build_watches()
         nodes_watch = self.watches['nodes']
@@ -118,6 +130,7 @@
             self.owner.run(),
             self.sweeper.run(),
             self.node_sweeper.run(),
+            self.crashes.run(),
             self._expire_endpoints(),
         ]
 
@@ -183,6 +196,7 @@
             self.settings,
             self.pools,
             dependencies.servers,
+            self.crashes,
             dependencies.clock,
             dependencies.rng,
             self.metrics,
@@ -192,6 +206,7 @@
         self.streams = StreamForwarder(
             self.pools,
             dependencies.streams,
+            self.crashes,
             dependencies.clock,
             dependencies.rng,
         )
@@ -207,6 +222,7 @@
             self.forwarder,
             self.desired,
             RewardGate(self.registry),
+            self.crashes,
             dependencies.clock,
             dependencies.rng,
         )
@@ -215,6 +231,7 @@
             dependencies.engines,
             self.desired,
             rewards,
+            self.crashes,
             dependencies.clock,
             dependencies.rng,
         )
@@ -264,10 +281,12 @@
             settings,
             self.nonce,
             dependencies.store,
+            self.crashes,
             dependencies.clock,
             self._holds_orders_lease,
             self._desired_state,
         )
+        self.crashes.on_crash = self.announcer.write_soon
         self.node_sweeper = NodeSweeper(
             self.nodes,
             dependencies.store,
--- a/anvilcove/platform/family.py
+++ b/anvilcove/platform/family.py
@@ -19,6 +19,7 @@
     ready_handler,
     start_listener,
 )
+from anvilcove.platform.probes import ConnectionProbe
 from anvilcove.platform.rows import (
     CONFIG_KEY,
     ENDPOINT_TABLE,
@@ -140,6 +141,7 @@
                 servers=PlatformServers(connections),
                 streams=PlatformStreams(connections),
                 engines=PlatformEngines(connections),
+                probe=ConnectionProbe(),
             )
 
     async def listen(
--- /dev/null
+++ b/anvilcove/platform/probes.py
@@ -0,0 +1,28 @@
+"""Check of an address by one TCP connection."""
+
+import asyncio
+
+from anvilcove.platform.connections import CONNECT_TIMEOUT_S
+
+
+class ConnectionProbe:
+    """Opener of single connections, which are closed at once."""
+
+    __slots__ = ()
+
+    async def refuses_connections(self, address: str) -> bool:
+        """Open a connection; return whether the address refused it.
+
+        A connection that fails for another reason, such as a time-out, is not
+        a refusal: the address may be behind a network partition.
+        """
+        ip, _, port = address.rpartition(':')
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(ip, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return False
--- /dev/null
+++ b/anvilcove/ports/probes.py
@@ -0,0 +1,10 @@
+"""Port that finds out whether an endpoint is gone."""
+
+from typing import Protocol
+
+
+class EndpointProbe(Protocol):
+    """Opener of single connections to endpoints."""
+
+    async def refuses_connections(self, address: str) -> bool:
+        """Open a connection; return whether the address refused it."""
--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -7,6 +7,7 @@
 from loguru import logger
 from xxhash import xxh3_64_intdigest
 
+from anvilcove.control.crashes import ContentCrashes
 from anvilcove.control.desired import Route
 from anvilcove.decisions.hedging import ObjectiveHedging
 from anvilcove.decisions.types import (
@@ -29,10 +30,16 @@
     ServerAnswer,
     ServerClient,
 )
-from anvilcove.proxy.outcomes import bad_gateway, refusal, timed_out
+from anvilcove.proxy.outcomes import (
+    bad_gateway,
+    crash_refusal,
+    refusal,
+    timed_out,
+)
 from anvilcove.proxy.pools import EndpointPools
 from anvilcove.settings.daemon import HostSettings
 from anvilcove.state.clock import Clock
+from anvilcove.state.content import request_content_hash
 from anvilcove.state.endpoints import EndpointState
 from anvilcove.telemetry.logs import DECISION
 from anvilcove.telemetry.metrics import NodeMetrics
@@ -77,6 +84,7 @@
 
     __slots__ = (
         'request',
+        'content',
         'route',
         'service',
         'early_hedge',
@@ -101,6 +109,9 @@
         """Start without attempts."""
         self.early_hedge = early_hedge
         self.request = request
+        self.content = request_content_hash(
+            request.method, request.host, request.path, request.body
+        )
         self.route = route
         self.service = service
         self.tried: set[str] = set()
@@ -131,6 +142,7 @@
     __slots__ = (
         '_pools',
         '_servers',
+        '_crashes',
         '_hedging',
         '_clock',
         '_rng',
@@ -143,6 +155,7 @@
         settings: HostSettings,
         pools: EndpointPools,
         servers: ServerClient,
+        crashes: ContentCrashes,
         clock: Clock,
         rng: random.Random,
         metrics: NodeMetrics,
@@ -156,6 +169,7 @@
         self._log_context = log_context
         self._pools = pools
         self._servers = servers
+        self._crashes = crashes
         self._hedging = ObjectiveHedging(settings)
         self._clock = clock
         self._rng = rng
@@ -187,6 +201,8 @@
     async def _run(
         self, progress: RequestProgress, deadline_at_s: float
     ) -> CallerAnswer:
+        if not await self._may_send_content(progress, deadline_at_s):
+            return self._unsuccessful_answer(progress)
         await self._start_attempt(
             progress, self._max_wait_s(progress, deadline_at_s)
         )
@@ -197,6 +213,8 @@
                     progress, deadline_passed=True
                 )
             if not progress.running:
+                if not await self._may_send_content(progress, deadline_at_s):
+                    return self._unsuccessful_answer(progress)
                 if not progress.may_send():
                     return self._unsuccessful_answer(progress)
                 wait_s = self._max_wait_s(progress, deadline_at_s)
@@ -219,7 +237,9 @@
         if self._clock.now() < progress.hedge_at_s or not progress.running:
             return
         progress.hedge_at_s = float('inf')
-        if not progress.may_send():
+        if not progress.may_send() or self._crashes.is_rejected(
+            progress.content
+        ):
             return
         # The hedging budget only limits attempts before the objective has
         # passed. After that a second attempt always starts.
@@ -302,10 +322,17 @@
         error = attempt.task.exception()
         if isinstance(error, EndpointError):
             self._record_failure(progress, attempt, error, latency_s)
+            self._crashes.on_failure(
+                progress.request.request_id,
+                progress.content,
+                attempt.state.endpoint,
+                error,
+            )
             return None
         if error is not None:
             raise error
         answer = attempt.task.result()
+        self._crashes.finished(progress.content)
         progress.executions += 1
         progress.may_have_run = True
         success = answer.status < 500
@@ -376,6 +403,16 @@
             INTERACTIVE,
         )
 
+    async def _may_send_content(
+        self, progress: RequestProgress, deadline_at_s: float
+    ) -> bool:
+        return await self._crashes.may_send(
+            progress.request.request_id,
+            progress.content,
+            progress.may_have_run,
+            deadline_at_s,
+        )
+
     def _unsuccessful_answer(
         self, progress: RequestProgress, deadline_passed: bool = False
     ) -> CallerAnswer:
@@ -389,6 +426,9 @@
             )
         if progress.may_have_run or progress.running:
             return timed_out() if deadline_passed else bad_gateway()
+        if self._crashes.is_rejected(progress.content):
+            progress.refusal_reason = 'crashes endpoints'
+            return crash_refusal(self._rng)
         progress.refusal_reason = self._refusal_reason(progress)
         return refusal(progress.route.objective_s, self._rng)
 
--- a/anvilcove/proxy/outcomes.py
+++ b/anvilcove/proxy/outcomes.py
@@ -19,6 +19,14 @@
     )
 
 
+def crash_refusal(rng: random.Random) -> CallerAnswer:
+    """Return a 503 for a request that crashes servers and was not sent."""
+    return CallerAnswer(
+        status=503,
+        retry_after_s=round(MAX_RETRY_AFTER_S * rng.uniform(0.5, 1.5), 3),
+    )
+
+
 def retry_after_s(objective_s: float, rng: random.Random) -> float:
     """Return the seconds, with jitter, until a refused caller may retry."""
     base_s = min(
--- a/anvilcove/proxy/streams.py
+++ b/anvilcove/proxy/streams.py
@@ -4,6 +4,7 @@
 
 from loguru import logger
 
+from anvilcove.control.crashes import ContentCrashes
 from anvilcove.control.desired import Route
 from anvilcove.decisions.types import (
     CANCELLED,
@@ -17,9 +18,10 @@
 from anvilcove.ports.servers import CallerAnswer, CallerRequest
 from anvilcove.ports.streams import StreamClient, StreamSink
 from anvilcove.proxy.forwarder import MAX_NOT_RUN_SENDS, choose_service
-from anvilcove.proxy.outcomes import bad_gateway, refusal
+from anvilcove.proxy.outcomes import bad_gateway, crash_refusal, refusal
 from anvilcove.proxy.pools import EndpointPools
 from anvilcove.state.clock import Clock
+from anvilcove.state.content import request_content_hash
 from anvilcove.state.endpoints import EndpointState
 
 # Share of the objective that a stream may wait for a slot.
@@ -40,10 +42,17 @@
         'may_have_run',
         'last_event_id',
         'tried',
+        'content',
+        'received_pieces',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, request: CallerRequest) -> None:
         """Start without attempts."""
+        self.content = request_content_hash(
+            request.method, request.host, request.path, request.body
+        )
+        # Whether a server has sent a part of the body.
+        self.received_pieces = False
         self.started = False
         self.attempts = 0
         self.not_run_count = 0
@@ -59,18 +68,20 @@
     the route is resumable.
     """
 
-    __slots__ = ('_pools', '_client', '_clock', '_rng')
+    __slots__ = ('_pools', '_client', '_crashes', '_clock', '_rng')
 
     def __init__(
         self,
         pools: EndpointPools,
         client: StreamClient,
+        crashes: ContentCrashes,
         clock: Clock,
         rng: random.Random,
     ) -> None:
         """Set up; `client` opens the streams at the endpoints."""
         self._pools = pools
         self._client = client
+        self._crashes = crashes
         self._clock = clock
         self._rng = rng
 
@@ -82,9 +93,14 @@
         If no part was sent yet, a failure returns an error answer instead;
         after that it raises StreamBroken.
         """
-        progress = StreamProgress()
+        progress = StreamProgress(request)
         service = choose_service(route, request.request_id)
-        while self._may_send(progress, route, request):
+        while await self._crashes.may_send(
+            request.request_id,
+            progress.content,
+            progress.may_have_run,
+            request.deadline_at_s,
+        ) and self._may_send(progress, route, request):
             state = await self._acquire_slot(request, route, service, progress)
             if state is None:
                 break
@@ -101,6 +117,13 @@
             except EndpointError as error:
                 progress.may_have_run = True
                 outcome = CRASH
+                if not progress.received_pieces:
+                    self._crashes.on_failure(
+                        request.request_id,
+                        progress.content,
+                        state.endpoint,
+                        error,
+                    )
                 logger.bind(
                     request=request.request_id,
                     endpoint=state.endpoint,
@@ -143,6 +166,9 @@
                 progress.started = True
                 await sink.start(answer.status, answer.headers)
             async for piece in answer.pieces:
+                if not progress.received_pieces:
+                    progress.received_pieces = True
+                    self._crashes.finished(progress.content)
                 await sink.write(piece.data)
                 if piece.event_id is not None:
                     progress.last_event_id = piece.event_id
@@ -185,4 +211,6 @@
             raise StreamBroken(f'after event {progress.last_event_id}')
         if progress.may_have_run:
             return bad_gateway()
+        if self._crashes.is_rejected(progress.content):
+            return crash_refusal(self._rng)
         return refusal(route.objective_s, self._rng)
--- a/anvilcove/standins/memory_engines.py
+++ b/anvilcove/standins/memory_engines.py
@@ -25,6 +25,7 @@
 )
 from anvilcove.ports.servers import CallerRequest, ServerAnswer
 from anvilcove.ports.streams import StreamAnswer, StreamPiece
+from anvilcove.standins.memory_crashes import MemoryCrashes
 
 EVENT_PERIOD_S = 0.04
 VERSION_LOAD_TIME_S = 0.9
@@ -81,9 +82,12 @@
 class MemoryEngines:
     """Engine client that looks up simulated engines by address."""
 
-    def __init__(self, engines: list[MemoryEngine]) -> None:
+    def __init__(
+        self, engines: list[MemoryEngine], crashes: MemoryCrashes
+    ) -> None:
         """Index the engines by address."""
         self.by_address = {engine.address: engine for engine in engines}
+        self.crashes = crashes
 
     async def generate(
         self, address: str, instance: str, generation: Generation
@@ -92,6 +96,7 @@
         engine = self.by_address[address]
         if engine.unreachable:
             await asyncio.sleep(HANG_S)
+        self.crashes.connect(address)
         item = generation.item_id
         if engine.loading or engine.running >= engine.slots:
             engine.refused += 1
@@ -106,9 +111,12 @@
             raise ItemFailed(item)
         engine.running += 1
         try:
+            await self.crashes.begin(address, generation.body)
             yield GenerationStart(engine.version)
             for number in range(generation.after + 1, engine.events + 1):
-                await asyncio.sleep(EVENT_PERIOD_S * engine.slowdown)
+                await self.crashes.work(
+                    address, EVENT_PERIOD_S * engine.slowdown
+                )
                 while engine.loading:
                     await asyncio.sleep(EVENT_PERIOD_S)
                 break_at = engine.break_after.get(item)
@@ -152,8 +160,9 @@
 class MemoryServers:
     """Client of simulated services that echo the request body."""
 
-    def __init__(self) -> None:
+    def __init__(self, crashes: MemoryCrashes) -> None:
         """Create a client of services without faults."""
+        self.crashes = crashes
         self.work_s = SERVICE_TIME_S
         self.silent: set[str] = set()
         # Remaining failures by request identifier.
@@ -179,11 +188,15 @@
         """Echo the body with a stamp that contains the request identifier."""
         if address in self.refusing:
             raise EndpointNotRun('refused', overloaded=True)
+        self.crashes.connect(address)
         self.runs.append((address, request.request_id))
         try:
             if address in self.silent:
                 await asyncio.sleep(HANG_S)
-            await asyncio.sleep(self.work_by_address.get(address, self.work_s))
+            await self.crashes.begin(address, request.body)
+            await self.crashes.work(
+                address, self.work_by_address.get(address, self.work_s)
+            )
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
@@ -204,8 +217,9 @@
 class MemoryStreams:
     """Client of simulated services that stream `events` events."""
 
-    def __init__(self) -> None:
+    def __init__(self, crashes: MemoryCrashes) -> None:
         """Create a client of services without faults."""
+        self.crashes = crashes
         self.events = 6
         # Number of events after which the next stream of any service fails;
         # later streams of that service fail at the same event.
@@ -225,17 +239,19 @@
         after: int | None,
     ) -> AsyncIterator[StreamAnswer]:
         """Stream the events that follow event number `after`."""
+        self.crashes.connect(address)
         self.runs.append((address, after))
         if self.break_first is not None:
             self.break_after[address] = self.break_first
             self.break_first = None
+        await self.crashes.begin(address, request.body)
         yield StreamAnswer(200, [], self._pieces(address, after or 0))
 
     async def _pieces(
         self, address: str, after: int
     ) -> AsyncIterator[StreamPiece]:
         for number in range(after + 1, self.events + 1):
-            await asyncio.sleep(EVENT_PERIOD_S)
+            await self.crashes.work(address, EVENT_PERIOD_S)
             if number > self.break_after.get(address, self.events):
                 raise EndpointCrashed('broken off by the test')
             data = f'id: {number}\ndata: {number}\n\n'.encode()
--- a/anvilcove/telemetry/metrics.py
+++ b/anvilcove/telemetry/metrics.py
@@ -82,6 +82,14 @@
             {'service': service, 'outcome': outcome},
         )
 
+    def crashing_content(self, event: str) -> None:
+        """Count a crash of an endpoint by a content, or its consequence."""
+        self._count(
+            'crashing_contents_total',
+            'Crashes counted for contents, and calls refused or held back.',
+            {'event': event},
+        )
+
     def endpoint_ejected(self, service: str) -> None:
         """Count an ejection of an endpoint."""
         self._count(
--- a/features/steps/memory_site.py
+++ b/features/steps/memory_site.py
@@ -26,6 +26,7 @@
     NodeSettings,
     StoreSettings,
 )
+from anvilcove.standins.memory_crashes import MemoryCrashes
 from anvilcove.standins.memory_engines import (
     MemoryEngine,
     MemoryEngines,
@@ -37,6 +38,8 @@
 
 HOST = 'h.example'
 MODEL = 'm'
+# A server that crashed is back after this time, as another start.
+CRASH_DOWNTIME_S = 4.0
 SHOP, REWARDS, JOBS = '/shop/', '/reward/', '/job/'
 
 
@@ -85,9 +88,11 @@
         self.engines = [
             MemoryEngine(f'10.0.0.{i}:80', slots) for i in range(engines)
         ]
-        self.engine_client = MemoryEngines(self.engines)
-        self.servers = MemoryServers()
-        self.streams = MemoryStreams()
+        self.crashes = MemoryCrashes()
+        self.crashes.on_crash = self.on_crash
+        self.engine_client = MemoryEngines(self.engines, self.crashes)
+        self.servers = MemoryServers(self.crashes)
+        self.streams = MemoryStreams(self.crashes)
         self.server_addresses = [f'10.1.0.{i}:80' for i in range(servers)]
         self.daemons = {}
         self.clocks = {}
@@ -129,6 +134,7 @@
                 servers=self.servers,
                 streams=self.streams,
                 engines=self.engine_client,
+                probe=self.crashes,
                 rows=MemoryRows(),
                 clock=LoopClock(self.loop),
                 lease_clock=clock,
@@ -198,11 +204,26 @@
         """Name a version that the engines have to load, as a trainer does."""
         self.put('op', 'version', str(version).encode())
 
-    def write_engine(self, engine, draining=False):
+    def on_crash(self, address):
+        """Let the entry of a server expire and start the server again."""
+        self.loop.call_later(3.0, self.remove, 'servers', address)
+        self.loop.call_later(CRASH_DOWNTIME_S, self.restart_server, address)
+
+    def restart_server(self, address):
+        """Start a server or engine that has crashed."""
+        self.crashes.down.discard(address)
+        started_ms = round(self.loop.time() * 1000)
+        engine = self.engine_client.by_address.get(address)
+        if engine is not None:
+            self.write_engine(engine, started_ms=started_ms)
+        else:
+            self.write_server(address, started_ms=started_ms)
+
+    def write_engine(self, engine, draining=False, started_ms=0):
         """Write the entry of an engine."""
         entry = EndpointEntry(
             instance=f'i-{engine.address}',
-            started_ms=0,
+            started_ms=started_ms,
             service='llm',
             address=engine.address,
             data_centre='dc',
@@ -297,7 +318,7 @@
                     host=HOST,
                     path=REWARDS,
                     headers=[],
-                    body=b'',
+                    body=f'{job_id}-r{i}'.encode(),
                 ),
                 model=MODEL,
             )
