--- a/anvilcove/jobs/intake.py
+++ b/anvilcove/jobs/intake.py
@@ -3,6 +3,7 @@
 import random
 import secrets
 from collections.abc import Callable
+from math import inf
 
 from loguru import logger
 from msgspec.structs import replace
@@ -12,7 +13,13 @@
 from anvilcove.jobs.board import JobsView
 from anvilcove.jobs.owner import JobOwner
 from anvilcove.jobs.records import CommitConflict, JobRecords
-from anvilcove.jobs.types import Commit, JobHead, JobSpec, VersionedJob
+from anvilcove.jobs.types import (
+    RESERVED_MS,
+    Commit,
+    JobHead,
+    JobSpec,
+    VersionedJob,
+)
 from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
 from anvilcove.settings.node import NodeSettings
 from anvilcove.state.clock import Clock
@@ -95,7 +102,7 @@
             commit_id=secrets.token_hex(8),
             listed=0,
             total=len(spec.items),
-            submitted_ms=self._watch.estimated_store_time_ms(),
+            reserved_ms=RESERVED_MS,
             host=spec.host,
             path=spec.path,
             model=spec.model,
@@ -121,6 +128,7 @@
             target_groups=spec.target_groups,
             first=created,
             owner=job.head.owner,
+            view_age_ms=_age_ms(self._watch),
         ).log(DECISION, 'job accepted')
         self._metrics.job_event('accepted' if created else 'repeated')
         if (
@@ -176,6 +184,7 @@
             owner=substitute.host,
             nonce=substitute.nonce,
             commit_id=secrets.token_hex(8),
+            age_ms=self._jobs_view.age_s(job.head) * 1000,
         )
         try:
             self._jobs_view.apply(
@@ -210,3 +219,9 @@
             if self._clock.now() >= deadline_at_s:
                 raise JobNotAccepted(reason, uncertain)
             await self._clock.sleep(self._rng.uniform(0.05, 0.15))
+
+
+def _age_ms(watch: TableWatch) -> int | None:
+    """Return the age of a watch's data in ms, None before its first answer."""
+    age_s = watch.age_s()
+    return None if age_s == inf else round(age_s * 1000)
--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -114,7 +114,10 @@
                 job=spec.job_id,
                 request=item.item_id,
                 attempts=progress.attempts,
+                failures=progress.failures.runs,
+                reward_failures=progress.failures.reward_calls,
                 events=len(progress.texts),
+                overdue_ms=round((self._clock.now() - deadline_at_s) * 1000),
             ).warning('item not completed within its lifetime')
         self._log_result(spec, progress, result)
         return result
@@ -158,6 +161,8 @@
             if route is None:
                 await self._sleep_with_jitter(MAX_RETRY_DELAY_S)
                 continue
+            if progress.failures_exhausted(route.max_attempts):
+                return self._errored_result(spec, progress, 'failed each time')
             await self._crashes.wait_until_allowed(
                 progress.item.item_id, progress.content
             )
@@ -167,6 +172,7 @@
             progress.waited_s += self._clock.now() - wait_started_at_s
             progress.endpoint = entry.endpoint
             progress.attempts += 1
+            failed = False
             try:
                 await self._attempt(
                     spec, progress, route, entry, requirements, deadline_at_s
@@ -176,11 +182,7 @@
             except ItemFailed:
                 self._crashes.finished(progress.content)
                 self._slots.engine_records.on_item_failure(entry.endpoint)
-                progress.record_failure(entry.endpoint)
-                if progress.failures_exhausted(route.max_attempts):
-                    return self._errored_result(
-                        spec, progress, 'failed each time'
-                    )
+                failed = True
             except RunMoved:
                 progress.moves += 1
                 progress.long_item = True
@@ -193,6 +195,8 @@
                 return None
             finally:
                 self._slots.release(entry.endpoint, requirements)
+            if failed:
+                await progress.record_failure(entry.endpoint)
 
     async def _attempt(
         self,
@@ -389,6 +393,7 @@
             job=spec.job_id,
             request=progress.item.item_id,
             attempts=progress.attempts,
+            failures=progress.failures.runs,
             reason=reason,
         ).info('item errored')
         return ItemResult(progress.item.item_id, completed=False)
--- a/anvilcove/jobs/job_run.py
+++ b/anvilcove/jobs/job_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import secrets
+from functools import partial
 
 from loguru import logger
 from msgspec.structs import replace
@@ -17,6 +18,7 @@
 )
 from anvilcove.jobs.types import (
     Commit,
+    FailureCounts,
     Item,
     ItemResult,
     JobSpec,
@@ -55,6 +57,7 @@
         '_runner',
         '_metrics',
         '_clock',
+        '_submitted_at_s',
         '_items_deadline_at_s',
         '_objective_s',
         '_hint_calibration',
@@ -66,6 +69,8 @@
         '_checkpointed_events',
         '_checkpointed_at_s',
         '_running',
+        '_failures_by_item',
+        '_committed_event',
         '_unconfirmed_commit',
         '_commit_lock',
         '_handing_over',
@@ -77,6 +82,7 @@
         job: VersionedJob,
         committed_ids: list[str],
         checkpoints: dict[str, TextPart],
+        age_s: float,
         deadline_at_s: float,
         objective_s: float,
         calibration: HintCalibration,
@@ -88,7 +94,8 @@
         """Prepare the run; no item starts before `run` is called.
 
         `committed_ids` are the items that already have a result, and
-        `checkpoints` the texts that earlier owners stored. Items may be given
+        `checkpoints` the texts that earlier owners stored. `age_s` is the
+        measured time since the submission of the job. Items may be given
         up at `deadline_at_s`; all results are due within `objective_s`.
         `calibration` estimates run times and is shared by the jobs of the
         daemon.
@@ -102,6 +109,8 @@
         self._runner = runner
         self._metrics = metrics
         self._clock = clock
+        # The submission on the clock of this daemon.
+        self._submitted_at_s = clock.now() - age_s
         self._items_deadline_at_s = deadline_at_s
         self._tasks: set[asyncio.Task[None]] = set()
         self._uncommitted: list[ItemResult] = []
@@ -114,6 +123,11 @@
             item: len(part.texts) for item, part in checkpoints.items()
         }
         self._running: dict[str, ItemProgress] = {}
+        # Counts that the next commit stores. Replaced, never changed, since a
+        # commit without an answer is sent again as it was.
+        self._failures_by_item = dict(job.head.failures_by_item)
+        # Set and replaced after each commit.
+        self._committed_event = asyncio.Event()
         self._checkpointed_at_s = clock.now()
         self._unconfirmed_commit: Commit | None = None
         self._commit_lock = asyncio.Lock()
@@ -153,7 +167,6 @@
 
     def _start_items(self, items: list[Item]) -> None:
         """Start a task for each item, ranked by its latest start time."""
-        submitted_s = self.job.head.submitted_ms / 1000
         position = {item.item_id: i for i, item in enumerate(items)}
         typical_hint = median_hint(
             [item.length_hint for item in self.spec.items]
@@ -163,7 +176,9 @@
                 item.length_hint, self._objective_s
             )
             rank = (
-                latest_start_s(submitted_s, self._objective_s, expected_s),
+                latest_start_s(
+                    self._submitted_at_s, self._objective_s, expected_s
+                ),
                 -float(item.length_hint),
                 float(position[item.item_id]),
             )
@@ -185,6 +200,10 @@
         restored = self._restored_checkpoints.pop(item.item_id, None)
         if restored is not None:
             progress.restore(restored)
+        progress.failures = replace(
+            self._failures_by_item.get(item.item_id, FailureCounts())
+        )
+        progress.store_failures = partial(self._store_failures, progress)
         self._running[item.item_id] = progress
         result = await self._runner.run(
             self.spec, progress, rank, self._items_deadline_at_s
@@ -200,6 +219,17 @@
         self._uncommitted.append(result)
         self._wake_event.set()
 
+    async def _store_failures(self, progress: ItemProgress) -> None:
+        """Commit the failures of an item before it is sent again.
+
+        The next owner would otherwise send it as often once more.
+        """
+        item_id, counts = progress.item.item_id, replace(progress.failures)
+        self._failures_by_item[item_id] = counts
+        while self.job.head.failures_by_item.get(item_id) != counts:
+            self._wake_event.set()
+            await self._committed_event.wait()
+
     async def _wait_for_results(self) -> None:
         """Wait for results, at most until the row must be renewed."""
         try:
@@ -237,6 +267,13 @@
             self._apply_commit(commit)
 
     def _apply_commit(self, commit: Commit) -> None:
+        committed, self._committed_event = (
+            self._committed_event,
+            asyncio.Event(),
+        )
+        committed.set()
+        for result in commit.results:
+            self._failures_by_item.pop(result.item_id, None)
         del self._uncommitted[: len(commit.results)]
         if self._uncommitted:
             self._wake_event.set()
@@ -263,11 +300,23 @@
             beat=self.job.head.beat + 1,
             commit_id=secrets.token_hex(8),
             listed=self.job.head.listed + len(results),
+            age_ms=(self._clock.now() - self._submitted_at_s) * 1000,
+            failures_by_item=self._failures_without(results),
         )
         if self._handing_over:
             head = replace(head, owner='', nonce='')
         return Commit(head, results, self._checkpoint_parts())
 
+    def _failures_without(
+        self, results: list[ItemResult]
+    ) -> dict[str, FailureCounts]:
+        listed = {result.item_id for result in results}
+        return {
+            item_id: counts
+            for item_id, counts in self._failures_by_item.items()
+            if item_id not in listed
+        }
+
     def _checkpoint_parts(self) -> list[TextPart]:
         """Return what running items generated since their last checkpoint."""
         now = self._clock.now()
