--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -30,7 +30,12 @@
     ItemRejected,
     TokenEvent,
 )
-from anvilcove.ports.errors import EndpointError, EndpointNotRun
+from anvilcove.ports.errors import (
+    EndpointCrashed,
+    EndpointError,
+    EndpointNotRun,
+    EndpointRefused,
+)
 from anvilcove.state.clock import Clock
 from anvilcove.state.content import request_content_hash
 
@@ -98,10 +103,9 @@
         progress.content = request_content_hash(
             'POST', spec.host, item.path, item.body
         )
+        lifetime = asyncio.timeout(max(deadline_at_s - self._clock.now(), 0.0))
         try:
-            async with asyncio.timeout(
-                max(deadline_at_s - self._clock.now(), 0.0)
-            ):
+            async with lifetime:
                 result = await self._generate(
                     spec, progress, rank, deadline_at_s
                 )
@@ -109,6 +113,8 @@
                 if result is None:
                     result = await self._rewards.score(progress)
         except TimeoutError:
+            if not lifetime.expired():
+                raise
             result = ItemResult(item.item_id, completed=False)
             logger.bind(
                 job=spec.job_id,
@@ -290,7 +296,10 @@
                 if handle.move_requested:
                     raise RunMoved(handle.endpoint)
                 return await anext(stream)
-        except TimeoutError as error:
+        except OSError as error:
+            # A connection that ends with ETIMEDOUT raises TimeoutError, too.
+            if handle.timeout is None or not handle.timeout.expired():
+                raise EndpointCrashed(f'{error!r}') from error
             if handle.move_requested:
                 raise RunMoved(handle.endpoint) from error
             raise EndpointError(f'no event for {timeout_s} s') from error
@@ -369,7 +378,7 @@
     ) -> None:
         if isinstance(error, EndpointNotRun) and not error.unreachable:
             self._slots.engine_records.on_refusal(entry.endpoint)
-        elif isinstance(error, StaleWeights):
+        elif isinstance(error, StaleWeights | EndpointRefused):
             self._slots.engine_records.on_refusal(entry.endpoint)
         else:
             self._slots.engine_records.on_failure(entry.endpoint)
--- /dev/null
+++ b/anvilcove/platform/client_protocol.py
@@ -0,0 +1,180 @@
+"""Client connections that record how the current call uses them."""
+
+import asyncio
+from contextvars import ContextVar
+from functools import partial
+from typing import Any
+
+from aiohttp import ClientError, ClientRequest, ClientResponse, TCPConnector
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.client_reqrep import ConnectionKey
+from aiohttp.connector import Connection
+
+from anvilcove.platform.names import ATTEMPT_ID
+
+# A server that has closed an idle connection resets a call within about one
+# round trip. A connection that breaks later was carrying a running request.
+CLOSED_ROUND_TRIPS = 2.0
+CLOSED_MARGIN_S = 0.02
+MAX_CLOSED_S = 0.1
+
+
+class UnsuitableConnection(ClientError):
+    """Raised before a call is sent on a connection that it must not use."""
+
+
+class ServerProtocol(ResponseHandler):
+    """Protocol of one connection to a server.
+
+    A connection that receives bytes while no call uses it is closed: they
+    would be read as the answer to the next call.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Start without a call."""
+        super().__init__(loop)
+        # Time that it took to connect, about one round trip.
+        self.connect_s: float | None = None
+        # Whether bytes have arrived since the current call was sent.
+        self.received = False
+        self.idle = False
+        # The last use, the attempt id of its call, and whether its answer
+        # carried an id.
+        self.last_use: ConnectionUse | None = None
+        self.last_attempt_id = ''
+        self.last_identified = True
+        # Kind of the last answer if it was not surely that of its call.
+        self.unclear_kind = ''
+
+    def set_response_params(self, **parameters: Any) -> None:
+        """Prepare for the answer of the next call."""
+        self.received = False
+        self.idle = False
+        super().set_response_params(**parameters)
+
+    def data_received(self, data: bytes) -> None:
+        """Process bytes of the server."""
+        # The reader of an answer that is complete may ask for more: no bytes.
+        if self.idle and data:
+            self.close()
+            return
+        self.received = self.received or bool(data)
+        super().data_received(data)
+        # The end of an answer makes the connection idle, also if the same
+        # bytes begin another answer.
+        if self.idle and self.should_close:
+            self.close()
+
+
+class ConnectionUse:
+    """Use of a connection by one send of a call."""
+
+    __slots__ = (
+        'reused',
+        'follows_identified',
+        'follows_unclear_kind',
+        '_repeatable',
+        '_started_at_s',
+        '_protocol',
+    )
+
+    def __init__(self, repeatable: bool) -> None:
+        """Start before a connection is chosen."""
+        self.reused = False
+        # Whether the answer before on this connection carried an id.
+        self.follows_identified = True
+        # Kind of that answer if it was not surely that of its call.
+        self.follows_unclear_kind = ''
+        self._repeatable = repeatable
+        self._started_at_s = _now()
+        self._protocol: ServerProtocol | None = None
+
+    def begin(self, protocol: ServerProtocol, attempt_id: str) -> None:
+        """Record the connection on which the call is about to be sent.
+
+        Raises UnsuitableConnection if a second answer of the call before
+        could not be told from the answer to this one.
+        """
+        now = _now()
+        if protocol.connect_s is None:
+            protocol.connect_s = now - self._started_at_s
+        else:
+            self.reused = True
+            self.follows_identified = protocol.last_identified
+            self.follows_unclear_kind = protocol.unclear_kind
+            same_id = attempt_id and attempt_id == protocol.last_attempt_id
+            unclear = not self._repeatable and not self.follows_identified
+            if same_id or unclear:
+                raise UnsuitableConnection('a second answer may follow')
+        self._protocol = protocol
+        self._started_at_s = now
+        protocol.last_use = self
+        protocol.last_attempt_id = attempt_id
+
+    def record_answer(self, identified: bool, unclear_kind: str = '') -> None:
+        """Record whether the answer carries an id, and its kind if unclear."""
+        if self._protocol is not None and self._protocol.last_use is self:
+            self._protocol.last_identified = identified
+            self._protocol.unclear_kind = unclear_kind
+
+    def discard(self) -> None:
+        """Close the connection unless another call uses it by now."""
+        protocol = self._protocol
+        if protocol is not None and protocol.last_use is self:
+            protocol.close()
+
+    def closed_while_idle(self) -> bool:
+        """Tell whether an error now probably means a closed idle connection.
+
+        The call may have run all the same.
+        """
+        protocol = self._protocol
+        if not self.reused or protocol is None or protocol.received:
+            return False
+        round_trip_s = protocol.connect_s or 0.0
+        return _now() - self._started_at_s < min(
+            CLOSED_ROUND_TRIPS * round_trip_s + CLOSED_MARGIN_S, MAX_CLOSED_S
+        )
+
+
+CURRENT_USE: ContextVar[ConnectionUse] = ContextVar('connection_use')
+
+
+class ServerRequest(ClientRequest):
+    """Request that records the connection on which it is sent."""
+
+    async def send(self, conn: Connection) -> ClientResponse:
+        """Send the request."""
+        protocol = conn.protocol
+        assert isinstance(protocol, ServerProtocol)
+        attempt_id = self.headers.get(ATTEMPT_ID, '')
+        CURRENT_USE.get().begin(protocol, attempt_id)
+        return await super().send(conn)
+
+
+class ServerConnector(TCPConnector):
+    """Connector that opens connections with ServerProtocol.
+
+    There are no public options for what it overrides.
+    """
+
+    def __init__(self, **options: Any) -> None:
+        """Create the connector with the options of a TCPConnector."""
+        super().__init__(**options)
+        factory = partial(ServerProtocol, self._loop)
+        self._factory = factory  # type: ignore[assignment]
+
+    def _release(
+        self,
+        key: ConnectionKey,
+        protocol: ResponseHandler,
+        *,
+        should_close: bool = False,
+    ) -> None:
+        super()._release(key, protocol, should_close=should_close)
+        assert isinstance(protocol, ServerProtocol)
+        protocol.idle = True
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/anvilcove/platform/exchange.py
+++ b/anvilcove/platform/exchange.py
@@ -11,18 +11,24 @@
     ServerDisconnectedError,
 )
 
-from anvilcove.platform.connections import ServerCall, ServerConnections
+from anvilcove.platform.answer_identity import is_refusal
+from anvilcove.platform.connections import (
+    SendRecord,
+    ServerCall,
+    ServerConnections,
+)
 from anvilcove.platform.names import (
     ATTEMPT_ID,
-    NOT_EXECUTED,
     SERVER_LOAD,
 )
 from anvilcove.ports.engines import EngineLoad
 from anvilcove.ports.errors import (
     AnswerMismatch,
     EndpointCrashed,
+    EndpointError,
     EndpointFailed,
     EndpointNotRun,
+    EndpointRefused,
 )
 
 OVERLOADED_STATUSES = (429, 503)
@@ -30,49 +36,88 @@
 
 @asynccontextmanager
 async def exchange(
-    connections: ServerConnections, call: ServerCall
+    connections: ServerConnections,
+    call: ServerCall,
+    record: SendRecord | None = None,
 ) -> AsyncIterator[ClientResponse]:
     """Send a call and yield the response before its body is read.
 
-    Raises AnswerMismatch if the response echoes another attempt, and
+    Raises AnswerMismatch if the response may be that of another call, and
     EndpointNotRun only if the server certainly ran nothing. Only connecting
     has a timeout here: callers have to limit the rest of the exchange.
     """
-    address, attempt_id = call.address, call.attempt_id
+    address = call.address
+    record = record or SendRecord()
     try:
-        async with connections.open(call) as response:
-            echoed = response.headers.get(ATTEMPT_ID, '')
-            if attempt_id and echoed and echoed != attempt_id:
-                # Don't reuse this connection: the response to this call may
-                # still follow and would be read as that of the next call.
-                response.close()
-                raise AnswerMismatch(
-                    f'{address}: answer to attempt {echoed[:40]}'
-                )
-            if NOT_EXECUTED in response.headers:
-                raise _not_run_error(address, response)
-            yield response
-    except ConnectionTimeoutError as error:
-        raise EndpointNotRun(
-            f'{address}: {error}', unreachable=True
-        ) from error
-    except ClientConnectorError as error:
+        async with connections.open(call, record) as response:
+            _check_identity(connections, call, response, record)
+            if is_refusal(response):
+                raise _refusal_error(address, response, record)
+            try:
+                yield response
+            except EndpointError:
+                # The answer may not be that of this call, whose own answer
+                # would then be read as that of the next one.
+                if record.use is not None:
+                    record.use.discard()
+                raise
+    except EndpointFailed as error:
+        error.sends += record.broken
+        raise
+    except (ConnectionTimeoutError, ClientConnectorError) as error:
+        if record.broken:
+            raise EndpointCrashed(
+                f'{address}: {error}, after the connection broke',
+                sends=record.broken,
+            ) from error
         raise EndpointNotRun(
             f'{address}: {error}', unreachable=True
         ) from error
     except ServerDisconnectedError as error:
-        raise EndpointCrashed(f'{address}: {error!r}') from error
+        raise EndpointCrashed(
+            f'{address}: {error!r}', sends=record.broken + 1
+        ) from error
     except TimeoutError as error:
-        raise EndpointFailed(f'{address}: no answer in time') from error
+        raise EndpointFailed(
+            f'{address}: no answer in time', sends=record.broken + 1
+        ) from error
     except (ClientError, OSError, ValueError) as error:
-        raise EndpointCrashed(f'{address}: {error!r}'[:300]) from error
+        raise EndpointCrashed(
+            f'{address}: {error!r}'[:300], sends=record.broken + 1
+        ) from error
+
 
+def _check_identity(
+    connections: ServerConnections,
+    call: ServerCall,
+    response: ClientResponse,
+    record: SendRecord,
+) -> None:
+    """Raise an error if the response may be that of another call."""
+    assert record.use is not None
+    identity = connections.identity
+    if identity.belongs_to(call.attempt_id, response, record.use):
+        return
+    echoed = response.headers.get(ATTEMPT_ID, '')
+    if is_refusal(response) and not echoed:
+        raise EndpointRefused(
+            f'{call.address}: status {response.status} without an attempt id',
+            overloaded=response.status in OVERLOADED_STATUSES,
+        )
+    record.use.discard()
+    raise AnswerMismatch(f'{call.address}: answer to attempt {echoed[:40]!r}')
 
-def _not_run_error(address: str, response: ClientResponse) -> EndpointNotRun:
+
+def _refusal_error(
+    address: str, response: ClientResponse, record: SendRecord
+) -> EndpointNotRun | EndpointFailed:
     status = response.status
-    return EndpointNotRun(
-        f'{address}: status {status}', overloaded=status in OVERLOADED_STATUSES
-    )
+    reason = f'{address}: status {status}'
+    overloaded = status in OVERLOADED_STATUSES
+    if record.broken:
+        # The broken sends are added when the error leaves the exchange.
+        return EndpointFailed(reason, sends=0)
+    return EndpointNotRun(reason, overloaded=overloaded)
 
 
 def server_load(response: ClientResponse) -> EngineLoad | None:
--- a/anvilcove/platform/servers.py
+++ b/anvilcove/platform/servers.py
@@ -6,7 +6,11 @@
 from aiohttp import ClientPayloadError, ClientResponse
 from multidict import CIMultiDict
 
-from anvilcove.platform.connections import ServerCall, ServerConnections
+from anvilcove.platform.connections import (
+    SendRecord,
+    ServerCall,
+    ServerConnections,
+)
 from anvilcove.platform.exchange import (
     check_framing,
     exchange,
@@ -23,6 +27,11 @@
 from anvilcove.ports.servers import CallerRequest, Headers, ServerAnswer
 from anvilcove.ports.streams import StreamAnswer, StreamPiece
 
+# Status of a server's report that the run of a call failed. Other statuses
+# say nothing about the call: they come from a server that is overloaded, or
+# out of time, or from a gateway.
+STATUS_RUN_FAILED = 500
+
 
 class PlatformServers:
     """Client that sends requests to servers over HTTP."""
@@ -44,7 +53,8 @@
         """Return the complete answer, or raise an EndpointError."""
         headers = forwarded_headers(request, instance, remaining_s)
         call = _server_call(address, request, headers, repeatable)
-        async with exchange(self._connections, call) as response:
+        record = SendRecord()
+        async with exchange(self._connections, call, record) as response:
             check_framing(response)
             try:
                 body = await response.read()
@@ -59,6 +69,8 @@
                 body=body,
                 stamp=stamp,
                 load=server_load(response),
+                sends=record.broken + 1,
+                run_failed=response.status == STATUS_RUN_FAILED,
             )
 
 
--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -22,7 +22,9 @@
 from anvilcove.ports.errors import (
     EndpointCrashed,
     EndpointError,
+    EndpointFailed,
     EndpointNotRun,
+    EndpointRefused,
 )
 from anvilcove.ports.servers import (
     CallerAnswer,
@@ -320,6 +322,8 @@
         route = progress.route
         latency_s = self._clock.now() - attempt.started_at_s
         error = attempt.task.exception()
+        if isinstance(error, OSError):
+            error = EndpointCrashed(f'{error!r}')
         if isinstance(error, EndpointError):
             self._record_failure(progress, attempt, error, latency_s)
             self._crashes.on_failure(
@@ -333,7 +337,7 @@
             raise error
         answer = attempt.task.result()
         self._crashes.finished(progress.content)
-        progress.executions += 1
+        progress.executions += answer.sends
         progress.may_have_run = True
         success = answer.status < 500
         self._pools.finish(
@@ -350,7 +354,7 @@
                 answer.status, answer.headers, answer.body, stamp=answer.stamp
             )
         progress.last_error_answer = answer
-        progress.server_failures += 1
+        progress.server_failures += answer.run_failed
         return None
 
     def _record_failure(
@@ -367,9 +371,14 @@
             if error.unreachable:
                 outcome = CRASH
         else:
-            progress.executions += 1
+            progress.executions += (
+                error.sends if isinstance(error, EndpointFailed) else 1
+            )
             progress.may_have_run = True
-            outcome = CRASH if isinstance(error, EndpointCrashed) else ERROR
+            if isinstance(error, EndpointCrashed):
+                outcome = CRASH
+            elif isinstance(error, EndpointRefused) and error.overloaded:
+                outcome = OVERLOADED
         self._pools.finish(
             attempt.state, outcome, latency_s, progress.route.name, INTERACTIVE
         )
--- a/anvilcove/standins/memory_engines.py
+++ b/anvilcove/standins/memory_engines.py
@@ -53,6 +53,9 @@
         self.broken: set[str] = set()
         # Remaining failures by item.
         self.failing: dict[str, int] = {}
+        # Errors by item that end the connection of its next runs, and the
+        # number of events before.
+        self.connection_errors: dict[str, tuple[list[OSError], int]] = {}
         # Whether every item fails.
         self.fails_all_items = False
         self.rejected: set[str] = set()
@@ -119,6 +122,9 @@
                 )
                 while engine.loading:
                     await asyncio.sleep(EVENT_PERIOD_S)
+                errors, events = engine.connection_errors.get(item, ([], 0))
+                if errors and number > events:
+                    raise errors.pop()
                 break_at = engine.break_after.get(item)
                 if (
                     break_at is not None
@@ -167,6 +173,9 @@
         self.silent: set[str] = set()
         # Remaining failures by request identifier.
         self.failing: dict[str, int] = {}
+        # Errors by request identifier that end the connection of its next
+        # sends.
+        self.connection_errors: dict[str, list[OSError]] = {}
         self.refusing: set[str] = set()
         # Services that drop the connection after running the request.
         self.breaking: set[str] = set()
@@ -203,17 +212,24 @@
         every = self.failing_every.get(address, 0)
         count = sum(run_address == address for run_address, _ in self.runs)
         if every and count % every == 0:
-            return ServerAnswer(500, [], b'', stamp='failed')
+            return _failed_answer()
+        errors = self.connection_errors.get(request.request_id)
+        if errors:
+            raise errors.pop()
         if address in self.breaking:
             raise EndpointCrashed('broken off by the test')
         remaining_failures = self.failing.get(request.request_id, 0)
         if remaining_failures:
             self.failing[request.request_id] = remaining_failures - 1
-            return ServerAnswer(500, [], b'', stamp='failed')
+            return _failed_answer()
         stamp = f'stamp-{request.request_id}'
         return ServerAnswer(200, [], request.body, stamp=stamp)
 
 
+def _failed_answer() -> ServerAnswer:
+    return ServerAnswer(500, [], b'', stamp='failed', run_failed=True)
+
+
 class MemoryStreams:
     """Client of simulated services that stream `events` events."""
 
