--- a/anvilcove/bench/log_cost.py
+++ b/anvilcove/bench/log_cost.py
@@ -11,7 +11,6 @@
 from msgspec import Struct
 
 from anvilcove.platform.standin_wire import request_headers
-from anvilcove.settings.clock import ClockSettings
 from anvilcove.soak.site import (
     CALLERS_PORT,
     HOST,
@@ -115,7 +114,7 @@
 async def _wait_until_ready(
     site: LoopbackSite, session: ClientSession
 ) -> None:
-    clock = SystemClock(ClockSettings())
+    clock = SystemClock()
     deadline_at_s = clock.now() + READY_TIMEOUT_S
     while await _send_request(site, session, 0) != 200:
         if clock.now() > deadline_at_s:
@@ -133,7 +132,7 @@
     Only the first `requests` of them are sent, so that an idle and a loaded
     measurement last equally long.
     """
-    clock = SystemClock(ClockSettings())
+    clock = SystemClock()
     before_s = await _read_cpu_s(site, session)
     started_s = clock.now()
     for number in range(MEASURED_REQUESTS):
--- a/anvilcove/daemon/app.py
+++ b/anvilcove/daemon/app.py
@@ -16,7 +16,6 @@
 from anvilcove.daemon.logs import LogSink
 from anvilcove.daemon.metrics import Metrics
 from anvilcove.daemon.parts import COMPONENTS
-from anvilcove.settings.clock import ClockSettings
 from anvilcove.settings.daemon import DaemonSettings
 from anvilcove.state.clock import SuspendAwareClock, new_random_generator
 
@@ -94,7 +93,7 @@
     metrics = Metrics()
     return Context(
         settings,
-        SuspendAwareClock(ClockSettings()),
+        SuspendAwareClock(),
         new_random_generator(settings.seed),
         ClientSession(connector=connector, timeout=timeout),
         control_session=ClientSession(
--- a/anvilcove/state/clock.py
+++ b/anvilcove/state/clock.py
@@ -23,7 +23,7 @@
 
     __slots__ = ('_offset_s',)
 
-    def __init__(self, settings: ClockSettings) -> None:
+    def __init__(self, settings: ClockSettings = ClockSettings()) -> None:
         """Read the clock that the settings select."""
         self._offset_s = settings.offset_s
 
--- a/features/steps/explaining_steps.py
+++ b/features/steps/explaining_steps.py
@@ -12,7 +12,6 @@
 from msgspec import json
 
 from anvilcove.platform.names import RETRY_AFTER, WAIT_MS
-from anvilcove.settings.clock import ClockSettings
 from anvilcove.soak.callers import Callers
 from anvilcove.soak.site import (
     CALLERS_PORT,
@@ -190,7 +189,7 @@
     context.add_cleanup(os.close, reading)
     context.add_cleanup(os.close, writing)
     context.add_cleanup(logger.remove)
-    context.writer = LogWriter('h', SystemClock(ClockSettings()), writing)
+    context.writer = LogWriter('h', SystemClock(), writing)
     context.writer.install()
 
 
