Store the failures of items as rows of their own

Cause: the row of a job is written every 0.3 s and limited to 64 KiB. With the failures of all items in it, a job whose items all fail would pass that limit at a few hundred items (a step of the planned size has 1,024), and each renewal would write them all again. Change: one row for each item that has failed, in the table 'failures', written once per failure in the commit of the job, 20 a commit; read at a takeover, removed with the job.

--- a/anvilcove/jobs/intake.py
+++ b/anvilcove/jobs/intake.py
@@ -136,7 +136,7 @@
             and nonce == self._nonce
             and spec.job_id not in self._owner.runs
         ):
-            self._owner.start_run(spec, job, [], {})
+            self._owner.start_run(spec, job, [], {}, {})
         elif created:
             self._owner.spawn(self._reassign_if_not_started(job))
 
--- a/anvilcove/jobs/job_run.py
+++ b/anvilcove/jobs/job_run.py
@@ -41,9 +41,10 @@
 # discard the text of every running item.
 CHECKPOINT_PERIOD_S = 0.4
 MIN_CHECKPOINT_EVENTS = 6
-# Limits of the checkpoints in one commit. Together with the results it stays
+# Limits of checkpoints and failures in one commit. With the results it stays
 # below the 100 rows and 1 MB in base64 that the store accepts.
 MAX_CHECKPOINT_PARTS = 60
+MAX_FAILURES_PER_COMMIT = 20
 MAX_CHECKPOINT_BYTES = 150_000
 
 
@@ -70,7 +71,8 @@
         '_checkpointed_events',
         '_checkpointed_at_s',
         '_running',
-        '_failures_by_item',
+        '_stored_failures',
+        '_unstored_failures',
         '_committed_event',
         '_unconfirmed_commit',
         '_commit_lock',
@@ -83,6 +85,7 @@
         job: VersionedJob,
         committed_ids: list[str],
         checkpoints: dict[str, TextPart],
+        failures: dict[str, ItemFailures],
         age_s: float,
         deadline_at_s: float,
         objective_s: float,
@@ -95,7 +98,7 @@
         """Prepare the run; no item starts before `run` is called.
 
         `committed_ids` are the items that already have a result, and
-        `checkpoints` the texts that earlier owners stored. `age_s` is the
+        `checkpoints` and `failures` what earlier owners stored. `age_s` is the
         measured time since the submission of the job. Items may be given
         up at `deadline_at_s`; all results are due within `objective_s`.
         `calibration` estimates run times and is shared by the jobs of the
@@ -124,9 +127,11 @@
             item: len(part.texts) for item, part in checkpoints.items()
         }
         self._running: dict[str, ItemProgress] = {}
-        # What the next commit stores. Entries are replaced, never changed,
-        # since a commit without an answer is sent again as it was.
-        self._failures_by_item = dict(job.head.failures_by_item)
+        # Failures of items as stored, and those that wait for a commit.
+        # Entries are replaced, never changed, since a commit without an answer
+        # is sent again as it was.
+        self._stored_failures = failures
+        self._unstored_failures: dict[str, ItemFailures] = {}
         # Set and replaced after each commit.
         self._committed_event = asyncio.Event()
         self._checkpointed_at_s = clock.now()
@@ -201,9 +206,9 @@
         restored = self._restored_checkpoints.pop(item.item_id, None)
         if restored is not None:
             progress.restore(restored)
-        progress.failures = deepcopy(
-            self._failures_by_item.get(item.item_id, ItemFailures())
-        )
+        failures = self._stored_failures.get(item.item_id)
+        if failures is not None:
+            progress.failures = deepcopy(failures)
         progress.store_failures = partial(self._store_failures, progress)
         self._running[item.item_id] = progress
         result = await self._runner.run(
@@ -226,8 +231,8 @@
         The next owner would otherwise send it as often once more.
         """
         item_id, failures = progress.item.item_id, deepcopy(progress.failures)
-        self._failures_by_item[item_id] = failures
-        while self.job.head.failures_by_item.get(item_id) != failures:
+        self._unstored_failures[item_id] = failures
+        while item_id in self._unstored_failures:
             self._wake_event.set()
             await self._committed_event.wait()
 
@@ -243,8 +248,7 @@
             self.job.head.total
         )
         # An owner that dies within the window forgets failures.
-        failed = self._failures_by_item != self.job.head.failures_by_item
-        if self.owned and not complete and not failed:
+        if self.owned and not complete and not self._unstored_failures:
             await self._clock.sleep(COMMIT_WINDOW_S)
 
     async def _commit(self) -> None:
@@ -276,8 +280,12 @@
             asyncio.Event(),
         )
         committed.set()
-        for result in commit.results:
-            self._failures_by_item.pop(result.item_id, None)
+        for failures in commit.failures:
+            self._stored_failures[failures.item_id] = failures
+            if self._unstored_failures.get(failures.item_id) == failures:
+                del self._unstored_failures[failures.item_id]
+        if self._unstored_failures:
+            self._wake_event.set()
         del self._uncommitted[: len(commit.results)]
         if self._uncommitted:
             self._wake_event.set()
@@ -305,21 +313,16 @@
             commit_id=secrets.token_hex(8),
             listed=self.job.head.listed + len(results),
             age_ms=(self._clock.now() - self._submitted_at_s) * 1000,
-            failures_by_item=self._failures_without(results),
         )
         if self._handing_over:
             head = replace(head, owner='', nonce='')
-        return Commit(head, results, self._checkpoint_parts())
-
-    def _failures_without(
-        self, results: list[ItemResult]
-    ) -> dict[str, ItemFailures]:
-        listed = {result.item_id for result in results}
-        return {
-            item_id: failures
-            for item_id, failures in self._failures_by_item.items()
-            if item_id not in listed
-        }
+        failures = list(self._unstored_failures.values())
+        return Commit(
+            head,
+            results,
+            self._checkpoint_parts(),
+            failures[:MAX_FAILURES_PER_COMMIT],
+        )
 
     def _checkpoint_parts(self) -> list[TextPart]:
         """Return what running items generated since their last checkpoint."""
--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -24,6 +24,7 @@
 from anvilcove.jobs.records import CommitConflict, JobRecords
 from anvilcove.jobs.types import (
     Commit,
+    ItemFailures,
     JobHead,
     JobSpec,
     TextPart,
@@ -233,9 +234,9 @@
         spec = await self._records.load(job.head.job_id)
         results = await self._records.results(job.head.job_id, 0)
         checkpoints = await self._records.checkpoints(job.head.job_id)
-        self.start_run(
-            spec, job, [result.item_id for result in results], checkpoints
-        )
+        failures = await self._records.failures(job.head.job_id)
+        committed_ids = [result.item_id for result in results]
+        self.start_run(spec, job, committed_ids, checkpoints, failures)
 
     def start_run(
         self,
@@ -243,6 +244,7 @@
         job: VersionedJob,
         committed_ids: list[str],
         checkpoints: dict[str, TextPart],
+        failures: dict[str, ItemFailures],
     ) -> None:
         age_s = self._jobs_view.age_s(job.head)
         items_deadline_at_s = (
@@ -259,6 +261,7 @@
             job,
             committed_ids,
             checkpoints,
+            failures,
             age_s,
             items_deadline_at_s,
             self._objective_s(job.head),
--- a/anvilcove/jobs/progress.py
+++ b/anvilcove/jobs/progress.py
@@ -64,7 +64,7 @@
         self.attempts = 0
         # Failures that were reported to this owner of the job or to earlier
         # ones.
-        self.failures = ItemFailures()
+        self.failures = ItemFailures(item.item_id)
         # Stores the failures so that they outlast this daemon.
         self.store_failures: Callable[[], Awaitable[None]] | None = None
 
--- a/anvilcove/jobs/records.py
+++ b/anvilcove/jobs/records.py
@@ -10,6 +10,7 @@
 from anvilcove.control.row_values import decode_value
 from anvilcove.jobs.types import (
     Commit,
+    ItemFailures,
     ItemResult,
     JobHead,
     JobSpec,
@@ -28,10 +29,11 @@
 )
 
 JOBS_TABLE = 'jobs'
-# Keys in these two tables start with the id of the job and '/'. A range that
-# ends at the id and '0', the character after '/', thus covers the whole job.
+# Keys in these tables start with the id of the job and '/'. A range that ends
+# at the id and '0', the character after '/', thus covers the whole job.
 RESULTS_TABLE = 'results'
 TEXTS_TABLE = 'texts'
+FAILURES_TABLE = 'failures'
 # All rows of a job are in one partition, so that a commit is one transaction.
 # Jobs are spread over partitions, since the store limits the rate of each.
 PARTITIONS = [f'p{number}' for number in range(4)]
@@ -145,6 +147,13 @@
             )
             for part in commit.parts
         ]
+        writes += [
+            RowWrite(
+                failures_row_id(head.job_id, failures),
+                msgpack.encode(failures),
+            )
+            for failures in commit.failures
+        ]
         outcome = await self._store.transact(
             RowTransaction(
                 checks=[RowCheck(head_row_id(head.job_id), job.version)],
@@ -176,6 +185,14 @@
                 known.versions = part.versions
         return found
 
+    async def failures(self, job_id: str) -> dict[str, ItemFailures]:
+        """Return the stored failures of each item that has failed."""
+        page = await self._store.read_range(
+            FAILURES_TABLE, partition_of(job_id), f'{job_id}/', f'{job_id}0'
+        )
+        rows = [decode_value(row, ItemFailures) for row in page.rows]
+        return {row.item_id: row for row in rows if row is not None}
+
     async def end(self, job_id: str) -> None:
         """Mark a job as ended; idempotent."""
         row_id = RowId(
@@ -193,7 +210,7 @@
         partition = partition_of(job_id)
         names = [spec_object_name(job_id)]
         rows: list[RowId] = []
-        for table in (RESULTS_TABLE, TEXTS_TABLE):
+        for table in (RESULTS_TABLE, TEXTS_TABLE, FAILURES_TABLE):
             page = await self._store.read_range(
                 table, partition, f'{job_id}/', f'{job_id}0'
             )
@@ -291,6 +308,12 @@
     return RowId(TEXTS_TABLE, partition_of(job_id), key)
 
 
+def failures_row_id(job_id: str, failures: ItemFailures) -> RowId:
+    """Return the id of the row of an item's failures."""
+    key = f'{job_id}/{failures.item_id}'
+    return RowId(FAILURES_TABLE, partition_of(job_id), key)
+
+
 def spec_object_name(job_id: str) -> str:
     """Return the name of the object that holds a submission."""
     return f'job-{job_id}'
--- a/anvilcove/jobs/types.py
+++ b/anvilcove/jobs/types.py
@@ -55,11 +55,12 @@
 
 
 class ItemFailures(Struct, array_like=True):
-    """Answers that reported a failed run of an item or of its reward call.
+    """Stored row of the answers that reported failures of an item.
 
-    `endpoints` are those that reported a failed run of the item.
+    `runs` counts those of the item itself, from `endpoints`.
     """
 
+    item_id: str
     runs: int = 0
     reward_calls: int = 0
     endpoints: set[str] = field(default_factory=set)
@@ -92,8 +93,6 @@
     # Upper bound of the prompt and output tokens of all items.
     tokens: int
     age_ms: float = 0.0
-    # Items without a result that have failed before.
-    failures_by_item: dict[str, ItemFailures] = field(default_factory=dict)
 
     @property
     def finished(self) -> bool:
@@ -137,6 +136,7 @@
     head: JobHead
     results: list[ItemResult] = field(default_factory=list)
     parts: list[TextPart] = field(default_factory=list)
+    failures: list[ItemFailures] = field(default_factory=list)
 
 
 class VersionedJob(Struct):
--- a/features/steps/job_lifetime_steps.py
+++ b/features/steps/job_lifetime_steps.py
@@ -5,7 +5,7 @@
 from memory_site import job_spec
 from msgspec import Struct, msgpack
 
-from anvilcove.jobs.types import RESERVED_MS, ItemFailures, JobHead
+from anvilcove.jobs.types import RESERVED_MS, JobHead
 
 use_step_matcher('parse')
 
@@ -133,7 +133,6 @@
         model='m',
         tokens=80,
         age_ms=5e6,
-        failures_by_item={'i': ItemFailures(1, 2)},
     )
     context.former = msgpack.decode(msgpack.encode(head), type=FormerJobHead)
 
