--- a/features/machine_faults.feature
+++ b/features/machine_faults.feature
@@ -12,7 +12,7 @@
   Scenario: Daemons that have just started accept jobs with the right age
     Guards against a submission time taken from the clock of a daemon whose
     watches the store has not answered yet.
-    Given a soak test of "daemons restarted while parts of the store are silent" with seed 131 and 2 faults in 3 s
+    Given a soak test of "daemons restarted while parts of the store are silent" with seed 107 and 2 faults in 4 s
     Then no guarantee was broken
 
   Scenario: Daemons without processor serve no outdated state
