--- a/features/steps/retry_steps.py
+++ b/features/steps/retry_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from anvilcove.control.crashes import ContentCrashes
 from anvilcove.control.desired import (
     SAFE,
     STREAM,
@@ -18,6 +19,7 @@
 from anvilcove.jobs.reward_calls import RewardCalls
 from anvilcove.jobs.reward_gate import RewardGate
 from anvilcove.jobs.types import Item, RewardCall
+from anvilcove.platform.probes import ConnectionProbe
 from anvilcove.platform.servers import PlatformServers, PlatformStreams
 from anvilcove.ports.servers import CallerRequest
 from anvilcove.proxy.forwarder import Forwarder
@@ -263,12 +265,24 @@
     )
 
 
+def crashes_of(context):
+    """Return counts of crashes of the raw servers."""
+    return ContentCrashes(
+        settings(),
+        registry_of(context.servers),
+        ConnectionProbe(),
+        SystemClock(),
+        NodeMetrics(),
+    )
+
+
 def forwarder_of(context):
     """Return a forwarder to the raw servers."""
     return Forwarder(
         settings(),
         pools_of(context),
         PlatformServers(context.connections),
+        crashes_of(context),
         SystemClock(),
         random.Random(1),
         NodeMetrics(),
@@ -281,6 +295,7 @@
     return StreamForwarder(
         pools_of(context),
         PlatformStreams(context.connections),
+        crashes_of(context),
         SystemClock(),
         random.Random(1),
     )
@@ -442,6 +457,7 @@
         forwarder_of(context),
         desired,
         RewardGate(registry_of(context.servers)),
+        crashes_of(context),
         SystemClock(),
         random.Random(1),
     )
