--- a/anvilcove/control/crashes.py
+++ b/anvilcove/control/crashes.py
@@ -27,7 +27,11 @@
 # Time within which the other daemons learn of a crash.
 SHARING_TIME_S = 0.5
 HOLD_PERIOD_S = 0.5
+TRIAL_DELAY_S = 4.0
+TRIAL_DELAY_FACTOR = 10.0
 MAX_REMEMBERED_ENDPOINTS = 1_000
+# Crashes of one endpoint address that count as a second one.
+STARTS_AS_EVIDENCE = 3
 
 
 class BrokenEndpoint(Struct):
@@ -57,6 +61,7 @@
         '_probe_by_endpoint',
         '_probed_at_s_by_endpoint',
         '_crashed_endpoints',
+        '_starts_by_content',
     )
 
     def __init__(
@@ -78,7 +83,12 @@
         self._broken_by_endpoint: dict[str, BrokenEndpoint] = {}
         self._probe_by_endpoint: dict[str, asyncio.Task[None]] = {}
         self._probed_at_s_by_endpoint: OrderedDict[str, float] = OrderedDict()
-        self._crashed_endpoints: OrderedDict[str, None] = OrderedDict()
+        # Address of each endpoint start that has crashed.
+        self._crashed_endpoints: OrderedDict[str, str] = OrderedDict()
+        # Starts that crashed with a content in flight, by address.
+        self._starts_by_content: OrderedDict[str, dict[str, set[str]]] = (
+            OrderedDict()
+        )
 
     async def run(self) -> None:
         """Compare broken endpoints with their entries until cancelled."""
@@ -103,14 +113,32 @@
         return not self.is_rejected(content)
 
     async def wait_until_allowed(self, request_id: str, content: str) -> None:
-        """Wait while a content must not be sent."""
-        held = False
+        """Wait while a content must not be sent, or until its trial run.
+
+        The trial is for contents that were in flight when endpoints crashed
+        for other reasons.
+        """
+        held_since_s: float | None = None
         while not await self.may_run(content):
-            if not held:
-                held = True
+            now = self._clock.now()
+            if held_since_s is None:
+                held_since_s = now
                 self._log_decision('held', request_id, content)
+            elif now - held_since_s >= self._trial_delay_s(content):
+                self._log_decision('tried', request_id, content)
+                return
             await self._clock.sleep(HOLD_PERIOD_S)
 
+    def _trial_delay_s(self, content: str) -> float:
+        """Return how long a rejected content is held before a trial run.
+
+        Each crash multiplies it, so that a content that does crash endpoints
+        gets few trials.
+        """
+        crashes = self._quarantine.open_crashes(content)
+        factor = TRIAL_DELAY_FACTOR ** max(crashes - REJECT_AFTER, 0)
+        return TRIAL_DELAY_S * factor
+
     async def may_send(
         self,
         request_id: str,
@@ -136,6 +164,7 @@
         """Clear the crashes of a content whose run produced something."""
         for broken in self._broken_by_endpoint.values():
             broken.request_by_content.pop(content, None)
+        self._starts_by_content.pop(content, None)
         self._quarantine.finished(self._clock.now(), content)
 
     def on_failure(
@@ -149,7 +178,8 @@
         if not isinstance(error, EndpointCrashed):
             return
         if endpoint in self._crashed_endpoints:
-            self._count(endpoint, {content: request_id})
+            address = self._crashed_endpoints[endpoint]
+            self._count(endpoint, address, {content: request_id})
             return
         entry = self._registry.entry_by_endpoint.get(endpoint)
         if entry is None or entry.draining:
@@ -199,7 +229,7 @@
             if await self._probe.refuses_connections(entry.address):
                 self._confirm_crash(entry.endpoint)
         finally:
-            del self._probe_by_endpoint[entry.endpoint]
+            self._probe_by_endpoint.pop(entry.endpoint, None)
 
     def _compare_entry(self, endpoint: str) -> None:
         broken = self._broken_by_endpoint[endpoint]
@@ -213,26 +243,47 @@
             del self._broken_by_endpoint[endpoint]
 
     def _confirm_crash(self, endpoint: str) -> None:
-        self._crashed_endpoints[endpoint] = None
+        broken = self._broken_by_endpoint.pop(endpoint, None)
+        if broken is None:
+            return
+        address = broken.entry.address
+        self._crashed_endpoints[endpoint] = address
         if len(self._crashed_endpoints) > MAX_REMEMBERED_ENDPOINTS:
             self._crashed_endpoints.popitem(last=False)
-        broken = self._broken_by_endpoint.pop(endpoint, None)
-        if broken is not None:
-            self._count(endpoint, broken.request_by_content)
+        self._count(endpoint, address, broken.request_by_content)
 
     def _count(
-        self, endpoint: str, request_by_content: dict[str, str]
+        self, endpoint: str, address: str, request_by_content: dict[str, str]
     ) -> None:
-        """Count the crash of an endpoint start once for each content."""
+        """Count the crash of an endpoint start for each content."""
         crash = [
-            SuspectDigest(content=content, endpoint=endpoint, crashes=1)
+            SuspectDigest(content=content, endpoint=key, crashes=1)
             for content in request_by_content
+            if (key := self._crash_key(content, address, endpoint))
         ]
         self._quarantine.merge(self._clock.now(), crash)
         for content, request_id in request_by_content.items():
             self._log_decision('crashed', request_id, content, endpoint)
         self.on_crash()
 
+    def _crash_key(self, content: str, address: str, endpoint: str) -> str:
+        """Return under which name a crash counts, '' if it does not count.
+
+        An endpoint that crashes again and again for a reason of its own is
+        not evidence against a content, unless it has crashed several times.
+        """
+        starts_by_address = self._starts_by_content.pop(content, {})
+        starts = starts_by_address.setdefault(address, set())
+        starts.add(endpoint)
+        self._starts_by_content[content] = starts_by_address
+        if len(self._starts_by_content) > MAX_REMEMBERED_ENDPOINTS:
+            self._starts_by_content.popitem(last=False)
+        if len(starts) == 1:
+            return address
+        if len(starts) == STARTS_AS_EVIDENCE:
+            return f'{address} again'
+        return ''
+
     def _log_decision(
         self, event: str, request_id: str, content: str, endpoint: str = ''
     ) -> None:
@@ -250,4 +301,5 @@
     'crashed': 'endpoint crashed while it began to run a content',
     'refused': 'request refused: its content crashes endpoints',
     'held': 'call held back: its content crashes endpoints',
+    'tried': 'call tried again: its content may not crash endpoints',
 }
--- a/anvilcove/decisions/quarantine.py
+++ b/anvilcove/decisions/quarantine.py
@@ -22,6 +22,8 @@
 # Crashes of a content are ignored when its record has not changed for this
 # long.
 FORGET_AFTER_S = 86_400.0
+# A record without open crashes is dropped when all peers have learned of it.
+DROP_CLEARED_AFTER_S = 60.0
 
 
 class CrashRecord:
@@ -120,7 +122,12 @@
             counts = _counts(record, cleared)
             if counts.get(endpoint, 0) >= digest.crashes:
                 continue
-            record = self._touch(now, digest.content)
+            changed_at_s = now - max(digest.age_s, 0.0)
+            if now - changed_at_s > FORGET_AFTER_S:
+                continue
+            if record is not None:
+                changed_at_s = max(changed_at_s, record.updated_at_s)
+            record = self._touch(changed_at_s, digest.content)
             _counts(record, cleared)[endpoint] = digest.crashes
 
     def digests(self, now: float) -> list[SuspectDigest]:
@@ -129,6 +136,7 @@
         Contents with REJECT_AFTER crashes precede the others, so that these
         don't displace them, and take up to half of the room.
         """
+        self._drop_expired(now)
         digests: list[SuspectDigest] = []
         for content, record in self._records_to_share():
             if len(digests) >= DIGEST_LIMIT:
@@ -142,10 +150,20 @@
                         content=content,
                         endpoint=prefix + endpoint,
                         crashes=count,
+                        age_s=round(now - record.updated_at_s, 1),
                     )
                     for endpoint, count in counts.items()
                 )
-        return digests
+        return digests[:DIGEST_LIMIT]
+
+    def _drop_expired(self, now: float) -> None:
+        for content, record in list(self._record_by_content.items()):
+            age_s = now - record.updated_at_s
+            cleared = record.open_crashes() == 0
+            if age_s > FORGET_AFTER_S or (
+                cleared and age_s > DROP_CLEARED_AFTER_S
+            ):
+                del self._record_by_content[content]
 
     def _records_to_share(self) -> list[tuple[str, CrashRecord]]:
         newest_first = list(reversed(self._record_by_content.items()))
--- a/anvilcove/jobs/intake.py
+++ b/anvilcove/jobs/intake.py
@@ -14,7 +14,7 @@
 from anvilcove.jobs.owner import JobOwner
 from anvilcove.jobs.records import CommitConflict, JobRecords
 from anvilcove.jobs.types import (
-    RESERVED_MS,
+    LEGACY_SUBMITTED_MS,
     Commit,
     JobHead,
     JobSpec,
@@ -102,11 +102,12 @@
             commit_id=secrets.token_hex(8),
             listed=0,
             total=len(spec.items),
-            reserved_ms=RESERVED_MS,
+            legacy_submitted_ms=LEGACY_SUBMITTED_MS,
             host=spec.host,
             path=spec.path,
             model=spec.model,
             tokens=sum(item.tokens for item in spec.items),
+            item_lifetime_s=self._owner.item_lifetime_s(spec.host, spec.path),
         )
         # The watch may deliver the row before the store's answer arrives; this
         # entry keeps JobOwner from starting the job a second time.
--- a/anvilcove/jobs/job_run.py
+++ b/anvilcove/jobs/job_run.py
@@ -36,6 +36,8 @@
 # The owner renews the row of the job this often while it has no results.
 RENEW_PERIOD_S = 0.3
 RETRY_DELAY_S = 0.2
+# An item whose run ends with an unexpected error is run again after this time.
+UNEXPECTED_ERROR_DELAY_S = 1.0
 # The texts of running items are checkpointed this often, in parts of at least
 # MIN_CHECKPOINT_EVENTS. Without checkpoints the loss of the owner would
 # discard the text of every running item.
@@ -211,9 +213,7 @@
             progress.failures = deepcopy(failures)
         progress.store_failures = partial(self._store_failures, progress)
         self._running[item.item_id] = progress
-        result = await self._runner.run(
-            self.spec, progress, rank, self._items_deadline_at_s
-        )
+        result = await self._run_to_result(progress, rank)
         self._metrics.item_finished(result.completed, progress.attempts)
         if result.completed and progress.attempts == 1 and restored is None:
             self._hint_calibration.observe(
@@ -225,6 +225,20 @@
         self._uncommitted.append(result)
         self._wake_event.set()
 
+    async def _run_to_result(
+        self, progress: ItemProgress, rank: tuple[float, ...]
+    ) -> ItemResult:
+        while True:
+            try:
+                return await self._runner.run(
+                    self.spec, progress, rank, self._items_deadline_at_s
+                )
+            except Exception:
+                logger.bind(
+                    job=self.spec.job_id, request=progress.item.item_id
+                ).exception('item run failed unexpectedly')
+                await self._clock.sleep(UNEXPECTED_ERROR_DELAY_S)
+
     async def _store_failures(self, progress: ItemProgress) -> None:
         """Commit the failures of an item before it is sent again.
 
--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -43,8 +43,8 @@
 POLL_PERIOD_S = 0.1
 # No job is taken over while the view of the jobs table is older than this.
 MAX_VIEW_AGE_S = 1.5
-# Time after submission at which items may be given up if the desired state no
-# longer has the route of the job.
+# Time after submission at which items may be given up if neither the desired
+# state nor the row of the job tells.
 DEFAULT_ITEM_LIFETIME_S = 40.0
 # Time in which all results are due if the desired state no longer has it.
 DEFAULT_OBJECTIVE_S = 7.5
@@ -247,8 +247,14 @@
         failures: dict[str, ItemFailures],
     ) -> None:
         age_s = self._jobs_view.age_s(job.head)
+        head = job.head
+        lifetime_s = (
+            self.item_lifetime_s(head.host, head.path)
+            or head.item_lifetime_s
+            or DEFAULT_ITEM_LIFETIME_S
+        )
         items_deadline_at_s = (
-            self._clock.now() + self._item_lifetime_s(job.head) - age_s
+            self._clock.now() + lifetime_s + LIFETIME_MARGIN_S - age_s
         )
         logger.bind(
             job=spec.job_id,
@@ -290,13 +296,13 @@
                 del self.runs[job_id]
             self._jobs_view.apply(run.job)
 
-    def _item_lifetime_s(self, head: JobHead) -> float:
+    def item_lifetime_s(self, host: str, path: str) -> float:
+        """Return the lifetime of items by their route, 0 if it is unknown."""
         state = self._desired.current
-        route = state.find_route(head.host, head.path) if state else None
-        lifetime_s = DEFAULT_ITEM_LIFETIME_S
-        if route is not None and route.job is not None:
-            lifetime_s = route.job.item_lifetime_s
-        return lifetime_s + LIFETIME_MARGIN_S
+        route = state.find_route(host, path) if state else None
+        if route is None or route.job is None:
+            return 0.0
+        return route.job.item_lifetime_s
 
     def _objective_s(self, head: JobHead) -> float:
         state = self._desired.current
--- a/anvilcove/jobs/types.py
+++ b/anvilcove/jobs/types.py
@@ -2,9 +2,10 @@
 
 from msgspec import Struct, field
 
-# Daemons of earlier versions read `JobHead.reserved_ms` as the time of the
-# submission on the store's clock. They never give up a job of the far future.
-RESERVED_MS = 1e15
+# Daemons of earlier versions read `JobHead.legacy_submitted_ms` as the time of
+# the submission on the store's clock. They never give up a job of the far
+# future.
+LEGACY_SUBMITTED_MS = 1e15
 
 
 class RewardCall(Struct, array_like=True):
@@ -86,13 +87,16 @@
     commit_id: str
     listed: int
     total: int
-    reserved_ms: float
+    legacy_submitted_ms: float
     host: str
     path: str
     model: str
     # Upper bound of the prompt and output tokens of all items.
     tokens: int
     age_ms: float = 0.0
+    # Time after the submission at which items may be given up, by the route as
+    # it was then; 0 if unknown.
+    item_lifetime_s: float = 0.0
 
     @property
     def finished(self) -> bool:
--- a/anvilcove/messages/peers.py
+++ b/anvilcove/messages/peers.py
@@ -37,11 +37,15 @@
 
 
 class SuspectDigest(Message, array_like=True):
-    """Number of crashes of an endpoint on requests with one content hash."""
+    """Number of crashes of an endpoint on requests with one content hash.
+
+    `age_s` is the time since the counts of the content last changed.
+    """
 
     content: str
     endpoint: str
     crashes: int
+    age_s: float = 0.0
 
 
 class ReportDigest(Message, array_like=True):
--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -336,7 +336,8 @@
         if error is not None:
             raise error
         answer = attempt.task.result()
-        self._crashes.finished(progress.content)
+        if answer.status < 500 or answer.run_failed:
+            self._crashes.finished(progress.content)
         progress.executions += answer.sends
         progress.may_have_run = True
         success = answer.status < 500
--- a/features/crashing_contents.feature
+++ b/features/crashing_contents.feature
@@ -129,3 +129,26 @@
     Then a probe of the address is refused
     When a server listens on the address
     Then a probe of the address is not refused
+
+  Scenario: Items at an engine that crashes again and again complete
+    Guards against items that are held until their lifetime ends because one
+    engine crashes for a reason of its own.
+    Given a platform with 1 engines and daemons a, b and c
+    When daemon a accepts job j1 with 16 items
+    And engine 0 crashes 0.02 s after it began to run items, and 0.5 s go by
+    And engine 0 crashes 0.02 s after it began to run items, and 0.5 s go by
+    And engine 0 crashes 0.02 s after it began to run items, and 0.5 s go by
+    And 10 s go by
+    Then every daemon lists 16 completed results of job j1 in the same order
+
+  Scenario: Records of crashes are bounded and forgotten everywhere
+    Guards against a heartbeat that grows with each crash, and against a content
+    that is refused for ever because daemons pass its old record on.
+    Given two quarantines with a content that crashed 2 endpoints
+    When 86300 s go by and the first passes its records to the second
+    And 200 s go by and the second passes its records to the first
+    Then neither rejects the content
+    When a content is in flight at 400 crashes and finishes after each
+    Then the first shares at most 64 counts
+    When 61 s go by and the second passes its records to the first
+    Then the first shares at most 0 counts
--- a/features/job_lifetimes.feature
+++ b/features/job_lifetimes.feature
@@ -86,3 +86,16 @@
     Then the age of that job is 0 s
     When an earlier version reads a row of a job of this version
     Then it finds a submission that lies in the future
+
+  Scenario: An owner with an older desired state gives up no item too soon
+    Guards against a default lifetime at an owner that does not know the route
+    of a job yet.
+    Given a platform with 2 engines and daemons a, b and c
+    And items of jobs have a lifetime of 60 s
+    And engine 0 does not respond
+    And engine 1 does not respond
+    When daemon a accepts job j1 with 16 items
+    And the route of jobs is removed
+    And daemon a is killed
+    And 50 s go by
+    Then daemon b lists no result of job j1
--- a/features/steps/crashing_content_steps.py
+++ b/features/steps/crashing_content_steps.py
@@ -9,8 +9,10 @@
 from behave import given, then, when
 from forwarding_steps import RecordingSink
 from loguru import logger
-from memory_site import HOST, SHOP, job_spec
+from memory_site import HOST, SHOP, job_spec, settings_of
 
+from anvilcove.decisions.quarantine import ContentQuarantine
+from anvilcove.decisions.types import Allow
 from anvilcove.platform.probes import ConnectionProbe
 from anvilcove.ports.servers import CallerRequest
 from anvilcove.proxy.streams import StreamBroken
@@ -351,3 +353,47 @@
     """Open one connection and check that it is not refused."""
     probe = ConnectionProbe().refuses_connections(context.address)
     assert not asyncio.run(probe)
+
+
+@given('two quarantines with a content that crashed 2 endpoints')
+def two_quarantines(context):
+    """Create two policies; the first has counted the crashes."""
+    context.quarantines = [ContentQuarantine(settings_of(n)) for n in 'ab']
+    context.now = 0.0
+    for endpoint in ('e1', 'e2'):
+        context.quarantines[0].crashed(0.0, endpoint, ['c1'])
+
+
+@when(
+    '{seconds:d} s go by and the {giver:w} passes its records to the '
+    '{receiver:w}'
+)
+def pass_records(context, seconds, giver, receiver):
+    """Let time pass and merge the counts of one policy into the other."""
+    context.now += seconds
+    by_name = dict(zip(('first', 'second'), context.quarantines, strict=True))
+    digests = by_name[giver].digests(context.now)
+    by_name[receiver].merge(context.now, digests)
+
+
+@then('neither rejects the content')
+def check_forgotten(context):
+    """Check that both policies have forgotten the crashes."""
+    for quarantine in context.quarantines:
+        verdict = quarantine.verdict(context.now, 'c1')
+        assert isinstance(verdict, Allow), verdict
+
+
+@when('a content is in flight at 400 crashes and finishes after each')
+def crash_often(context):
+    """Count and clear crashes of many endpoints."""
+    for number in range(400):
+        context.quarantines[0].crashed(context.now, f'e{number}', ['c2'])
+        context.quarantines[0].finished(context.now, 'c2')
+
+
+@then('the first shares at most {count:d} counts')
+def check_shared(context, count):
+    """Check the size of what a daemon announces."""
+    digests = context.quarantines[0].digests(context.now)
+    assert len(digests) <= count, len(digests)
--- a/features/steps/job_lifetime_steps.py
+++ b/features/steps/job_lifetime_steps.py
@@ -5,7 +5,7 @@
 from memory_site import job_spec
 from msgspec import Struct, msgpack
 
-from anvilcove.jobs.types import RESERVED_MS, JobHead
+from anvilcove.jobs.types import LEGACY_SUBMITTED_MS, JobHead
 
 use_step_matcher('parse')
 
@@ -56,6 +56,13 @@
     context.memory.pass_time(1.0)
 
 
+@when('the route of jobs is removed')
+def remove_job_route(context):
+    """Write a desired state without the route, as an old one lacks it."""
+    context.memory.write_operator(3, with_jobs=False)
+    context.memory.pass_time(1.0)
+
+
 @when("the store does not answer for the operator's table")
 def silence_operator_table(context):
     """Let reads of the operator's table wait."""
@@ -127,7 +134,7 @@
         commit_id='c',
         listed=0,
         total=8,
-        reserved_ms=RESERVED_MS,
+        legacy_submitted_ms=LEGACY_SUBMITTED_MS,
         host='h',
         path='/job/',
         model='m',
--- a/features/steps/memory_site.py
+++ b/features/steps/memory_site.py
@@ -170,7 +170,12 @@
         self.store.apply(RowTransaction(removals=[RowId(table, '', key)]))
 
     def write_operator(
-        self, version=1, shop_kind=SAFE, resumable=False, **changes
+        self,
+        version=1,
+        shop_kind=SAFE,
+        resumable=False,
+        with_jobs=True,
+        **changes,
     ):
         """Write a desired state; `changes` are fields of the job route."""
         job = {
@@ -178,6 +183,9 @@
             'item_lifetime_s': 40.0,
             **changes,
         }
+        job_route = route(
+            'job', JOBS, JOB, 'llm', 0.4, 10.0, 3, JobSettings(**job)
+        )
         state = DesiredState(
             version=version,
             routes=(
@@ -193,9 +201,7 @@
                     resumable,
                 ),
                 route('reward', REWARDS, SAFE, 'app', 0.5, 2.0, 4),
-                route(
-                    'job', JOBS, JOB, 'llm', 0.4, 10.0, 3, JobSettings(**job)
-                ),
+                *([job_route] if with_jobs else []),
             ),
             services_by_name={
                 'app': Service('app', 100),
