--- a/anvilcove/jobs/types.py
+++ b/anvilcove/jobs/types.py
@@ -2,9 +2,10 @@
 
 from msgspec import Struct, field
 
-# Daemons of earlier versions read `JobHead.reserved_ms` as the time of the
-# submission on the store's clock. They never give up a job of the far future.
-RESERVED_MS = 1e15
+# Daemons of earlier versions read `JobHead.legacy_submitted_ms` as the time of
+# the submission on the store's clock. They never give up a job of the far
+# future.
+LEGACY_SUBMITTED_MS = 1e15
 
 
 class RewardCall(Struct, array_like=True):
@@ -55,11 +56,12 @@
 
 
 class ItemFailures(Struct, array_like=True):
-    """Answers that reported a failed run of an item or of its reward call.
+    """Stored row of the answers that reported failures of an item.
 
-    `endpoints` are those that reported a failed run of the item.
+    `runs` counts those of the item itself, from `endpoints`.
     """
 
+    item_id: str
     runs: int = 0
     reward_calls: int = 0
     endpoints: set[str] = field(default_factory=set)
@@ -85,15 +87,16 @@
     commit_id: str
     listed: int
     total: int
-    reserved_ms: float
+    legacy_submitted_ms: float
     host: str
     path: str
     model: str
     # Upper bound of the prompt and output tokens of all items.
     tokens: int
     age_ms: float = 0.0
-    # Items without a result that have failed before.
-    failures_by_item: dict[str, ItemFailures] = field(default_factory=dict)
+    # Time after the submission at which items may be given up, by the route as
+    # it was then; 0 if unknown.
+    item_lifetime_s: float = 0.0
 
     @property
     def finished(self) -> bool:
@@ -137,6 +140,7 @@
     head: JobHead
     results: list[ItemResult] = field(default_factory=list)
     parts: list[TextPart] = field(default_factory=list)
+    failures: list[ItemFailures] = field(default_factory=list)
 
 
 class VersionedJob(Struct):
