Give the retry scenarios the counts of crashed contents

The counts probe the raw servers as the daemon does; all scenarios of retries.feature and second_answers.feature pass.

--- a/features/steps/retry_steps.py
+++ b/features/steps/retry_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from anvilcove.control.crashes import ContentCrashes
 from anvilcove.control.desired import (
     SAFE,
     STREAM,
@@ -18,6 +19,7 @@
 from anvilcove.jobs.reward_calls import RewardCalls
 from anvilcove.jobs.reward_gate import RewardGate
 from anvilcove.jobs.types import Item, RewardCall
+from anvilcove.platform.probes import ConnectionProbe
 from anvilcove.platform.servers import PlatformServers, PlatformStreams
 from anvilcove.ports.servers import CallerRequest
 from anvilcove.proxy.forwarder import Forwarder
@@ -263,12 +265,21 @@
     )
 
 
+def crashes_of(registry):
+    """Return counts of crashes that are shared with no other daemon."""
+    return ContentCrashes(
+        settings(), registry, ConnectionProbe(), SystemClock(), NodeMetrics()
+    )
+
+
 def forwarder_of(context):
     """Return a forwarder to the raw servers."""
+    pools = pools_of(context)
     return Forwarder(
         settings(),
-        pools_of(context),
+        pools,
         PlatformServers(context.connections),
+        crashes_of(pools.registry),
         SystemClock(),
         random.Random(1),
         NodeMetrics(),
@@ -278,9 +289,11 @@
 
 def stream_forwarder_of(context):
     """Return a forwarder of streams of the raw servers."""
+    pools = pools_of(context)
     return StreamForwarder(
-        pools_of(context),
+        pools,
         PlatformStreams(context.connections),
+        crashes_of(pools.registry),
         SystemClock(),
         random.Random(1),
     )
@@ -438,10 +451,12 @@
     """Score an item and keep its result."""
     desired = DesiredStateView()
     desired.apply(DesiredState(1, (route_with(attempts),)), 0.0)
+    registry = registry_of(context.servers)
     rewards = RewardCalls(
         forwarder_of(context),
         desired,
-        RewardGate(registry_of(context.servers)),
+        RewardGate(registry),
+        crashes_of(registry),
         SystemClock(),
         random.Random(1),
     )
