Try a content soon again if others may have caused all of its crashes

What callers would see: an item without a result for up to 40 s. Cause, from its logs: item i116x2x637543 was in flight at three engines that two crashing items of another job crashed (crashes=3, held at 36:35.7); its trial run came only after the delay for a content that alone has three crashes, 40 s. Change: the third crash does not lengthen the delay if other contents may have caused all of them.

--- a/anvilcove/control/crashes.py
+++ b/anvilcove/control/crashes.py
@@ -8,7 +8,11 @@
 from msgspec import Struct, field
 
 from anvilcove.control.endpoints import EndpointEntry, EndpointRegistry
-from anvilcove.decisions.quarantine import REJECT_AFTER, ContentQuarantine
+from anvilcove.decisions.quarantine import (
+    REJECT_AFTER,
+    REJECT_ALWAYS_AFTER,
+    ContentQuarantine,
+)
 from anvilcove.decisions.types import Reject
 from anvilcove.messages.peers import SuspectDigest
 from anvilcove.ports.errors import EndpointCrashed, EndpointError
@@ -132,11 +136,13 @@
     def _trial_delay_s(self, content: str) -> float:
         """Return how long a rejected content is held before a trial run.
 
-        Each crash multiplies it, so that a content that does crash endpoints
-        gets few trials.
+        Each crash beyond those of its rejection multiplies it, so that a
+        content that does crash endpoints gets few trials.
         """
         crashes = self._quarantine.open_crashes(content)
-        factor = TRIAL_DELAY_FACTOR ** max(crashes - REJECT_AFTER, 0)
+        ambiguous = self._quarantine.is_ambiguous(content)
+        expected = REJECT_ALWAYS_AFTER if ambiguous else REJECT_AFTER
+        factor = TRIAL_DELAY_FACTOR ** max(crashes - expected, 0)
         return TRIAL_DELAY_S * factor
 
     async def may_send(
--- a/anvilcove/decisions/quarantine.py
+++ b/anvilcove/decisions/quarantine.py
@@ -113,6 +113,11 @@
         record = self._record_by_content.get(content)
         return record.open_crashes() if record is not None else 0
 
+    def is_ambiguous(self, content: str) -> bool:
+        """Tell whether other contents may have caused all open crashes."""
+        record = self._record_by_content.get(content)
+        return record is not None and self._is_ambiguous(record)
+
     def merge(self, now: float, digests: list[SuspectDigest]) -> None:
         """Merge the counts of a peer by maximum."""
         for digest in digests:
--- a/features/crashing_contents.feature
+++ b/features/crashing_contents.feature
@@ -152,3 +152,13 @@
     Then the first shares at most 64 counts
     When 61 s go by and the second passes its records to the first
     Then the first shares at most 0 counts
+
+  Scenario: An item that only ran beside contents that crash engines completes
+    Guards against an item that is held until its lifetime ends because two
+    other items of its job crashed each engine that it ran on.
+    Given a platform with 3 engines and daemons a, b and c
+    And the body of item 5 of job j1 crashes each server that begins to run it
+    And the body of item 6 of job j1 crashes each server that begins to run it
+    When daemon a accepts job j1 with 16 items
+    And 25 s go by
+    Then daemon b lists 14 completed results of job j1 and none of items 5 and 6
--- a/features/steps/crashing_content_steps.py
+++ b/features/steps/crashing_content_steps.py
@@ -397,3 +397,15 @@
     """Check the size of what a daemon announces."""
     digests = context.quarantines[0].digests(context.now)
     assert len(digests) <= count, len(digests)
+
+
+@then(
+    'daemon {name} lists {count:d} completed results of job {job} and none of '
+    'items {one:d} and {two:d}'
+)
+def check_all_but_two(context, name, count, job, one, two):
+    """Check that all items but two are completed."""
+    _, results = read_all(context, name, job)
+    completed = {result.item_id for result in results if result.completed}
+    assert len(completed) == len(results) == count, (completed, results)
+    assert not completed & {f'{job}-{one}', f'{job}-{two}'}, completed
