--- a/anvilcove/control/crashes.py
+++ b/anvilcove/control/crashes.py
@@ -36,6 +36,12 @@
 MAX_REMEMBERED_ENDPOINTS = 1_000
 # Crashes of one endpoint address that count as a second one.
 STARTS_AS_EVIDENCE = 3
+MESSAGE_BY_EVENT = {
+    'crashed': 'endpoint crashed while it began to run a content',
+    'refused': 'request refused: its content crashes endpoints',
+    'held': 'call held back: its content crashes endpoints',
+    'tried': 'call tried again: its content may not crash endpoints',
+}
 
 
 class BrokenEndpoint(Struct):
@@ -64,7 +70,7 @@
         '_broken_by_endpoint',
         '_probe_by_endpoint',
         '_probed_at_s_by_endpoint',
-        '_crashed_endpoints',
+        '_address_by_crashed_endpoint',
         '_starts_by_content',
     )
 
@@ -88,7 +94,9 @@
         self._probe_by_endpoint: dict[str, asyncio.Task[None]] = {}
         self._probed_at_s_by_endpoint: OrderedDict[str, float] = OrderedDict()
         # Address of each endpoint start that has crashed.
-        self._crashed_endpoints: OrderedDict[str, str] = OrderedDict()
+        self._address_by_crashed_endpoint: OrderedDict[str, str] = (
+            OrderedDict()
+        )
         # Starts that crashed with a content in flight, by address.
         self._starts_by_content: OrderedDict[str, dict[str, set[str]]] = (
             OrderedDict()
@@ -183,8 +191,8 @@
         """Consider a run that failed before it produced anything."""
         if not isinstance(error, EndpointCrashed):
             return
-        if endpoint in self._crashed_endpoints:
-            address = self._crashed_endpoints[endpoint]
+        if endpoint in self._address_by_crashed_endpoint:
+            address = self._address_by_crashed_endpoint[endpoint]
             self._count(endpoint, address, {content: request_id})
             return
         entry = self._registry.entry_by_endpoint.get(endpoint)
@@ -253,9 +261,9 @@
         if broken is None:
             return
         address = broken.entry.address
-        self._crashed_endpoints[endpoint] = address
-        if len(self._crashed_endpoints) > MAX_REMEMBERED_ENDPOINTS:
-            self._crashed_endpoints.popitem(last=False)
+        self._address_by_crashed_endpoint[endpoint] = address
+        if len(self._address_by_crashed_endpoint) > MAX_REMEMBERED_ENDPOINTS:
+            self._address_by_crashed_endpoint.popitem(last=False)
         self._count(endpoint, address, broken.request_by_content)
 
     def _count(
@@ -301,11 +309,3 @@
             crashes=self._quarantine.open_crashes(content),
             rejected=self.is_rejected(content),
         ).log(DECISION, MESSAGE_BY_EVENT[event])
-
-
-MESSAGE_BY_EVENT = {
-    'crashed': 'endpoint crashed while it began to run a content',
-    'refused': 'request refused: its content crashes endpoints',
-    'held': 'call held back: its content crashes endpoints',
-    'tried': 'call tried again: its content may not crash endpoints',
-}
--- a/anvilcove/jobs/job_run.py
+++ b/anvilcove/jobs/job_run.py
@@ -73,8 +73,8 @@
         '_checkpointed_events',
         '_checkpointed_at_s',
         '_running',
-        '_stored_failures',
-        '_unstored_failures',
+        '_stored_failures_by_item',
+        '_unstored_failures_by_item',
         '_committed_event',
         '_unconfirmed_commit',
         '_commit_lock',
@@ -87,7 +87,7 @@
         job: VersionedJob,
         committed_ids: list[str],
         checkpoints: dict[str, TextPart],
-        failures: dict[str, ItemFailures],
+        failures_by_item: dict[str, ItemFailures],
         age_s: float,
         deadline_at_s: float,
         objective_s: float,
@@ -99,12 +99,12 @@
     ) -> None:
         """Prepare the run; no item starts before `run` is called.
 
-        `committed_ids` are the items that already have a result, and
-        `checkpoints` and `failures` what earlier owners stored. `age_s` is the
-        measured time since the submission of the job. Items may be given
-        up at `deadline_at_s`; all results are due within `objective_s`.
-        `calibration` estimates run times and is shared by the jobs of the
-        daemon.
+        `committed_ids` are the items that already have a result;
+        `checkpoints` and `failures_by_item` are what earlier owners stored.
+        `age_s` is the measured time since the submission of the job. Items may
+        be given up at `deadline_at_s`; all results are due within
+        `objective_s`. `calibration` estimates run times and is shared by the
+        jobs of the daemon.
         """
         self._objective_s = objective_s
         self._hint_calibration = calibration
@@ -132,8 +132,8 @@
         # Failures of items as stored, and those that wait for a commit.
         # Entries are replaced, never changed, since a commit without an answer
         # is sent again as it was.
-        self._stored_failures = failures
-        self._unstored_failures: dict[str, ItemFailures] = {}
+        self._stored_failures_by_item = failures_by_item
+        self._unstored_failures_by_item: dict[str, ItemFailures] = {}
         # Set and replaced after each commit.
         self._committed_event = asyncio.Event()
         self._checkpointed_at_s = clock.now()
@@ -208,7 +208,7 @@
         restored = self._restored_checkpoints.pop(item.item_id, None)
         if restored is not None:
             progress.restore(restored)
-        failures = self._stored_failures.get(item.item_id)
+        failures = self._stored_failures_by_item.get(item.item_id)
         if failures is not None:
             progress.failures = deepcopy(failures)
         progress.store_failures = partial(self._store_failures, progress)
@@ -245,8 +245,8 @@
         The next owner would otherwise send it as often once more.
         """
         item_id, failures = progress.item.item_id, deepcopy(progress.failures)
-        self._unstored_failures[item_id] = failures
-        while item_id in self._unstored_failures:
+        self._unstored_failures_by_item[item_id] = failures
+        while item_id in self._unstored_failures_by_item:
             self._wake_event.set()
             await self._committed_event.wait()
 
@@ -262,7 +262,7 @@
             self.job.head.total
         )
         # An owner that dies within the window forgets failures.
-        if self.owned and not complete and not self._unstored_failures:
+        if self.owned and not complete and not self._unstored_failures_by_item:
             await self._clock.sleep(COMMIT_WINDOW_S)
 
     async def _commit(self) -> None:
@@ -295,10 +295,13 @@
         )
         committed.set()
         for failures in commit.failures:
-            self._stored_failures[failures.item_id] = failures
-            if self._unstored_failures.get(failures.item_id) == failures:
-                del self._unstored_failures[failures.item_id]
-        if self._unstored_failures:
+            self._stored_failures_by_item[failures.item_id] = failures
+            if (
+                self._unstored_failures_by_item.get(failures.item_id)
+                == failures
+            ):
+                del self._unstored_failures_by_item[failures.item_id]
+        if self._unstored_failures_by_item:
             self._wake_event.set()
         del self._uncommitted[: len(commit.results)]
         if self._uncommitted:
@@ -330,7 +333,7 @@
         )
         if self._handing_over:
             head = replace(head, owner='', nonce='')
-        failures = list(self._unstored_failures.values())
+        failures = list(self._unstored_failures_by_item.values())
         return Commit(
             head,
             results,
--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -234,9 +234,9 @@
         spec = await self._records.load(job.head.job_id)
         results = await self._records.results(job.head.job_id, 0)
         checkpoints = await self._records.checkpoints(job.head.job_id)
-        failures = await self._records.failures(job.head.job_id)
+        failures_by_item = await self._records.failures(job.head.job_id)
         committed_ids = [result.item_id for result in results]
-        self.start_run(spec, job, committed_ids, checkpoints, failures)
+        self.start_run(spec, job, committed_ids, checkpoints, failures_by_item)
 
     def start_run(
         self,
@@ -244,7 +244,7 @@
         job: VersionedJob,
         committed_ids: list[str],
         checkpoints: dict[str, TextPart],
-        failures: dict[str, ItemFailures],
+        failures_by_item: dict[str, ItemFailures],
     ) -> None:
         age_s = self._jobs_view.age_s(job.head)
         head = job.head
@@ -267,7 +267,7 @@
             job,
             committed_ids,
             checkpoints,
-            failures,
+            failures_by_item,
             age_s,
             items_deadline_at_s,
             self._objective_s(job.head),
