Keep the cost of control of a daemon independent of the size of the fleet

Cause: every daemon read the heartbeat of every other one each second, and polled the tables of endpoints, daemons and jobs up to 32 times a second whatever it did with them. With 195 daemons that is 38,000 rows a second. Ruled out: the store's limits (16,000 reads a second here) do not bind; slower polls alone leave the rows growing with the square of the fleet. Change: daemons announce themselves at changes; heartbeats are rows of their own, in eight partitions, that only the holder of the orders lease and the next two read. The holder announces which daemons are lost; a new holder keeps that list until it has seen a heartbeat. A daemon whose row was removed announces itself again. A daemon that only follows a table reads it every 0.35 s; one that runs jobs, or at which somebody waits for one, reads it as before and at once. Full reads of large tables are rarer. Rows of lost daemons are removed in transactions that the store accepts: 108 or more were rejected for good. The holder and the two next still read all heartbeats.

--- a/anvilcove/control/crashes.py
+++ b/anvilcove/control/crashes.py
@@ -61,7 +61,7 @@
     """
 
     __slots__ = (
-        'on_crash',
+        'on_change',
         '_registry',
         '_probe',
         '_clock',
@@ -83,8 +83,8 @@
         metrics: NodeMetrics,
     ) -> None:
         """Start without counts."""
-        # Called when a crash was counted.
-        self.on_crash: Callable[[], None] = lambda: None
+        # Called when a crash was counted here, or counts were cleared.
+        self.on_change: Callable[[], None] = lambda: None
         self._registry = registry
         self._probe = probe
         self._clock = clock
@@ -179,7 +179,10 @@
         for broken in self._broken_by_endpoint.values():
             broken.request_by_content.pop(content, None)
         self._starts_by_content.pop(content, None)
+        suspected = self._quarantine.open_crashes(content) > 0
         self._quarantine.finished(self._clock.now(), content)
+        if suspected:
+            self.on_change()
 
     def on_failure(
         self,
@@ -278,7 +281,7 @@
         self._quarantine.merge(self._clock.now(), crash)
         for content, request_id in request_by_content.items():
             self._log_decision('crashed', request_id, content, endpoint)
-        self.on_crash()
+        self.on_change()
 
     def _crash_key(self, content: str, address: str, endpoint: str) -> str:
         """Return under which name a crash counts, '' if it does not count.
--- a/anvilcove/control/endpoints.py
+++ b/anvilcove/control/endpoints.py
@@ -83,12 +83,20 @@
 
         With `keep_missing`, deleted entries stay for REANNOUNCE_GRACE_S.
         """
-        for row, entry in entry_by_row.items():
+        # Most changes are heartbeats, which change nothing that is read here.
+        changed = {
+            row: entry
+            for row, entry in entry_by_row.items()
+            if entry != self._entry_by_row.get(row)
+            or row in self._missing_until_s
+        }
+        for row, entry in changed.items():
             if entry is None:
                 self._remove_entry(row, now, keep_missing)
             else:
                 self._set_entry(row, entry)
-        self._publish(now)
+        if changed:
+            self._publish(now)
 
     def expire(self, now: float) -> None:
         """Remove missing entries whose grace period is over."""
--- a/anvilcove/control/nodes.py
+++ b/anvilcove/control/nodes.py
@@ -1,84 +1,51 @@
-"""Announcements of the daemons and the directory that is built of them."""
+"""Directory of the daemons, built from their announcements."""
 
-import asyncio
 import random
 from collections.abc import Callable
 
 from loguru import logger
-from msgspec import Struct, field, msgpack
 
 from anvilcove.control.crashes import ContentCrashes
+from anvilcove.control.node_rows import NodeRow
 from anvilcove.control.row_values import decode_value
 from anvilcove.decisions.succession import fallback_owner, takeover_rank
-from anvilcove.messages.peers import SuspectDigest
-from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
-from anvilcove.ports.store import (
-    RowId,
-    RowTransaction,
-    RowWrite,
-    StoredRow,
-    StorePort,
-)
+from anvilcove.ports.store import StoredRow
 from anvilcove.settings.node import NodeSettings
 from anvilcove.state.clock import Clock
 from anvilcove.state.leases import LeaseWatch
 
-NODES_TABLE = 'nodes'
-HEARTBEAT_PERIOD_S = 1.0
-HEARTBEAT_RETRY_S = 0.3
-# A daemon whose row has not changed for this long gets no new callers.
-PEER_TIMEOUT_S = 3.2
+# A daemon without a sign of life for this long gets no new callers.
+PEER_TIMEOUT_S = 3.0
 # The default owner of new jobs must have sent a heartbeat within this time:
 # a job that is given to a dead daemon starts about 1 s late.
 OWNER_TIMEOUT_S = 1.8
-# Heartbeats for which a daemon counts as recently restarted.
-RECENT_HEARTBEATS = 300
 # Callers accept up to this many addresses in a lookup answer.
 MAX_ADDRESSES = 64
+# The rank in the takeover order is computed from all daemons.
+RANK_PERIOD_S = 1.0
 
 
-class NodeRow(Struct):
-    """Announcement of a daemon.
+class NodeDirectory:
+    """Daemons of the service and whether they are alive.
 
-    `nonce` identifies the process, `beat` counts its heartbeats; `callers`
-    and `peers` are addresses that it listens on.
+    The holder of the orders lease announces which daemons are lost; whether it
+    is alive itself shows in its own row, which it writes at each heartbeat.
     """
 
-    host: str
-    nonce: str
-    data_centre: str
-    region: str
-    callers: str
-    peers: str
-    beat: int
-    leaving: bool
-    # Whether the daemon holds the lease for orders to engines.
-    orders: bool
-    # Version of its desired state, and how long ago it last read the table.
-    desired_state: int = 0
-    desired_state_age_s: float = 0.0
-    # Whether the process before this one on the host had left as planned.
-    planned_restart: bool = False
-    # Crashes of endpoints by content, of all daemons as far as known here.
-    suspects: list[SuspectDigest] = field(default_factory=list)
-
-    @property
-    def recently_restarted(self) -> bool:
-        """Tell whether the daemon was stopped and started a while ago."""
-        return self.planned_restart and self.beat <= RECENT_HEARTBEATS
-
-
-class NodeDirectory:
-    """Daemons of the service and whether they are alive."""
-
     __slots__ = (
         'by_host',
+        'lost_by_host',
+        'is_known',
         'nonce',
         'rows_read_at',
         '_settings',
         '_crashes',
-        '_heartbeat_watch',
-        '_timed_out_hosts',
+        '_clock',
+        '_holder_watch',
+        '_lost_version',
+        '_lost_hosts',
+        '_rank',
+        '_ranked_at_s',
     )
 
     def __init__(
@@ -91,79 +58,88 @@
         """Start without other daemons."""
         self._crashes = crashes
         self.by_host: dict[str, NodeRow] = {}
+        # Nonces of the daemons whose heartbeats have stopped.
+        self.lost_by_host: dict[str, str] = {}
+        # Whether all rows were read once.
+        self.is_known = False
         self.nonce = nonce
         self._settings = settings
+        self._clock = clock
         # Returns the time at which the last answered read was sent.
         self.rows_read_at: Callable[[], float] = clock.now
-        self._heartbeat_watch = LeaseWatch(PEER_TIMEOUT_S)
-        self._timed_out_hosts: set[str] = set()
+        self._holder_watch = LeaseWatch(PEER_TIMEOUT_S)
+        # Version of the row that `lost_by_host` was read from.
+        self._lost_version = 0
+        # Hosts that the log has reported as lost.
+        self._lost_hosts: set[str] = set()
+        self._rank = 0
+        self._ranked_at_s = float('-inf')
 
     def on_rows(self, rows: list[StoredRow], full_read: bool) -> None:
         """Apply rows; `full_read` tells that they are the full table."""
         if full_read:
             self.by_host = {}
+            self.is_known = True
         for row in rows:
             node = decode_value(row, NodeRow)
             if node is None:
                 self.by_host.pop(row.id.key, None)
-            else:
-                self.by_host[node.host] = node
-                self._crashes.merge(node.suspects)
-        self._record_heartbeats()
+                continue
+            self.by_host[node.host] = node
+            self._crashes.merge(node.suspects)
+            if node.orders and row.version > self._lost_version:
+                self._lost_version = row.version
+                self.lost_by_host = node.lost_by_host
+        self._record_holders()
 
     def reset_heartbeat_timers(self) -> None:
         """Restart all timeouts after a time in which no row could be read."""
-        self._heartbeat_watch.reset()
-        self._record_heartbeats()
+        self._holder_watch.reset()
+        self._record_holders()
 
-    def _record_heartbeats(self) -> None:
-        """Restart the timeout of each daemon whose row has changed."""
+    def _record_holders(self) -> None:
         now = self.rows_read_at()
         for node in self.by_host.values():
-            self._heartbeat_watch.expired(
-                node.host, (node.nonce, node.beat), now
-            )
+            if node.orders:
+                self._holder_watch.expired(
+                    node.host, (node.nonce, node.beat), now
+                )
+
+    def other_hosts(self) -> list[str]:
+        """Return the hosts of all other daemons, alive or not."""
+        return [host for host in self.by_host if host != self._settings.host]
 
     def alive(self) -> list[NodeRow]:
-        """Return the other daemons that are neither timed out nor leaving."""
-        # Timeouts run only up to the store's last answer: during an outage
-        # no heartbeat can be read.
-        now = self.rows_read_at()
+        """Return the other daemons that are neither lost nor leaving."""
         found = []
         for node in self.by_host.values():
             if node.host == self._settings.host:
                 continue
-            heartbeat = (node.nonce, node.beat)
-            timed_out = self._heartbeat_watch.expired(
-                node.host, heartbeat, now
-            )
-            self._log_liveness(node.host, timed_out)
-            if not timed_out and not node.leaving:
+            lost = self._is_lost(node)
+            self._log_liveness(node.host, lost)
+            if not lost and not node.leaving:
                 found.append(node)
         return found
 
-    def silent_hosts(self, silent_s: float) -> list[str]:
-        """Return the other hosts whose rows have not changed for so long."""
-        now = self.rows_read_at()
-        return [
-            host
-            for host in self.by_host
-            if host != self._settings.host
-            and self._heartbeat_watch.unrenewed_s(host, now) >= silent_s
-        ]
-
-    def heartbeat_age_s(self, host: str, now: float) -> float:
-        """Return the seconds since a daemon's row last changed."""
-        return round(self._heartbeat_watch.unrenewed_s(host, now), 2)
+    def _is_lost(self, node: NodeRow) -> bool:
+        if self.lost_by_host.get(node.host) == node.nonce:
+            return True
+        if not node.orders:
+            return False
+        # Timeouts run only up to the store's last answer: during an outage
+        # no heartbeat can be read.
+        return self._holder_watch.expired(
+            node.host, (node.nonce, node.beat), self.rows_read_at()
+        )
 
-    def _log_liveness(self, host: str, timed_out: bool) -> None:
-        if timed_out == (host in self._timed_out_hosts):
+    def _log_liveness(self, host: str, lost: bool) -> None:
+        if lost == (host in self._lost_hosts):
             return
-        if timed_out:
-            self._timed_out_hosts.add(host)
+        if lost:
+            self._lost_hosts.add(host)
         else:
-            self._timed_out_hosts.discard(host)
-        state = 'lost' if timed_out else 'regained'
+            self._lost_hosts.discard(host)
+        state = 'lost' if lost else 'regained'
         logger.bind(peer=host, silent_s=PEER_TIMEOUT_S).info(f'peer {state}')
 
     def relay_addresses(self) -> list[str]:
@@ -190,7 +166,7 @@
         """
         now = self.rows_read_at()
         for node in self.alive():
-            age_s = self._heartbeat_watch.unrenewed_s(node.host, now)
+            age_s = self._holder_watch.unrenewed_s(node.host, now)
             if node.orders and age_s < OWNER_TIMEOUT_S:
                 return node
         return None
@@ -233,6 +209,14 @@
             self._restarted_hosts(),
         )
 
+    def takeover_rank_estimate(self) -> int:
+        """Return the rank in the takeover order, at most RANK_PERIOD_S old."""
+        now = self._clock.now()
+        if now - self._ranked_at_s >= RANK_PERIOD_S:
+            self._rank = self.takeover_rank()
+            self._ranked_at_s = now
+        return self._rank
+
     def caller_addresses(
         self, region: str, own_ready: bool, rng: random.Random
     ) -> list[str]:
@@ -250,107 +234,3 @@
         if len(addresses) > MAX_ADDRESSES:
             addresses = rng.sample(addresses, MAX_ADDRESSES)
         return sorted(addresses)
-
-
-class Announcer:
-    """Write the announcement of this daemon periodically."""
-
-    __slots__ = (
-        '_row',
-        '_store',
-        '_clock',
-        '_crashes',
-        '_due_event',
-        '_holds_orders_lease',
-        '_desired_state',
-    )
-
-    def __init__(
-        self,
-        settings: NodeSettings,
-        nonce: str,
-        store: StorePort,
-        crashes: ContentCrashes,
-        clock: Clock,
-        holds_orders_lease: Callable[[], bool],
-        desired_state: Callable[[], tuple[int, float]],
-    ) -> None:
-        """Prepare the row; nothing is written before `run`.
-
-        `desired_state` returns the current version and the seconds since it
-        was last confirmed by a read.
-        """
-        self._row = NodeRow(
-            host=settings.host,
-            nonce=nonce,
-            data_centre=settings.data_centre,
-            region=settings.region,
-            callers=settings.listeners.callers,
-            peers=settings.listeners.peers,
-            beat=0,
-            leaving=False,
-            orders=False,
-        )
-        self._holds_orders_lease = holds_orders_lease
-        self._desired_state = desired_state
-        self._store = store
-        self._crashes = crashes
-        self._due_event = asyncio.Event()
-        self._clock = clock
-
-    async def run(self) -> None:
-        """Write a heartbeat every HEARTBEAT_PERIOD_S, without end."""
-        await self._read_former_row()
-        while True:
-            self._due_event.clear()
-            written = await self.write_heartbeat()
-            period_s = HEARTBEAT_PERIOD_S if written else HEARTBEAT_RETRY_S
-            try:
-                async with asyncio.timeout(period_s):
-                    await self._due_event.wait()
-            except TimeoutError:
-                continue
-
-    def write_soon(self) -> None:
-        """Write the next heartbeat as soon as the last one has ended."""
-        self._due_event.set()
-
-    async def _read_former_row(self) -> None:
-        """Continue from the row of the process before this one."""
-        host = self._row.host
-        try:
-            page = await self._store.read_range(
-                NODES_TABLE, '', host, host + '\0'
-            )
-        except (StoreUnavailable, StoreAnswerLost) as error:
-            logger.bind(reason=str(error)).info('former row not read')
-            return
-        former = decode_value(page.rows[0], NodeRow) if page.rows else None
-        if former is not None:
-            self._row.planned_restart = former.leaving
-            self._crashes.merge(former.suspects)
-
-    async def leave(self) -> None:
-        """Announce that this daemon is leaving; try up to twice."""
-        self._row.leaving = True
-        if not await self.write_heartbeat():
-            await self.write_heartbeat()
-
-    async def write_heartbeat(self) -> bool:
-        """Write the row once; return whether it was acknowledged."""
-        self._row.beat += 1
-        self._row.suspects = self._crashes.digests()
-        self._row.orders = self._holds_orders_lease()
-        version, age_s = self._desired_state()
-        self._row.desired_state = version
-        self._row.desired_state_age_s = round(age_s, 2)
-        row_id = RowId(NODES_TABLE, '', self._row.host)
-        value = msgpack.encode(self._row)
-        try:
-            await self._store.transact(
-                RowTransaction(writes=[RowWrite(row_id, value)])
-            )
-        except (StoreUnavailable, StoreAnswerLost) as error:
-            logger.bind(reason=str(error)).debug('heartbeat not acknowledged')
-            return False
-        return True
--- a/anvilcove/control/watch.py
+++ b/anvilcove/control/watch.py
@@ -23,6 +23,11 @@
 RETRY_DELAY_S = 0.15
 # A full table read takes place this often, whatever the watch has delivered.
 FULL_READ_PERIOD_S = 10.0
+# Full reads of large tables take place less often: they transfer no more than
+# this many rows a second.
+FULL_READ_ROWS_PER_S = 2.0
+# How often a watch that is not needed looks whether it is.
+UNNEEDED_CHECK_S = 0.3
 # A full read waits this long for the slowest of several partitions.
 PARTITION_WAIT_S = 0.6
 # A later answer to a long poll counts as an outage of the store.
@@ -61,7 +66,10 @@
         '_on_gap',
         '_unread_partitions',
         '_task_by_partition',
+        '_full_read_period_s',
+        '_wake_event',
         'pause_s',
+        'is_needed',
         'long_poll_s',
     )
 
@@ -99,6 +107,10 @@
         self.long_poll_s = LONG_POLL_S
         # Returns the seconds between two calls.
         self.pause_s: Callable[[], float] = lambda: POLL_PAUSE_S
+        # Tells whether the table is read at all.
+        self.is_needed: Callable[[], bool] = lambda: True
+        self._full_read_period_s = FULL_READ_PERIOD_S
+        self._wake_event = asyncio.Event()
         # When the last answer arrived, None before the first one.
         self._received_at_s: float | None = None
 
@@ -106,6 +118,10 @@
         """Return the seconds since the last answered call was sent."""
         return self._clock.now() - self.answered_at_s
 
+    def wake(self) -> None:
+        """End a pause between two calls."""
+        self._wake_event.set()
+
     async def run(self) -> None:
         """Read the table and its changes, without end."""
         try:
@@ -117,15 +133,19 @@
     async def _follow(self) -> None:
         full_read_at_s = float('-inf')
         while True:
+            if not self.is_needed():
+                full_read_at_s = float('-inf')
+                await self._clock.sleep(UNNEEDED_CHECK_S)
+                continue
             try:
                 now = self._clock.now()
-                if now - full_read_at_s >= FULL_READ_PERIOD_S:
+                if now - full_read_at_s >= self._full_read_period_s:
                     await self._read_all()
                     full_read_at_s = now + self._rng.uniform(0.0, 1.0)
                 else:
                     self._start_reading_unread()
                     await self._read_changes()
-                await self._clock.sleep(self.pause_s())
+                await self._pause()
             except HistoryLost:
                 logger.bind(table=self.table, version=self.version).info(
                     'table history lost, full read follows'
@@ -139,6 +159,15 @@
                     self._rng.uniform(0.5, 1.5) * RETRY_DELAY_S
                 )
 
+    async def _pause(self) -> None:
+        """Wait for the time between two calls, or until `wake`."""
+        self._wake_event.clear()
+        try:
+            async with asyncio.timeout(self.pause_s()):
+                await self._wake_event.wait()
+        except TimeoutError:
+            return
+
     async def _read_all(self) -> None:
         """Read all partitions; apply what was read if some do not answer."""
         sent_at_s = self._clock.now()
@@ -172,6 +201,9 @@
         self.version = max(min(p.version for p in pages), self.version)
         self._record_answer(sent_at_s)
         rows = [row for page in pages for row in page.rows]
+        self._full_read_period_s = max(
+            FULL_READ_PERIOD_S, len(rows) / FULL_READ_ROWS_PER_S
+        )
         self._on_rows(rows, not self._unread_partitions)
 
     def _start_reading_unread(self) -> None:
--- a/anvilcove/jobs/board.py
+++ b/anvilcove/jobs/board.py
@@ -25,6 +25,7 @@
         'ended',
         'changed',
         'observed_s',
+        'on_wait',
         '_clock',
         '_seen_at_s_by_id',
         '_lease_watch',
@@ -42,6 +43,8 @@
         self.changed = asyncio.Event()
         # Returns the time for which changes of the table were seen in time.
         self.observed_s: Callable[[], float] = clock.now
+        # Called when somebody starts to wait for a change.
+        self.on_wait: Callable[[], None] = lambda: None
         self._lease_watch = LeaseWatch(LEASE_S)
         self._listeners: dict[str, set[asyncio.Event]] = {}
 
@@ -120,11 +123,17 @@
             )
         )
 
+    @property
+    def awaited(self) -> bool:
+        """Tell whether somebody waits for a change of a job."""
+        return bool(self._listeners)
+
     async def wait_for_change(self, job_id: str, wait_s: float) -> None:
         """Wait until the row of a job changes or `wait_s` is over."""
         event = asyncio.Event()
         listeners = self._listeners.setdefault(job_id, set())
         listeners.add(event)
+        self.on_wait()
         try:
             async with asyncio.timeout(wait_s):
                 await event.wait()
--- a/anvilcove/jobs/intake.py
+++ b/anvilcove/jobs/intake.py
@@ -8,7 +8,8 @@
 from loguru import logger
 from msgspec.structs import replace
 
-from anvilcove.control.nodes import NodeDirectory, NodeRow
+from anvilcove.control.node_rows import NodeRow
+from anvilcove.control.nodes import NodeDirectory
 from anvilcove.control.watch import TableWatch
 from anvilcove.jobs.board import JobsView
 from anvilcove.jobs.owner import JobOwner
--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -125,8 +125,9 @@
             self._stop_ended()
             if self.closing or self._watch.age_s() > MAX_VIEW_AGE_S:
                 continue
-            if self._desired.current is None:
-                # The lifetime of items is not known yet.
+            if self._desired.current is None or not self._nodes.is_known:
+                # The lifetime of items or the contents that crash engines are
+                # not known yet.
                 continue
             self._take_over_assigned()
             for job in self._jobs_view.abandoned():
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -8,14 +8,22 @@
 
 from msgspec import Struct
 
+from anvilcove.control.announcer import Announcer
 from anvilcove.control.crashes import ContentCrashes
 from anvilcove.control.desired import DesiredStateView
 from anvilcove.control.endpoints import EndpointRegistry
+from anvilcove.control.failure_detector import FailureDetector
 from anvilcove.control.leases import Lease
+from anvilcove.control.node_rows import (
+    HEARTBEAT_PARTITIONS,
+    HEARTBEATS_TABLE,
+    NODES_TABLE,
+)
 from anvilcove.control.node_sweep import NodeSweeper
-from anvilcove.control.nodes import NODES_TABLE, Announcer, NodeDirectory
+from anvilcove.control.nodes import NodeDirectory
 from anvilcove.control.versions import VersionUpdater
-from anvilcove.control.watch import OnGap, OnRows, TableWatch, poll_pause_s
+from anvilcove.control.watch import OnGap, OnRows, TableWatch
+from anvilcove.control.watch_pace import FOLLOWER_PAUSE_S, WatchPace
 from anvilcove.jobs.board import JobsView
 from anvilcove.jobs.engine_slots import EngineSlots
 from anvilcove.jobs.intake import JobIntake
@@ -48,6 +56,8 @@
 # Wait of the store for a change of a job, which bounds the time until an owner
 # that renews no row is noticed.
 JOBS_LONG_POLL_S = 0.3
+# The same for heartbeats: it bounds the time until a lost daemon is noticed.
+HEARTBEATS_LONG_POLL_S = 0.3
 ORDERS_LEASE = 'versions'
 
 
@@ -95,16 +105,12 @@
         self.nodes = NodeDirectory(
             settings, self.crashes, dependencies.clock, nonce
         )
+        self.detector = FailureDetector(
+            self.nodes, dependencies.clock, self._holds_orders_lease
+        )
         self.jobs_view = JobsView(dependencies.clock)
         self.watches = self._build_watches()
-        nodes_watch = self.watches['nodes']
-        self.nodes.rows_read_at = lambda: nodes_watch.answered_at_s
-        jobs_watch = self.watches['jobs']
-        jobs_watch.long_poll_s = JOBS_LONG_POLL_S
-        self.jobs_view.observed_s = lambda: jobs_watch.observed_s
-        # Steps wait for changes of these two tables.
-        for name in ('operator', 'jobs'):
-            self.watches[name].pause_s = self._busy_poll_pause_s
+        self._set_watch_pace()
         self._build_requests()
         self._build_jobs()
         self._build_control()
@@ -130,6 +136,7 @@
             self.slots.run(),
             self.owner.run(),
             self.sweeper.run(),
+            self.detector.run(),
             self.node_sweeper.run(),
             self.crashes.run(),
             self._expire_endpoints(),
@@ -176,6 +183,12 @@
                 self.nodes.on_rows,
                 self.nodes.reset_heartbeat_timers,
             ),
+            'heartbeats': watch(
+                HEARTBEATS_TABLE,
+                HEARTBEAT_PARTITIONS,
+                self.detector.on_rows,
+                self.detector.reset,
+            ),
             'jobs': watch(
                 JOBS_TABLE,
                 PARTITIONS,
@@ -184,6 +197,29 @@
             ),
         }
 
+    def _set_watch_pace(self) -> None:
+        self.pace = pace = WatchPace(
+            self.settings, self.nodes, self._holds_orders_lease
+        )
+        pace.has_job_work = self._has_job_work
+        watches = self.watches
+        nodes_watch, jobs_watch = watches['nodes'], watches['jobs']
+        heartbeats_watch = watches['heartbeats']
+        watches['operator'].pause_s = pace.operator_pause_s
+        watches['endpoints'].pause_s = pace.endpoints_pause_s
+        jobs_watch.pause_s = pace.jobs_pause_s
+        jobs_watch.long_poll_s = JOBS_LONG_POLL_S
+        nodes_watch.pause_s = lambda: FOLLOWER_PAUSE_S
+        heartbeats_watch.is_needed = pace.is_standby
+        heartbeats_watch.long_poll_s = HEARTBEATS_LONG_POLL_S
+        self.nodes.rows_read_at = lambda: nodes_watch.answered_at_s
+        self.detector.rows_read_at = lambda: heartbeats_watch.answered_at_s
+        self.jobs_view.observed_s = lambda: jobs_watch.observed_s
+        self.jobs_view.on_wait = jobs_watch.wake
+
+    def _has_job_work(self) -> bool:
+        return bool(self.owner.runs) or self.jobs_view.awaited
+
     def _build_requests(self) -> None:
         dependencies = self._dependencies
         self.pools = EndpointPools(
@@ -282,13 +318,15 @@
             self.nonce,
             dependencies.store,
             self.crashes,
+            self.nodes,
             dependencies.clock,
             self._holds_orders_lease,
             self._desired_state,
         )
-        self.crashes.on_crash = self.announcer.write_soon
+        self.crashes.on_change = self.announcer.announce_soon
+        self.detector.on_change = self.announcer.announce_soon
         self.node_sweeper = NodeSweeper(
-            self.nodes,
+            self.detector,
             dependencies.store,
             dependencies.clock,
             self._holds_orders_lease,
@@ -314,11 +352,6 @@
             self.jobs_view.tokens_of_model,
         )
 
-    def _busy_poll_pause_s(self) -> float:
-        return poll_pause_s(
-            len(self.nodes.by_host), self.settings.store.reads_per_s
-        )
-
     def _log_context(self) -> dict[str, float]:
         """Return version and age of the state that decisions are based on."""
         version, age_s = self._desired_state()
--- a/anvilcove/node/status.py
+++ b/anvilcove/node/status.py
@@ -1,6 +1,7 @@
 """Status report of a daemon for operators."""
 
 from collections import Counter
+from math import isfinite
 from typing import Any
 
 from anvilcove.node.parts import NodeComponents
@@ -24,17 +25,17 @@
         'age_by_table': {
             table: round(watch.age_s(), 3)
             for table, watch in components.watches.items()
+            # Not every daemon reads every table.
+            if isfinite(watch.age_s())
         },
-        'hosts': _hosts(components, now),
+        'hosts': _hosts(components),
         'endpoints': _endpoints(components, now),
         'models': _models(components),
         'jobs': _jobs(components),
     }
 
 
-def _hosts(
-    components: NodeComponents, now: float
-) -> dict[str, dict[str, Any]]:
+def _hosts(components: NodeComponents) -> dict[str, dict[str, Any]]:
     alive = {node.host for node in components.nodes.alive()}
     found = {}
     for host, node in sorted(components.nodes.by_host.items()):
@@ -47,7 +48,6 @@
             'gives_orders': node.orders,
             'desired_state': node.desired_state,
             'desired_state_age_s': node.desired_state_age_s,
-            'seen_s_ago': components.nodes.heartbeat_age_s(host, now),
         }
     return found
 
--- a/anvilcove/standins/memory_store.py
+++ b/anvilcove/standins/memory_store.py
@@ -1,6 +1,7 @@
 """In-memory implementation of the store port with fault injection."""
 
 import asyncio
+from bisect import bisect_right
 from collections.abc import Callable
 
 from anvilcove.ports.errors import (
@@ -21,6 +22,8 @@
 RESPONSE_TIME_S = 0.004
 LOST_RESPONSE_DELAY_S = 1.0
 SILENCE_CHECK_S = 0.05
+# Entries that a transaction may have.
+MAX_ENTRIES = 100
 
 
 class StoreFaults:
@@ -62,6 +65,7 @@
     async def transact(self, change: RowTransaction) -> TransactionOutcome:
         """Apply a transaction, or raise StoreAnswerLost if selected."""
         await self._simulate_call()
+        _check_limits(change)
         if self.faults.lose(change):
             if self.faults.apply_lost:
                 if self.faults.delay_s:
@@ -106,11 +110,7 @@
         while True:
             if after < self.history_start_version:
                 raise HistoryLost(table)
-            rows = [
-                row
-                for row in self.history
-                if row.id.table == table and row.version > after
-            ]
+            rows = self._rows_since(table, after)
             version = self.version
             remaining_s = deadline_at_s - self._loop.time()
             if rows or remaining_s <= 0:
@@ -124,6 +124,11 @@
                 # The loop runs timers early by up to its clock resolution.
                 deadline_at_s = self._loop.time()
 
+    def _rows_since(self, table: str, after: int) -> list[StoredRow]:
+        """Return the changes of a table after a version, oldest first."""
+        start = bisect_right(self.history, after, key=lambda row: row.version)
+        return [row for row in self.history[start:] if row.id.table == table]
+
     async def put_object(self, name: str, data: bytes) -> None:
         """Write an object or raise ObjectExists."""
         await self._simulate_call()
@@ -183,3 +188,15 @@
     def _current(self, row_id: RowId) -> StoredRow:
         value, version = self.rows.get(row_id, (None, 0))
         return StoredRow(row_id, value, version)
+
+
+def _check_limits(change: RowTransaction) -> None:
+    """Reject a transaction that is too large or covers several partitions."""
+    parts = {check.id.part for check in change.checks}
+    parts |= {write.id.part for write in change.writes}
+    parts |= {row.part for row in change.removals}
+    entries = len(change.checks) + len(change.writes) + len(change.removals)
+    if entries > MAX_ENTRIES or len(parts) > 1:
+        raise StoreUnavailable(
+            f'rejected: {entries} entries in {len(parts)} partitions'
+        )
--- a/features/steps/memory_site.py
+++ b/features/steps/memory_site.py
@@ -94,6 +94,8 @@
         self.servers = MemoryServers(self.crashes)
         self.streams = MemoryStreams(self.crashes)
         self.server_addresses = [f'10.1.0.{i}:80' for i in range(servers)]
+        # Wraps the store for the daemon of a name.
+        self.wrap_store = lambda name: self.store
         self.daemons = {}
         self.clocks = {}
         self.tasks = {}
@@ -134,7 +136,7 @@
             settings_of(name),
             nonce or f'{name}-{seed}',
             Dependencies(
-                store=self.store,
+                store=self.wrap_store(name),
                 servers=self.servers,
                 streams=self.streams,
                 engines=self.engine_client,
