Look at waiting items by their needs, and do not wake up without work

Cause: each released slot popped and pushed all waiting items (600 with three trainers), and daemons without items woke up 20 times a second to assign none. Ruled out: choosing an engine was done once per need already; the copies of the heap remained. Change: a queue per need; items of other needs no longer wait for the next poll when an engine is free; the loops of daemons without work wait for work, and look for orders every 0.3 s.

--- a/anvilcove/control/versions.py
+++ b/anvilcove/control/versions.py
@@ -30,6 +30,8 @@
 from anvilcove.telemetry.logs import DECISION
 
 POLL_PERIOD_S = 0.1
+# Period of a daemon that does not hold the lease.
+IDLE_POLL_PERIOD_S = 0.3
 # An order that was not answered may still be executed; after this time the
 # engine has announced its new order count.
 ORDER_RETRY_S = 1.0
@@ -125,10 +127,11 @@
         while True:
             if self._lease.fence() is not None:
                 await self.order_loads()
+                await self._clock.sleep(POLL_PERIOD_S)
             else:
                 self._orders.clear()
                 self._order_count_by_endpoint.clear()
-            await self._clock.sleep(POLL_PERIOD_S)
+                await self._clock.sleep(IDLE_POLL_PERIOD_S)
 
     async def order_loads(self) -> None:
         """Send the load orders that are allowed now."""
--- a/anvilcove/jobs/engine_slots.py
+++ b/anvilcove/jobs/engine_slots.py
@@ -1,13 +1,10 @@
 """Assign the items of batch jobs to slots of engines."""
 
 import asyncio
-import heapq
-import itertools
 import random
 from collections import OrderedDict
 
 from loguru import logger
-from msgspec import Struct
 
 from anvilcove.control.endpoints import EndpointEntry, EndpointRegistry
 from anvilcove.decisions.item_moves import (
@@ -21,6 +18,7 @@
     choose_engine,
 )
 from anvilcove.jobs.engine_records import EngineRecords, relative_paces
+from anvilcove.jobs.slot_queue import EngineRequirements, NeedKey, SlotQueue
 from anvilcove.state.clock import Clock
 from anvilcove.telemetry.logs import DECISION
 
@@ -30,26 +28,6 @@
 MAX_REMEMBERED_GROUPS = 2_000
 
 
-class EngineRequirements(Struct):
-    """Requirements of an item for its engine.
-
-    `excluded` holds the endpoints at which the item has failed. `group` names
-    the items that share a prompt, which one engine may have cached. A
-    `long_item` will probably decide when its step ends. The item started at
-    `started_at_s` and is due within `objective_s`.
-    """
-
-    service: str
-    model: str
-    min_version: int
-    group: str
-    excluded: set[str]
-    long_item: bool = True
-    expected_events: float = 0.0
-    started_at_s: float = 0.0
-    objective_s: float = 0.0
-
-
 class RunHandle:
     """Handle of a running item, to move it to another engine."""
 
@@ -97,10 +75,10 @@
         '_rng',
         'engine_records',
         '_waiting',
-        '_sequence',
         '_engine_by_group',
         '_runs',
         '_used_at_s_by_model',
+        '_work_event',
     )
 
     def __init__(
@@ -111,23 +89,20 @@
         self._clock = clock
         self._rng = rng
         self.engine_records = EngineRecords(registry, clock)
-        self._waiting: list[
-            tuple[
-                tuple[float, ...],
-                int,
-                EngineRequirements,
-                'asyncio.Future[EndpointEntry]',
-            ]
-        ] = []
-        self._sequence = itertools.count()
+        self._waiting = SlotQueue()
         self._engine_by_group: OrderedDict[str, str] = OrderedDict()
         self._runs: dict[str, RunHandle] = {}
         # When an item of a model last held or waited for a slot.
         self._used_at_s_by_model: dict[str, float] = {}
+        # Set when an item asks for a slot or begins to run.
+        self._work_event = asyncio.Event()
 
     async def run(self) -> None:
         """Assign slots and move items off slow engines until cancelled."""
         while True:
+            if not self._waiting and not self._runs:
+                self._work_event.clear()
+                await self._work_event.wait()
             self.assign_waiting()
             self._move_stragglers()
             self.engine_records.prune()
@@ -141,15 +116,15 @@
         The caller must call `release` afterwards.
         """
         self._used_at_s_by_model[requirements.model] = self._clock.now()
-        if not self._waiting:
+        self._work_event.set()
+        if not self._waiting.awaits(requirements):
             entry = self._try_assign(requirements, self._paces())
             if entry is not None:
                 return entry
         future: asyncio.Future[EndpointEntry] = (
             asyncio.get_running_loop().create_future()
         )
-        waiter = (rank, next(self._sequence), requirements, future)
-        heapq.heappush(self._waiting, waiter)
+        self._waiting.add(rank, requirements, future)
         try:
             return await future
         except asyncio.CancelledError:
@@ -202,34 +177,18 @@
         if not self._waiting:
             return
         paces = self._paces()
-        unassigned = []
-        unavailable: set[tuple[str, str, int, bool]] = set()
-        while self._waiting:
-            waiter = heapq.heappop(self._waiting)
-            _, _, requirements, future = waiter
-            if future.done():
-                continue
-            key = (
-                requirements.service,
-                requirements.model,
-                requirements.min_version,
-                requirements.long_item,
-            )
-            entry = None
-            if key not in unavailable or requirements.excluded:
-                entry = self._try_assign(requirements, paces)
+        unavailable: set[NeedKey] = set()
+        while waiter := self._waiting.first(unavailable):
+            entry = self._try_assign(waiter.requirements, paces)
             if entry is not None:
-                future.set_result(entry)
-                continue
-            if not requirements.excluded:
-                unavailable.add(key)
-            unassigned.append(waiter)
-        for waiter in unassigned:
-            heapq.heappush(self._waiting, waiter)
+                waiter.future.set_result(entry)
+            else:
+                unavailable.add(waiter.requirements.key())
 
     def register_run(self, handle: RunHandle) -> None:
         """Add a run that may be moved."""
         self._runs[handle.item_id] = handle
+        self._work_event.set()
 
     def unregister_run(self, handle: RunHandle) -> None:
         """Remove a run that has ended."""
--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -12,12 +12,12 @@
 from anvilcove.control.endpoints import EndpointEntry
 from anvilcove.jobs.engine_records import IntervalMeter
 from anvilcove.jobs.engine_slots import (
-    EngineRequirements,
     EngineSlots,
     RunHandle,
 )
 from anvilcove.jobs.progress import ItemProgress, ItemRun
 from anvilcove.jobs.reward_calls import RewardCalls
+from anvilcove.jobs.slot_queue import EngineRequirements
 from anvilcove.jobs.types import ItemResult, JobSpec
 from anvilcove.ports.engines import (
     VERSION_WITHOUT_EVENTS,
