Space full reads of a table by its size in bytes

Cause: a desired state of 1,400 routes has 246 KB; each of 195 daemons read and decoded it again every 10 s, whatever had changed. Ruled out: dropping full reads; they are the net under a watch that missed a change. Change: a full read follows after 10 s or after as many seconds as the table has 500 bytes, whichever is later.

--- a/anvilcove/control/watch.py
+++ b/anvilcove/control/watch.py
@@ -23,9 +23,11 @@
 RETRY_DELAY_S = 0.15
 # A full table read takes place this often, whatever the watch has delivered.
 FULL_READ_PERIOD_S = 10.0
-# Full reads of large tables take place less often: they transfer no more than
-# this many rows a second.
-FULL_READ_ROWS_PER_S = 2.0
+# Full reads of large tables take place less often, so that they transfer no
+# more than this in the mean.
+FULL_READ_BYTES_PER_S = 500.0
+# Size of a row in an answer without its value.
+ROW_OVERHEAD_BYTES = 100
 # How often a watch that is not needed looks whether it is.
 UNNEEDED_CHECK_S = 0.3
 # A full read waits this long for the slowest of several partitions.
@@ -201,8 +203,9 @@
         self.version = max(min(p.version for p in pages), self.version)
         self._record_answer(sent_at_s)
         rows = [row for page in pages for row in page.rows]
+        size = sum(len(row.value or b'') + ROW_OVERHEAD_BYTES for row in rows)
         self._full_read_period_s = max(
-            FULL_READ_PERIOD_S, len(rows) / FULL_READ_ROWS_PER_S
+            FULL_READ_PERIOD_S, size / FULL_READ_BYTES_PER_S
         )
         self._on_rows(rows, not self._unread_partitions)
 
