End streams whose events have stopped

Cause: a stream to a caller had no limit between its events; a server that sent a comment now and then, or nothing, held its slot and its caller's connection for ever. Ruled out: items of batch jobs have a limit per whole event already; a limit on the whole stream would cut slow but sound ones. Change: a stream fails after 5 s or 8 objectives without a whole event, whichever is longer, more than twice what callers accept; it is resumed elsewhere where that is allowed, else its connection ends without a complete answer. Time that the caller takes to read does not count.

--- a/anvilcove/proxy/streams.py
+++ b/anvilcove/proxy/streams.py
@@ -1,7 +1,9 @@
 """Forward streamed answers; resume broken ones at other endpoints."""
 
+import asyncio
 import random
-from collections.abc import Awaitable
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable
+from contextlib import aclosing
 
 from loguru import logger
 
@@ -22,7 +24,7 @@
     EndpointRefused,
 )
 from anvilcove.ports.servers import CallerAnswer, CallerRequest
-from anvilcove.ports.streams import StreamClient, StreamSink
+from anvilcove.ports.streams import StreamClient, StreamPiece, StreamSink
 from anvilcove.proxy.forwarder import MAX_NOT_RUN_SENDS, choose_service
 from anvilcove.proxy.outcomes import bad_gateway, crash_refusal, refusal
 from anvilcove.proxy.pools import EndpointPools
@@ -32,6 +34,10 @@
 
 # Share of the objective that a stream may wait for a slot.
 MAX_WAIT_SHARE = 0.2
+# A stream has stalled if no event arrives for this long, or for this multiple
+# of the objective if that is more. Callers give up after less than half of it.
+MIN_STALL_S = 5.0
+STALL_OBJECTIVES = 8.0
 
 
 class StreamBroken(Exception):
@@ -186,13 +192,39 @@
             if not progress.started:
                 progress.started = True
                 await _to_caller(sink.start(answer.status, answer.headers))
-            async for piece in answer.pieces:
-                if not progress.received_pieces:
-                    progress.received_pieces = True
-                    self._crashes.finished(progress.content)
-                await _to_caller(sink.write(piece.data))
-                if piece.event_id is not None:
-                    progress.last_event_id = piece.event_id
+            pieces = self._without_stall(answer.pieces, route)
+            async with aclosing(pieces):
+                async for piece in pieces:
+                    if not progress.received_pieces:
+                        progress.received_pieces = True
+                        self._crashes.finished(progress.content)
+                    await _to_caller(sink.write(piece.data))
+                    if piece.event_id is not None:
+                        progress.last_event_id = piece.event_id
+
+    async def _without_stall(
+        self, pieces: AsyncIterator[StreamPiece], route: Route
+    ) -> AsyncGenerator[StreamPiece, None]:
+        """Yield the pieces; raise EndpointFailed if the events stop.
+
+        Only whole events count, not comments that keep a connection alive.
+        The time that the caller takes to read does not count.
+        """
+        limit_s = max(MIN_STALL_S, STALL_OBJECTIVES * route.objective_s)
+        patience_s = limit_s
+        while True:
+            waits_since_s = self._clock.now()
+            try:
+                async with asyncio.timeout(patience_s):
+                    piece = await anext(pieces)
+            except StopAsyncIteration:
+                return
+            except TimeoutError as error:
+                raise EndpointFailed(f'no event for {limit_s} s') from error
+            waited_s = self._clock.now() - waits_since_s
+            has_event = piece.event_id is not None
+            patience_s = limit_s if has_event else patience_s - waited_s
+            yield piece
 
     async def _acquire_slot(
         self,
--- a/anvilcove/standins/memory_engines.py
+++ b/anvilcove/standins/memory_engines.py
@@ -27,6 +27,8 @@
 from anvilcove.ports.streams import StreamAnswer, StreamPiece
 from anvilcove.standins.memory_crashes import MemoryCrashes
 
+# Period of the comments of a stalled stream.
+COMMENT_PERIOD_S = 0.5
 EVENT_PERIOD_S = 0.04
 VERSION_LOAD_TIME_S = 0.9
 SERVICE_TIME_S = 0.03
@@ -242,6 +244,9 @@
         self.break_first: int | None = None
         # Number of events after which each stream of a service fails.
         self.break_after: dict[str, int] = {}
+        # Number of events after which the first stream sends only comments.
+        self.stall_first: int | None = None
+        self.event_period_s = EVENT_PERIOD_S
         self.runs: list[tuple[str, int | None]] = []
 
     @asynccontextmanager
@@ -266,8 +271,12 @@
     async def _pieces(
         self, address: str, after: int
     ) -> AsyncIterator[StreamPiece]:
+        stall_after, self.stall_first = self.stall_first, None
         for number in range(after + 1, self.events + 1):
-            await self.crashes.work(address, EVENT_PERIOD_S)
+            while stall_after is not None and number > stall_after:
+                await self.crashes.work(address, COMMENT_PERIOD_S)
+                yield StreamPiece(b': still here\n\n')
+            await self.crashes.work(address, self.event_period_s)
             if number > self.break_after.get(address, self.events):
                 raise EndpointCrashed('broken off by the test')
             data = f'id: {number}\ndata: {number}\n\n'.encode()
--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -129,6 +129,32 @@
     When a stream is requested from daemon a 1 times
     Then the stream is reported as broken after event 3 and ran once
 
+  Scenario: A stalled stream that sends comments is resumed elsewhere
+    Guards against a stream that never ends because its server sends a few
+    bytes now and then.
+    Given a platform with 1 engines and daemons a, b and c
+    And the shop route serves streams that may be resumed
+    And the first service asked for a stream sends only comments after 3 events
+    When a stream with a deadline of 20 s is requested from daemon a
+    Then the stream has the events 1 to 6, each once, of two runs
+
+  Scenario: A stalled stream that may not be resumed ends as broken
+    Guards against a slot that a stalled stream holds for ever.
+    Given a platform with 1 engines and daemons a, b and c
+    And the shop route serves streams that may not be resumed
+    And the first service asked for a stream sends only comments after 3 events
+    When a stream with a deadline of 20 s is requested from daemon a
+    Then the stream is reported as broken after event 3 and ran once
+
+  Scenario: A slow stream is not cut while its events arrive
+    Guards against a stream that is cut at the deadline of its request, or at a
+    pause that its caller accepts.
+    Given a platform with 1 engines and daemons a, b and c
+    And the shop route serves streams that may be resumed
+    And services that send an event of a stream every 4 s
+    When a stream with a deadline of 10 s is requested from daemon a
+    Then the stream has the events 1 to 6 of a single run
+
   Scenario: A daemon that knows no endpoints yet refuses requests
     Guards against an age of what was never read, which no log line can bear:
     the request ended with an exception after it had been refused.
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -267,8 +267,37 @@
         site.streams.break_after[address] = count
 
 
+@given(
+    'the first service asked for a stream sends only comments after '
+    '{count:d} events'
+)
+def stall_first(context, count):
+    """Let only the first stream stall."""
+    context.memory.streams.stall_first = count
+
+
+@given('services that send an event of a stream every {period_s:g} s')
+def slow_streams(context, period_s):
+    """Let all streams be slow."""
+    context.memory.streams.event_period_s = period_s
+
+
 @when('a stream is requested from daemon {name} {count:d} times')
 def ask_streams(context, name, count):
+    """Request streams one after another and keep data and errors."""
+    request_streams(context, name, count, 5.0)
+
+
+@when(
+    'a stream with a deadline of {deadline_s:g} s is requested from daemon '
+    '{name}'
+)
+def ask_stream(context, deadline_s, name):
+    """Request one stream."""
+    request_streams(context, name, 1, deadline_s)
+
+
+def request_streams(context, name, count, deadline_s):
     """Request streams one after another and keep data and errors."""
     site = context.memory
     service = site.daemons[name].service
@@ -277,7 +306,7 @@
     async def ask(number):
         sink = RecordingSink()
         context.sinks.append(sink)
-        request = shop_request(site, number, 5.0)
+        request = shop_request(site, number, deadline_s)
         route = service.route(HOST, request.path)
         try:
             answer = await service.stream(request, route, sink)
@@ -301,6 +330,31 @@
     assert any(after for _, after in context.memory.streams.runs)
 
 
+@then('the stream has the events {first:d} to {last:d} of a single run')
+def check_single_run(context, first, last):
+    """Compare the received bytes and check that nothing was resumed."""
+    numbers = range(first, last + 1)
+    expected = b''.join(f'id: {n}\ndata: {n}\n\n'.encode() for n in numbers)
+    assert not context.stream_errors, context.stream_errors
+    assert context.sinks[0].data == expected, context.sinks[0].data
+    assert len(context.memory.streams.runs) == 1
+
+
+@then(
+    'the stream has the events {first:d} to {last:d}, each once, of two runs'
+)
+def check_two_runs(context, first, last):
+    """Check the events of the received bytes, without the comments."""
+    assert not context.stream_errors, context.stream_errors
+    numbers = [
+        int(line.removeprefix(b'id: '))
+        for line in context.sinks[0].data.splitlines()
+        if line.startswith(b'id: ')
+    ]
+    assert numbers == list(range(first, last + 1)), numbers
+    assert len(context.memory.streams.runs) == 2
+
+
 @then('the stream is reported as broken after event {number:d} and ran once')
 def check_broken(context, number):
     """Check the reported error and that the stream was not repeated."""
