Test that reads at following daemons show results of half a second ago

Cause: daemons that only follow the table of jobs read it every 0.35 s, so that a read without a wait could show old results. Ruled out: a lower limit of the age of the view; the check passes without it. Change: a scenario with a bound of 0.5 s, half the period at which trainers read. Conclusion: no code changed.

--- a/features/fleet_control.feature
+++ b/features/fleet_control.feature
@@ -74,6 +74,14 @@
     When a follower waits for a change of the job 20 times
     Then it learned of each change within 0.2 s
 
+  Scenario: A read that does not wait shows results of half a second ago
+    Guards against a trainer that is told of no results by daemons that only
+    follow, each of which has read the table of jobs some time ago.
+    Given a platform with 2 engines and a fleet of 12 daemons
+    And a batch job at the first daemon that takes a few seconds
+    When the results are read without a wait, 60 times at followers in turn
+    Then each read has all results that were stored 0.5 s before
+
   Scenario: Waiting items are looked at by what they need
     Guards against a search through all waiting items at each released slot, as
     with several trainers that wait for the engines of one pool.
--- a/features/steps/fleet_control_steps.py
+++ b/features/steps/fleet_control_steps.py
@@ -12,6 +12,7 @@
 from anvilcove.control.node_rows import NodeRow
 from anvilcove.jobs.engine_slots import EngineSlots
 from anvilcove.jobs.slot_queue import EngineRequirements
+from anvilcove.jobs.types import JobHead
 from anvilcove.standins.virtual_loop import LoopClock, VirtualLoop
 
 SETTLE_S = 12.0
@@ -337,6 +338,40 @@
     assert max(context.delays_s) <= limit, context.delays_s
 
 
+@when(
+    'the results are read without a wait, {count:d} times at followers in turn'
+)
+def read_results(context, count):
+    """Keep how many results each read has and had to have."""
+    site = context.memory
+    readers = [site.daemons[name].reader for name in followers(context)]
+    context.reads = []
+
+    def listed():
+        return max(
+            msgspec.msgpack.decode(value, type=JobHead).listed
+            for row, (value, _) in site.store.rows.items()
+            if row.table == 'jobs' and row.key == 'job'
+        )
+
+    async def read():
+        for number in range(count):
+            expected = listed()
+            await asyncio.sleep(0.5)
+            page = await readers[number % len(readers)].page('job', 0, 0.0)
+            context.reads.append((len(page.results), expected))
+            await asyncio.sleep(0.07)
+
+    site.run(read())
+
+
+@then('each read has all results that were stored {seconds:g} s before')
+def check_reads(context, seconds):
+    """Check the counts, and that there were results at all."""
+    assert all(found >= due for found, due in context.reads), context.reads
+    assert context.reads[-1][0] > 0, context.reads
+
+
 @given('4 engines with 2 slots for models m0, m1 and m2')
 def build_slots(context):
     """Register engines that hold all models."""
