Look routes up by host

Cause: each request was compared with all routes of the desired state, 1,400 more of them after a large change. Ruled out: decoding is not slower than before the change; it runs once a version. Change: the routes of each host, longest prefix first, are kept with the state.

--- a/anvilcove/control/desired.py
+++ b/anvilcove/control/desired.py
@@ -1,5 +1,7 @@
 """Desired state that the operator declares: routes, services, limits."""
 
+from functools import cached_property
+
 from msgspec import Struct, field
 
 SAFE = 'safe'
@@ -78,7 +80,7 @@
     idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S
 
 
-class DesiredState(Struct, frozen=True):
+class DesiredState(Struct, frozen=True, dict=True):
     """One version of the configuration that the operator declares."""
 
     version: int
@@ -86,15 +88,22 @@
     services_by_name: dict[str, Service] = field(default_factory=dict)
     limits: CallerLimits = field(default_factory=CallerLimits)
 
+    @cached_property
+    def routes_by_host(self) -> dict[str, list[Route]]:
+        """Return the routes of each host, longest prefix first."""
+        found: dict[str, list[Route]] = {}
+        for route in self.routes:
+            found.setdefault(route.host, []).append(route)
+        for routes in found.values():
+            routes.sort(key=lambda route: -len(route.prefix))
+        return found
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest prefix that matches."""
-        best: Route | None = None
-        for route in self.routes:
-            if route.host != host or not path.startswith(route.prefix):
-                continue
-            if best is None or len(route.prefix) > len(best.prefix):
-                best = route
-        return best
+        for route in self.routes_by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
 
 
 class DesiredStateView:
--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -33,3 +33,10 @@
     Guards against a text with a missing, repeated or truncated event.
     Given event streams with arbitrary truncation and changed bytes
     Then decoded events are consecutive, with the original texts if unchanged
+
+  Scenario: A desired state of 10,000 routes is searched by host
+    Guards against a search through all routes for each request, after an
+    operator has added thousands of them.
+    Given a desired state of 10000 routes of 500 hosts, in random order
+    Then each host has 20 routes, of which the longest matching prefix is used
+    And a host or path that no route has is not found
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 from pathlib import Path
 
 from behave import given, then
@@ -15,6 +16,7 @@
 from anvilcove.platform.engines import read_events
 from anvilcove.platform.family import PlatformRows
 from anvilcove.platform.jobs import JobFormatError, decode_job
+from anvilcove.platform.rows import decode_desired_state
 from anvilcove.platform.settings import load_node_settings
 from anvilcove.platform.store import PlatformStore
 from anvilcove.ports.errors import (
@@ -345,3 +347,47 @@
             assert texts == STREAM_EVENTS[: len(found)]
 
     check()
+
+
+@given(
+    'a desired state of {count:d} routes of {hosts:d} hosts, in random order'
+)
+def build_large_state(context, count, hosts):
+    """Decode a state in which each host has nested prefixes."""
+    routes = [
+        {
+            'name': f'r{number}',
+            'host': f'h{number % hosts}.example',
+            'prefix': '/' + 'p/' * (number // hosts + 1),
+            'type': 'safe',
+            'service': 'app',
+        }
+        for number in range(count)
+    ]
+    random.Random(3).shuffle(routes)
+    value = json.dumps({'version': 3, 'routes': routes}).encode()
+    context.state = decode_desired_state(value)
+    context.host_count = hosts
+
+
+@then(
+    'each host has {count:d} routes, of which the longest matching prefix is '
+    'used'
+)
+def check_longest_prefix(context, count):
+    """Look paths of all lengths up at a few hosts."""
+    state = context.state
+    assert len(state.routes_by_host) == context.host_count
+    for host in ('h0.example', 'h7.example', 'h499.example'):
+        assert len(state.routes_by_host[host]) == count
+        for depth in range(1, count + 1):
+            route = state.find_route(host, '/' + 'p/' * depth + 'x')
+            assert route.host == host
+            assert route.prefix == '/' + 'p/' * depth
+
+
+@then('a host or path that no route has is not found')
+def check_not_found(context):
+    """Look up what does not exist."""
+    assert context.state.find_route('h500.example', '/p/x') is None
+    assert context.state.find_route('h0.example', '/q/x') is None
