--- a/anvilcove/control/announcer.py
+++ b/anvilcove/control/announcer.py
@@ -28,8 +28,10 @@
 # Every daemon reads every announcement, so all of them together write no more
 # than this many a second, but for changes that others must know at once.
 ANNOUNCEMENTS_PER_S = 20.0
-# An announcement without changes is written again after this time.
+# An announcement without changes is written again after this time. All daemons
+# together refresh no more than REFRESHES_PER_S.
 REFRESH_PERIOD_S = 60.0
+REFRESHES_PER_S = 2.0
 
 # Version of the desired state and counts of crashes.
 SharedState = tuple[int, frozenset[tuple[str, str, int]]]
@@ -182,7 +184,9 @@
         row.desired_state = version
         row.desired_state_age_s = round(age_s, 2)
         self._scheduled_state = self._shared_state()
-        self._refresh_at_s = self._clock.now() + REFRESH_PERIOD_S
+        self._refresh_at_s = self._clock.now() + max(
+            REFRESH_PERIOD_S, len(self._nodes.by_host) / REFRESHES_PER_S
+        )
         announced = replace(row)
         self._announced = announced
         written = await self._write(
