Test that daemons of the version before are alive while their rows change

Cause: heartbeats have a table of their own now, and an upgrade runs both versions side by side. Ruled out: a change of the code; the detector counts changes of either row. Change: a scenario with a daemon that writes only its row each second.

--- a/features/fleet_control.feature
+++ b/features/fleet_control.feature
@@ -51,6 +51,14 @@
     And the holder of the orders stops as planned
     Then no daemon knows the lost follower as alive in the next 6 s
 
+  Scenario: A daemon of the version before is alive while its row changes
+    Guards against daemons of an older version that count as lost during an
+    upgrade: they write no heartbeats, but their row each second.
+    Given a platform with 2 engines and a fleet of 6 daemons
+    When a daemon that writes only its row each second runs for 8 s
+    Then all daemons of the fleet knew it as alive from its first second on
+    And within 5 s after it ends all of them know it as lost
+
   Scenario: The rows of many lost daemons are removed
     Guards against a removal that the store rejects because it has too many
     entries: a fleet of 195 hosts that loses more than half of them.
--- a/features/steps/fleet_control_steps.py
+++ b/features/steps/fleet_control_steps.py
@@ -234,15 +234,54 @@
             assert context.lost not in alive, (name, site.loop.time())
 
 
+def put_old_row(context, host, beat):
+    """Write an announcement without the fields of this version."""
+    row = NodeRow(
+        host, 'n', 'dc', 'r', f'{host}:1', f'{host}:2', beat, False, False
+    )
+    fields = msgspec.to_builtins(row)
+    del fields['lost_by_host']
+    context.memory.put('nodes', host, msgspec.msgpack.encode(fields))
+
+
 @given('{count:d} rows of daemons that no longer run')
 def write_old_rows(context, count):
     """Write announcements that nobody renews."""
     for number in range(count):
-        host = f'old{number}'
-        row = NodeRow(
-            host, 'n', 'dc', 'r', f'{host}:1', f'{host}:2', 1, False, False
-        )
-        context.memory.put('nodes', host, msgspec.msgpack.encode(row))
+        put_old_row(context, f'old{number}', 1)
+
+
+def knowing(context, host):
+    """Return the daemons that know a host as alive."""
+    return {
+        name
+        for name, daemon in context.memory.daemons.items()
+        if host in {node.host for node in daemon.nodes.alive()}
+    }
+
+
+@when('a daemon that writes only its row each second runs for {seconds:d} s')
+def run_old_daemon(context, seconds):
+    """Write the row, and keep who knew it at the end of each second."""
+    context.known_by = []
+    for beat in range(seconds):
+        put_old_row(context, 'old', beat)
+        context.memory.pass_time(1.0)
+        context.known_by.append(knowing(context, 'old'))
+
+
+@then('all daemons of the fleet knew it as alive from its first second on')
+def check_old_alive(context):
+    """Check each second."""
+    names = set(context.memory.daemons)
+    assert all(known == names for known in context.known_by), context.known_by
+
+
+@then('within {seconds:d} s after it ends all of them know it as lost')
+def check_old_lost(context, seconds):
+    """Check the directories at the end of the time."""
+    context.memory.pass_time(seconds)
+    assert not knowing(context, 'old')
 
 
 @then('the store has rows of the {count:d} daemons only')
