Show the ages of the tables that a daemon reads, and no others

Cause: the heartbeats are read by three daemons only; the others showed an infinite or an ever growing age, which an alert would take for an outage.

--- a/anvilcove/node/gauges.py
+++ b/anvilcove/node/gauges.py
@@ -7,13 +7,16 @@
     """Update the gauges of a daemon's state."""
     gauge = components.metrics.gauge
     current = components.desired.current
+    # A daemon that no longer reads a table would show its last age for ever.
+    components.metrics.clear('watch_age_seconds')
     for table, watch in components.watches.items():
-        gauge(
-            'watch_age_seconds',
-            'Age of what a watch knows.',
-            {'table': table},
-            watch.age_s(),
-        )
+        if watch.is_needed():
+            gauge(
+                'watch_age_seconds',
+                'Age of what a watch knows.',
+                {'table': table},
+                watch.age_s(),
+            )
     gauge(
         'desired_state_version',
         'Version of the desired state in force.',
--- a/anvilcove/node/status.py
+++ b/anvilcove/node/status.py
@@ -1,7 +1,6 @@
 """Status report of a daemon for operators."""
 
 from collections import Counter
-from math import isfinite
 from typing import Any
 
 from anvilcove.node.parts import NodeComponents
@@ -25,8 +24,7 @@
         'age_by_table': {
             table: round(watch.age_s(), 3)
             for table, watch in components.watches.items()
-            # Not every daemon reads every table.
-            if isfinite(watch.age_s())
+            if watch.is_needed()
         },
         'hosts': _hosts(components),
         'endpoints': _endpoints(components, now),
