Announce again if the stored row does not say what others must know

Cause: the store may apply a write without an answer seconds later. An older announcement that is applied after the last one brought a leaving daemon back: it got callers while it stopped. Before announcements were written at changes only, the next heartbeat repaired that within a second. Ruled out: conditional writes; they would need the version of the row, which a lost answer hides. Change: each heartbeat compares the row as read from the store with nonce, leaving and orders of the daemon, and announces again if they differ. The new scenario of fleet_control.feature fails before and passes after.

--- a/anvilcove/control/announcer.py
+++ b/anvilcove/control/announcer.py
@@ -5,7 +5,6 @@
 
 from loguru import logger
 from msgspec import msgpack
-from msgspec.structs import replace
 from xxhash import xxh32_intdigest
 
 from anvilcove.control.crashes import ContentCrashes
@@ -49,7 +48,7 @@
         '_due_event',
         '_holds_orders_lease',
         '_desired_state',
-        '_announced',
+        '_must_announce',
         '_scheduled_state',
         '_refresh_at_s',
     )
@@ -88,8 +87,8 @@
         self._nodes = nodes
         self._due_event = asyncio.Event()
         self._clock = clock
-        # Last acknowledged announcement; None makes the next write one.
-        self._announced: NodeRow | None = None
+        # Whether the next write must be an announcement.
+        self._must_announce = True
         # Shared state that the next refresh will announce.
         self._scheduled_state: SharedState = (0, frozenset())
         self._refresh_at_s = 0.0
@@ -109,7 +108,7 @@
 
     def announce_soon(self) -> None:
         """Write the announcement as soon as the last write has ended."""
-        self._announced = None
+        self._must_announce = True
         self._due_event.set()
 
     async def _read_former_row(self) -> None:
@@ -144,14 +143,12 @@
         return await self._write(row_id, msgpack.encode(heartbeat))
 
     def _announcement_due(self) -> bool:
-        announced, row = self._announced, self._row
-        if (
-            announced is None
-            or row.orders
-            or row.host not in (self._nodes.by_host)
-        ):
+        row = self._row
+        if self._must_announce or row.orders:
             return True
-        if (row.orders, row.leaving) != (announced.orders, announced.leaving):
+        # The store may apply an older write later, or the row was removed.
+        stored = self._nodes.by_host.get(row.host)
+        if stored is None or not _agree(stored, row):
             return True
         now = self._clock.now()
         if self._shared_state() != self._scheduled_state:
@@ -187,13 +184,10 @@
         self._refresh_at_s = self._clock.now() + max(
             REFRESH_PERIOD_S, len(self._nodes.by_host) / REFRESHES_PER_S
         )
-        announced = replace(row)
-        self._announced = announced
-        written = await self._write(
-            node_row_id(row.host), msgpack.encode(announced)
-        )
+        self._must_announce = False
+        written = await self._write(node_row_id(row.host), msgpack.encode(row))
         if not written:
-            self._announced = None
+            self._must_announce = True
         return written
 
     async def _write(self, row_id: RowId, value: bytes) -> bool:
@@ -205,3 +199,12 @@
             logger.bind(reason=str(error)).debug('heartbeat not acknowledged')
             return False
         return True
+
+
+def _agree(stored: NodeRow, row: NodeRow) -> bool:
+    """Tell whether a stored announcement says what others must know."""
+    return (stored.nonce, stored.leaving, stored.orders) == (
+        row.nonce,
+        row.leaving,
+        row.orders,
+    )
--- a/features/fleet_control.feature
+++ b/features/fleet_control.feature
@@ -43,6 +43,14 @@
     When the announcement of a follower is removed
     Then within 3 s all others know exactly the remaining ones as alive
 
+  Scenario: A late write does not bring a leaving daemon back
+    Guards against a daemon that stops as planned and gets callers again,
+    because the store applies an older announcement of it after the last one.
+    Given a platform with 2 engines and a fleet of 4 daemons
+    When a follower announces that it leaves
+    And the store applies its announcement before that once more
+    Then within 3 s no other daemon knows it as alive
+
   Scenario: A new holder of the orders keeps the lost daemons out
     Guards against lost daemons that get callers again while the next holder
     waits for their heartbeats.
--- a/features/steps/fleet_control_steps.py
+++ b/features/steps/fleet_control_steps.py
@@ -211,6 +211,34 @@
     context.memory.remove('nodes', by_rank(context)[-1])
 
 
+@when('a follower announces that it leaves')
+def announce_leaving(context):
+    """Keep the row before; the daemon goes on to serve."""
+    site = context.memory
+    context.leaving = by_rank(context)[-1]
+    context.row_before = next(
+        value
+        for row, (value, _) in site.store.rows.items()
+        if (row.table, row.key) == ('nodes', context.leaving)
+    )
+    site.run(site.daemons[context.leaving].announcer.leave())
+    site.pass_time(1.0)
+    assert not knowing(context, context.leaving)
+
+
+@when('the store applies its announcement before that once more')
+def apply_late(context):
+    """Write the row as it was."""
+    context.memory.put('nodes', context.leaving, context.row_before)
+
+
+@then('within {seconds:d} s no other daemon knows it as alive')
+def check_stays_away(context, seconds):
+    """Check the directories at the end of the time."""
+    context.memory.pass_time(seconds)
+    assert not knowing(context, context.leaving)
+
+
 @when('the holder of the orders stops as planned')
 def stop_holder(context):
     """Hand over and end the holder."""
