Do not count as a successor before the other daemons are known

Cause: when all hosts start at once, each daemon knows no other for a moment and took itself for the first in the takeover order: all of them read the eight partitions of heartbeats, 1,560 reads at 195 hosts in the first second. Ruled out: waiting for the first read of the table only; it is empty then. Change: the rank counts from a second after the first full read on.

--- a/anvilcove/control/nodes.py
+++ b/anvilcove/control/nodes.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from sys import maxsize
 
 from loguru import logger
 
@@ -72,14 +73,18 @@
         self._lost_version = 0
         # Hosts that the log has reported as lost.
         self._lost_hosts: set[str] = set()
-        self._rank = 0
-        self._ranked_at_s = float('-inf')
+        # No rank before the others are known, as each daemon would be the
+        # first; when all start at once, that takes a moment.
+        self._rank = maxsize
+        self._ranked_at_s = float('inf')
 
     def on_rows(self, rows: list[StoredRow], full_read: bool) -> None:
         """Apply rows; `full_read` tells that they are the full table."""
         if full_read:
             self.by_host = {}
-            self.is_known = True
+            if not self.is_known:
+                self.is_known = True
+                self._ranked_at_s = self._clock.now()
         for row in rows:
             node = decode_value(row, NodeRow)
             if node is None:
--- a/features/fleet_control.feature
+++ b/features/fleet_control.feature
@@ -14,6 +14,12 @@
     Then the daemons that only follow read at most 9000 bytes a second each
     And they read at most 1.2 times as many rows as in the smaller fleet
 
+  Scenario: A fleet that starts at once does not read all heartbeats at once
+    Guards against a start of all hosts at which each takes itself for one of
+    the next holders, as it knows no other daemon yet.
+    Given a platform with 2 engines and a fleet of 24 daemons
+    Then at most 8 daemons have read heartbeats since the start
+
   Scenario Outline: Lost daemons are dropped by all within the recovery time
     Guards against lookups that name lost daemons for long, because nobody but
     the lost ones followed the heartbeats: the pattern of a rack that loses
--- a/features/steps/fleet_control_steps.py
+++ b/features/steps/fleet_control_steps.py
@@ -34,6 +34,7 @@
     def __init__(self, store):
         """Count calls to `store`."""
         self._store = store
+        self.calls = Counter()
         self.rows = Counter()
         self.bytes = 0
         self.writable = True
@@ -49,6 +50,7 @@
 
     async def read_range(self, table, part, start='', end=''):
         """Read a range and count it."""
+        self.calls[table] += 1
         return self._count(
             table, await self._store.read_range(table, part, start, end)
         )
@@ -108,6 +110,17 @@
     )
 
 
+@then('at most {count:d} daemons have read heartbeats since the start')
+def check_readers(context, count):
+    """Count the daemons with a read of the table."""
+    readers = [
+        name
+        for name, store in context.stores.items()
+        if store.calls['heartbeats']
+    ]
+    assert 3 <= len(readers) <= count, readers
+
+
 @when('the fleet is idle for {seconds:d} s')
 def idle(context, seconds):
     """Count what is read in that time."""
