--- a/anvilcove/control/nodes.py
+++ b/anvilcove/control/nodes.py
@@ -44,7 +44,7 @@
         '_clock',
         '_holder_watch',
         '_lost_version',
-        '_lost_hosts',
+        '_logged_as_lost',
         '_rank',
         '_ranked_at_s',
     )
@@ -71,8 +71,8 @@
         self._holder_watch = LeaseWatch(PEER_TIMEOUT_S)
         # Version of the row that `lost_by_host` was read from.
         self._lost_version = 0
-        # Hosts that the log has reported as lost.
-        self._lost_hosts: set[str] = set()
+        # Hosts whose loss the log has reported.
+        self._logged_as_lost: set[str] = set()
         # No rank before the others are known, as each daemon would be the
         # first; when all start at once, that takes a moment.
         self._rank = maxsize
@@ -138,12 +138,12 @@
         )
 
     def _log_liveness(self, host: str, lost: bool) -> None:
-        if lost == (host in self._lost_hosts):
+        if lost == (host in self._logged_as_lost):
             return
         if lost:
-            self._lost_hosts.add(host)
+            self._logged_as_lost.add(host)
         else:
-            self._lost_hosts.discard(host)
+            self._logged_as_lost.discard(host)
         state = 'lost' if lost else 'regained'
         logger.bind(peer=host, silent_s=PEER_TIMEOUT_S).info(f'peer {state}')
 
