--- a/anvilcove/bench/capacity.py
+++ b/anvilcove/bench/capacity.py
@@ -5,15 +5,21 @@
 import msgspec
 
 from anvilcove.bench.subsets import SubsetLoss
-from anvilcove.reports.sweep import Series, Sweep
+from anvilcove.reports.sweep import (
+    CONNECTIONS,
+    MEMORY_MB,
+    PROCESSOR_PERCENT,
+    Series,
+    Sweep,
+)
 
 TEMPLATE = Path(__file__).with_name('capacity_page.md')
-# Limits of the smallest host that is in use, and budgets of the direction, by
-# the name of the figure.
-LIMITS_BY_FIGURE = {
-    'daemon: processor %': (51.6, 'the smallest host has 0.516 of a core'),
-    'daemon: memory MB': (64.0, 'budget for control'),
-    'daemon: connections': (3900.0, 'the smallest host has 4,100 descriptors'),
+# Limits of the smallest host that is in use, and budgets of the direction, in
+# the unit of the quantity.
+LIMIT_BY_QUANTITY = {
+    PROCESSOR_PERCENT: (51.6, 'the smallest host has 0.516 of a core'),
+    MEMORY_MB: (64.0, 'budget for control'),
+    CONNECTIONS: (3900.0, 'the smallest host has 4,100 descriptors'),
 }
 
 
@@ -43,9 +49,9 @@
 
 def verdict(series: Series) -> str:
     """Compare the value at the target size with its limit, if it has one."""
-    if series.name not in LIMITS_BY_FIGURE:
+    if series.quantity not in LIMIT_BY_QUANTITY:
         return '-'
-    limit, reason = LIMITS_BY_FIGURE[series.name]
+    limit, reason = LIMIT_BY_QUANTITY[series.quantity]
     state = 'over' if series.at_target > limit else 'within'
     return f'{state} {_format(limit)}: {reason}'
 
--- a/anvilcove/platform/sweep_report.py
+++ b/anvilcove/platform/sweep_report.py
@@ -2,7 +2,14 @@
 
 import re
 
-from anvilcove.reports.sweep import Series, Sweep, SweepError
+from anvilcove.reports.sweep import (
+    CONNECTIONS,
+    MEMORY_MB,
+    PROCESSOR_PERCENT,
+    Series,
+    Sweep,
+    SweepError,
+)
 
 DAY_LINE = re.compile(
     r'^sweep-(?P<label>\d+)\s+(?P<hosts>\d+)/(?P<servers>\d+)\s+\S+\s+'
@@ -17,6 +24,12 @@
     r'(?P<power>-?[\d.]+)\s+(?P<target>-?[\d.]+)\s*$'
 )
 
+QUANTITY_BY_NAME = {
+    'daemon: processor %': PROCESSOR_PERCENT,
+    'daemon: memory MB': MEMORY_MB,
+    'daemon: connections': CONNECTIONS,
+}
+
 
 def read_sweep(text: str) -> Sweep:
     """Parse the printed report, or raise SweepError."""
@@ -34,13 +47,15 @@
             sweep.target = int(match[2])
         elif in_table and (match := FIGURE_LINE.match(line)):
             pairs = VALUE.findall(match['values'])
+            name = match['name'].strip()
             sweep.series.append(
                 Series(
-                    name=match['name'].strip(),
+                    name=name,
                     middle=[float(middle) for middle, _ in pairs],
                     busiest=[float(busiest) for _, busiest in pairs],
                     power=float(match['power']),
                     at_target=float(match['target']),
+                    quantity=QUANTITY_BY_NAME.get(name, ''),
                 )
             )
     _check(sweep)
--- a/anvilcove/reports/sweep.py
+++ b/anvilcove/reports/sweep.py
@@ -2,6 +2,11 @@
 
 from msgspec import Struct, field
 
+# Quantities that have a limit.
+PROCESSOR_PERCENT = 'processor_percent'
+MEMORY_MB = 'memory_mb'
+CONNECTIONS = 'connections'
+
 
 class SweepError(Exception):
     """Raised for a report of a sweep that cannot be read."""
@@ -11,7 +16,8 @@
     """Values of one figure by size, of the middle and the busiest daemon.
 
     The busiest grows with the number of daemons to the power `power`;
-    `at_target` extends it to the target size.
+    `at_target` extends it to the target size. `quantity` is empty for a figure
+    that has no limit.
     """
 
     name: str
@@ -19,6 +25,7 @@
     busiest: list[float]
     power: float
     at_target: float
+    quantity: str = ''
 
 
 class Sweep(Struct):
