Log when crashes of a content are cleared, and show that a 500 clears them

Nothing told that counts were cleared, and by what.

Change: the decision 'crashes of a content cleared' names request, endpoint and content; the counter gets the event.

--- a/anvilcove/control/crashes.py
+++ b/anvilcove/control/crashes.py
@@ -41,6 +41,7 @@
     'refused': 'request refused: its content crashes endpoints',
     'held': 'call held back: its content crashes endpoints',
     'tried': 'call tried again: its content may not crash endpoints',
+    'cleared': 'crashes of a content cleared: a run of it produced something',
 }
 
 
@@ -174,7 +175,7 @@
         self._log_decision('refused', request_id, content)
         return False
 
-    def finished(self, content: str) -> None:
+    def finished(self, content: str, request_id: str, endpoint: str) -> None:
         """Clear the crashes of a content whose run produced something."""
         for broken in self._broken_by_endpoint.values():
             broken.request_by_content.pop(content, None)
@@ -182,6 +183,7 @@
         suspected = self._quarantine.open_crashes(content) > 0
         self._quarantine.finished(self._clock.now(), content)
         if suspected:
+            self._log_decision('cleared', request_id, content, endpoint)
             self.on_change()
 
     def on_failure(
--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -186,7 +186,9 @@
             except ItemRejected:
                 return self._errored_result(spec, progress, 'rejected')
             except ItemFailed:
-                self._crashes.finished(progress.content)
+                self._crashes.finished(
+                    progress.content, progress.item.item_id, entry.endpoint
+                )
                 self._slots.engine_records.on_item_failure(entry.endpoint)
                 failed = True
             except RunMoved:
@@ -276,7 +278,11 @@
                 self._check_event(spec, route, progress, event)
                 progress.append(event)
                 if len(progress.texts) == 1:
-                    self._crashes.finished(progress.content)
+                    self._crashes.finished(
+                        progress.content,
+                        progress.item.item_id,
+                        handle.endpoint,
+                    )
                 handle.events = len(progress.texts)
                 if timeout_s == NEXT_EVENT_TIMEOUT_S:
                     self._slots.engine_records.on_event_interval(
--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -337,7 +337,11 @@
             raise error
         answer = attempt.task.result()
         if answer.status < 500 or answer.run_failed:
-            self._crashes.finished(progress.content)
+            self._crashes.finished(
+                progress.content,
+                progress.request.request_id,
+                attempt.state.endpoint,
+            )
         progress.executions += answer.sends
         progress.may_have_run = True
         success = answer.status < 500
--- a/anvilcove/proxy/streams.py
+++ b/anvilcove/proxy/streams.py
@@ -197,7 +197,11 @@
                 async for piece in pieces:
                     if not progress.received_pieces:
                         progress.received_pieces = True
-                        self._crashes.finished(progress.content)
+                        self._crashes.finished(
+                            progress.content,
+                            request.request_id,
+                            state.endpoint,
+                        )
                     await _to_caller(sink.write(piece.data))
                     if piece.event_id is not None:
                         progress.last_event_id = piece.event_id
--- a/anvilcove/standins/memory_engines.py
+++ b/anvilcove/standins/memory_engines.py
@@ -181,6 +181,8 @@
         self.refusing: set[str] = set()
         # Services that drop the connection after running the request.
         self.breaking: set[str] = set()
+        # Services that answer with a failure without beginning a run.
+        self.failing_at_once: set[str] = set()
         # Services that fail every n-th of their requests, with n.
         self.failing_every: dict[str, int] = {}
         self.work_by_address: dict[str, float] = {}
@@ -201,6 +203,8 @@
             raise EndpointNotRun('refused', overloaded=True)
         self.crashes.connect(address)
         self.runs.append((address, request.request_id))
+        if address in self.failing_at_once:
+            return _failed_answer()
         try:
             if address in self.silent:
                 await asyncio.sleep(HANG_S)
--- a/features/crashing_contents.feature
+++ b/features/crashing_contents.feature
@@ -28,6 +28,15 @@
     When the body poison is sent 4 times, every 0 s to the next daemon, beside 0 others
     Then at most 2 starts of services crashed
 
+  Scenario: A failed run of another server does not clear a content
+    Guards against a content that crashes server after server because servers
+    that fail all requests answer it in between.
+    Given a platform with 8 services and daemons a, b and c
+    And each service crashes when it begins to run the body poison
+    And services 0, 1, 2, 3 and 4 fail every request at once
+    When the body poison is sent 40 times, every 5 s to the next daemon, beside 0 others
+    Then at most 3 starts of services crashed
+
   Scenario: A content stays refused after the loss of all daemons
     Given a platform with 8 services and daemons a, b and c
     And each service crashes when it begins to run the body poison
--- a/features/steps/crashing_content_steps.py
+++ b/features/steps/crashing_content_steps.py
@@ -86,6 +86,14 @@
     context.memory.servers.work_s = seconds
 
 
+@given('services {numbers} fail every request at once')
+def fail_at_once(context, numbers):
+    """Let services answer with a failed run without beginning one."""
+    site = context.memory
+    for number in numbers.replace(' and', ',').split(', '):
+        site.servers.failing_at_once.add(site.server_addresses[int(number)])
+
+
 @given('crashed services refuse connections')
 def refuse_while_down(context):
     """Keep the default of the stand-in."""
