Do not let a failed run clear the crashes of a content

On the current code this shows where some servers answer every request with status 500: such an answer counted as a run that produced something.

Cause: a weak observation was taken for proof. A 500 does not show that the content ran at that server, still less that it does not crash others; the class is evidence that clears a suspicion without contradicting it. Items had the same fault.

Evidence: 'A failed run of another server does not clear a content' failed before (42 starts crashed, 3 allowed) and passes now.

Change: only an answer below 500, a piece of a stream or an event of an item clears.

Why it works: after two confirmed crashes no run of the content begins, so that nothing but a run that was in flight can clear it.

--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -186,9 +186,6 @@
             except ItemRejected:
                 return self._errored_result(spec, progress, 'rejected')
             except ItemFailed:
-                self._crashes.finished(
-                    progress.content, progress.item.item_id, entry.endpoint
-                )
                 self._slots.engine_records.on_item_failure(entry.endpoint)
                 failed = True
             except RunMoved:
--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -336,7 +336,8 @@
         if error is not None:
             raise error
         answer = attempt.task.result()
-        if answer.status < 500 or answer.run_failed:
+        # A failing server may answer 500 to a content that it did not run.
+        if answer.status < 500:
             self._crashes.finished(
                 progress.content,
                 progress.request.request_id,
