Limit the bytes of a head, an answer and an event

Cause: only the time of a call was limited. The class: a peer's bytes bounded by time alone.

Ruled out: endless status lines, headers and trailers; aiohttp ends these.

Change: the connection counts what arrives until the head is complete (1 MiB), for an answer (8 MiB) and from one event to the next (2 MiB or 50,000 lines), and fails the call beyond that.

A stream of 400 events of 64 kB to a slow reader is not cut.

--- a/anvilcove/platform/client_protocol.py
+++ b/anvilcove/platform/client_protocol.py
@@ -5,7 +5,13 @@
 from functools import partial
 from typing import Any
 
-from aiohttp import ClientError, ClientRequest, ClientResponse, TCPConnector
+from aiohttp import (
+    ClientError,
+    ClientPayloadError,
+    ClientRequest,
+    ClientResponse,
+    TCPConnector,
+)
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ConnectionKey
 from aiohttp.connector import Connection
@@ -17,6 +23,12 @@
 CLOSED_ROUND_TRIPS = 2.0
 CLOSED_MARGIN_S = 0.02
 MAX_CLOSED_S = 0.1
+# Bytes that may arrive until the head of an answer is complete, a first part
+# of the body included; of a whole answer; and from one event of a stream to
+# the next, which includes what was read ahead.
+MAX_HEAD_BYTES = 1 << 20
+MAX_ANSWER_BYTES = 8 << 20
+MAX_EVENT_BYTES = 2 << 20
 
 
 class UnsuitableConnection(ClientError):
@@ -59,12 +71,25 @@
             self.close()
             return
         self.received = self.received or bool(data)
+        if self.last_use is not None and not self.last_use.accepts(data):
+            self._end_answer()
+            return
         super().data_received(data)
         # The end of an answer makes the connection idle, also if the same
         # bytes begin another answer.
         if self.idle and self.should_close:
             self.close()
 
+    def _end_answer(self) -> None:
+        """Fail the call and close the connection."""
+        error = ClientPayloadError('answer without end')
+        payload = self._payload
+        self.set_exception(error)
+        if payload is not None:
+            payload.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
 
 class ConnectionUse:
     """Use of a connection by one send of a call."""
@@ -76,6 +101,7 @@
         '_repeatable',
         '_started_at_s',
         '_protocol',
+        '_bytes_left',
     )
 
     def __init__(self, repeatable: bool) -> None:
@@ -88,6 +114,16 @@
         self._repeatable = repeatable
         self._started_at_s = _now()
         self._protocol: ServerProtocol | None = None
+        self._bytes_left = MAX_HEAD_BYTES
+
+    def allow_bytes(self, count: int) -> None:
+        """Set how many more bytes of the answer may arrive."""
+        self._bytes_left = count
+
+    def accepts(self, data: bytes) -> bool:
+        """Count bytes that arrived; return whether they may be read."""
+        self._bytes_left -= len(data)
+        return self._bytes_left >= 0
 
     def begin(self, protocol: ServerProtocol, attempt_id: str) -> None:
         """Record the connection on which the call is about to be sent.
--- a/anvilcove/platform/connections.py
+++ b/anvilcove/platform/connections.py
@@ -19,6 +19,7 @@
 from anvilcove.platform.answer_identity import AnswerIdentity
 from anvilcove.platform.client_protocol import (
     CURRENT_USE,
+    MAX_ANSWER_BYTES,
     ConnectionUse,
     ServerConnector,
     ServerRequest,
@@ -147,7 +148,7 @@
         assert self._unpooled is not None
         session = self._session_for(call) if may_reuse else self._unpooled
         CURRENT_USE.set(use)
-        return await session.request(
+        response = await session.request(
             call.method,
             URL(f'http://{call.address}{call.path}', encoded=True),
             data=call.body or None,
@@ -156,6 +157,8 @@
             allow_redirects=False,
             timeout=ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         )
+        use.allow_bytes(MAX_ANSWER_BYTES)
+        return response
 
     def _session_for(self, call: ServerCall) -> ClientSession:
         assert self._pooled is not None and self._unpooled is not None
--- a/anvilcove/platform/engines.py
+++ b/anvilcove/platform/engines.py
@@ -6,7 +6,12 @@
 from msgspec import json
 
 from anvilcove.platform.bodies import BodyError, decode_object
-from anvilcove.platform.connections import ServerCall, ServerConnections
+from anvilcove.platform.client_protocol import MAX_EVENT_BYTES
+from anvilcove.platform.connections import (
+    SendRecord,
+    ServerCall,
+    ServerConnections,
+)
 from anvilcove.platform.exchange import (
     check_framing,
     exchange,
@@ -88,8 +93,11 @@
             generation.item_id,
             repeatable=True,
         )
-        async with exchange(self._connections, call) as response:
+        record = SendRecord()
+        async with exchange(self._connections, call, record) as response:
             _check_status(response)
+            assert record.use is not None
+            record.use.allow_bytes(MAX_EVENT_BYTES)
             version = _first_version(response, generation.after)
             yield GenerationStart(version, server_load(response))
             last_number = generation.after
@@ -97,6 +105,7 @@
                 response.content, last_number, version
             ):
                 last_number = event.number
+                record.use.allow_bytes(MAX_EVENT_BYTES)
                 yield event
             yield GenerationEnd(last_number)
 
--- a/anvilcove/platform/exchange.py
+++ b/anvilcove/platform/exchange.py
@@ -10,6 +10,7 @@
     ConnectionTimeoutError,
     ServerDisconnectedError,
 )
+from aiohttp.http_exceptions import HttpProcessingError
 
 from anvilcove.platform.answer_identity import is_refusal
 from anvilcove.platform.connections import (
@@ -81,7 +82,7 @@
         raise EndpointFailed(
             f'{address}: no answer in time', sends=record.broken + 1
         ) from error
-    except (ClientError, OSError, ValueError) as error:
+    except (ClientError, HttpProcessingError, OSError, ValueError) as error:
         raise EndpointCrashed(
             f'{address}: {error!r}'[:300], sends=record.broken + 1
         ) from error
--- a/anvilcove/platform/servers.py
+++ b/anvilcove/platform/servers.py
@@ -6,6 +6,10 @@
 from aiohttp import ClientPayloadError, ClientResponse
 from multidict import CIMultiDict
 
+from anvilcove.platform.client_protocol import (
+    MAX_EVENT_BYTES,
+    ConnectionUse,
+)
 from anvilcove.platform.connections import (
     SendRecord,
     ServerCall,
@@ -31,6 +35,8 @@
 # say nothing about the call: they come from a server that is overloaded, or
 # out of time, or from a gateway.
 STATUS_RUN_FAILED = 500
+# Lines of a stream from one event to the next.
+MAX_EVENT_LINES = 50_000
 
 
 class PlatformServers:
@@ -102,12 +108,14 @@
         if after is not None:
             headers[LAST_EVENT_ID] = str(after)
         call = _server_call(address, request, headers, repeatable)
-        async with exchange(self._connections, call) as response:
+        record = SendRecord()
+        async with exchange(self._connections, call, record) as response:
             check_framing(response)
+            assert record.use is not None
             yield StreamAnswer(
                 response.status,
                 end_to_end_headers(response),
-                _pieces(response.content),
+                _pieces(response.content, record.use),
             )
 
 
@@ -128,7 +136,9 @@
     )
 
 
-async def _pieces(lines: AsyncIterable[bytes]) -> AsyncIterator[StreamPiece]:
+async def _pieces(
+    lines: AsyncIterable[bytes], use: ConnectionUse
+) -> AsyncIterator[StreamPiece]:
     """Yield each server-sent event as raw bytes, with its numeric id.
 
     Lines after the last complete event are yielded as one piece if the
@@ -136,13 +146,21 @@
     """
     pending_lines: list[bytes] = []
     event_id: int | None = None
+    lines_left = MAX_EVENT_LINES
+    use.allow_bytes(MAX_EVENT_BYTES)
     async for line in lines:
+        lines_left -= 1
+        if lines_left < 0:
+            raise AnswerMismatch('stream has too many lines without an event')
         pending_lines.append(line)
         text = line.strip()
         if text.startswith(b'id:'):
             digits = text[3:].strip()
             event_id = int(digits) if digits.isdigit() else None
         if not text:
+            if event_id is not None:
+                lines_left = MAX_EVENT_LINES
+                use.allow_bytes(MAX_EVENT_BYTES)
             yield StreamPiece(b''.join(pending_lines), event_id)
             pending_lines, event_id = [], None
     if pending_lines:
