Read the limits that endpoints name, and show that none is kept

Change: each answer is decoded once, in platform/, to a typed report of the endpoint; refusals, failures, streams and items carry it, and errors without an answer carry none. It is attributed to the start of the endpoint that the call was sent to. An answer with status 421 says nothing. A malformed value is counted, logged once per endpoint, and the last sound one holds. A line and a counter tell each change. Requests are placed as before.

--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -9,6 +9,7 @@
 
 from anvilcove.control.crashes import ContentCrashes
 from anvilcove.control.desired import DesiredStateView, Route
+from anvilcove.control.endpoint_reports import EndpointReports
 from anvilcove.control.endpoints import EndpointEntry
 from anvilcove.jobs.engine_records import IntervalMeter
 from anvilcove.jobs.engine_slots import (
@@ -36,6 +37,7 @@
     EndpointNotRun,
     EndpointRefused,
 )
+from anvilcove.ports.reports import EndpointReport
 from anvilcove.state.clock import Clock
 from anvilcove.state.content import request_content_hash
 
@@ -64,6 +66,7 @@
         '_desired',
         '_rewards',
         '_crashes',
+        '_reports',
         '_clock',
         '_rng',
     )
@@ -75,6 +78,7 @@
         desired: DesiredStateView,
         rewards: RewardCalls,
         crashes: ContentCrashes,
+        reports: EndpointReports,
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -84,6 +88,7 @@
         self._desired = desired
         self._rewards = rewards
         self._crashes = crashes
+        self._reports = reports
         self._clock = clock
         self._rng = rng
 
@@ -183,15 +188,18 @@
                 await self._attempt(
                     spec, progress, route, entry, requirements, deadline_at_s
                 )
-            except ItemRejected:
+            except ItemRejected as error:
+                self._record_report(progress, entry, error.report)
                 return self._errored_result(spec, progress, 'rejected')
-            except ItemFailed:
+            except ItemFailed as error:
+                self._record_report(progress, entry, error.report)
                 self._slots.engine_records.on_item_failure(entry.endpoint)
                 failed = True
             except RunMoved:
                 progress.moves += 1
                 progress.long_item = True
             except EndpointError as error:
+                self._record_report(progress, entry, error.report)
                 self._record_attempt_failure(spec, progress, entry, error)
                 await self._sleep_with_jitter(retry_delay_s)
                 retry_delay_s = min(retry_delay_s * 2, MAX_RETRY_DELAY_S)
@@ -270,6 +278,9 @@
                 return
             now = self._clock.now()
             if isinstance(event, GenerationStart):
+                self._reports.record(
+                    handle.endpoint, event.report, handle.item_id
+                )
                 self._check_start(spec, handle.endpoint, event)
             else:
                 self._check_event(spec, route, progress, event)
@@ -398,6 +409,14 @@
             reason=str(error)[:160],
         ).info('item attempt failed')
 
+    def _record_report(
+        self,
+        progress: ItemProgress,
+        entry: EndpointEntry,
+        report: EndpointReport | None,
+    ) -> None:
+        self._reports.record(entry.endpoint, report, progress.item.item_id)
+
     def _errored_result(
         self, spec: JobSpec, progress: ItemProgress, reason: str
     ) -> ItemResult:
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -11,6 +11,7 @@
 from anvilcove.control.announcer import Announcer
 from anvilcove.control.crashes import ContentCrashes
 from anvilcove.control.desired import DesiredStateView
+from anvilcove.control.endpoint_reports import EndpointReports
 from anvilcove.control.endpoints import EndpointRegistry
 from anvilcove.control.failure_detector import FailureDetector
 from anvilcove.control.leases import Lease
@@ -102,6 +103,9 @@
             dependencies.clock,
             self.metrics,
         )
+        self.reports = EndpointReports(
+            self.registry, dependencies.clock, self.metrics
+        )
         self.nodes = NodeDirectory(
             settings, self.crashes, dependencies.clock, nonce
         )
@@ -234,6 +238,7 @@
             self.pools,
             dependencies.servers,
             self.crashes,
+            self.reports,
             dependencies.clock,
             dependencies.rng,
             self.metrics,
@@ -244,6 +249,7 @@
             self.pools,
             dependencies.streams,
             self.crashes,
+            self.reports,
             dependencies.clock,
             dependencies.rng,
         )
@@ -269,6 +275,7 @@
             self.desired,
             rewards,
             self.crashes,
+            self.reports,
             dependencies.clock,
             dependencies.rng,
         )
--- a/anvilcove/platform/engines.py
+++ b/anvilcove/platform/engines.py
@@ -12,6 +12,7 @@
     ServerCall,
     ServerConnections,
 )
+from anvilcove.platform.endpoint_reports import read_report
 from anvilcove.platform.exchange import (
     check_framing,
     exchange,
@@ -99,7 +100,9 @@
             assert record.use is not None
             record.use.allow_bytes(MAX_EVENT_BYTES)
             version = _first_version(response, generation.after)
-            yield GenerationStart(version, server_load(response))
+            yield GenerationStart(
+                version, server_load(response), read_report(response)
+            )
             last_number = generation.after
             async for event in read_events(
                 response.content, last_number, version
--- a/anvilcove/platform/exchange.py
+++ b/anvilcove/platform/exchange.py
@@ -1,7 +1,7 @@
 """HTTP exchanges with servers that raise the errors of the ports."""
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 
 from aiohttp import (
     ClientConnectorError,
@@ -12,17 +12,21 @@
 )
 from aiohttp.http_exceptions import HttpProcessingError
 
-from anvilcove.platform.answer_identity import is_refusal
+from anvilcove.platform.answer_identity import (
+    STATUS_MISDIRECTED,
+    is_refusal,
+)
 from anvilcove.platform.connections import (
     SendRecord,
     ServerCall,
     ServerConnections,
 )
+from anvilcove.platform.endpoint_reports import read_report
 from anvilcove.platform.names import (
     ATTEMPT_ID,
     SERVER_LOAD,
 )
-from anvilcove.ports.engines import EngineLoad
+from anvilcove.ports.engines import EngineLoad, ItemFailed, ItemRejected
 from anvilcove.ports.errors import (
     AnswerMismatch,
     EndpointCrashed,
@@ -31,6 +35,7 @@
     EndpointNotRun,
     EndpointRefused,
 )
+from anvilcove.ports.reports import EndpointReport
 
 OVERLOADED_STATUSES = (429, 503)
 
@@ -52,16 +57,11 @@
     try:
         async with connections.open(call, record) as response:
             _check_identity(connections, call, response, record)
+            report = read_report(response)
             if is_refusal(response):
-                raise _refusal_error(address, response, record)
-            try:
+                raise _refusal_error(address, response, record, report)
+            with _errors_of_answer(report, record):
                 yield response
-            except EndpointError:
-                # The answer may not be that of this call, whose own answer
-                # would then be read as that of the next one.
-                if record.use is not None:
-                    record.use.discard()
-                raise
     except EndpointFailed as error:
         error.sends += record.broken
         raise
@@ -88,6 +88,25 @@
         ) from error
 
 
+@contextmanager
+def _errors_of_answer(
+    report: EndpointReport, record: SendRecord
+) -> Iterator[None]:
+    """Add the report in an answer to errors that its reader raises."""
+    try:
+        yield
+    except (ItemFailed, ItemRejected) as error:
+        error.report = report
+        raise
+    except EndpointError as error:
+        error.report = report
+        # The answer may not be that of this call, whose own answer would then
+        # be read as that of the next one.
+        if record.use is not None:
+            record.use.discard()
+        raise
+
+
 def _check_identity(
     connections: ServerConnections,
     call: ServerCall,
@@ -110,15 +129,24 @@
 
 
 def _refusal_error(
-    address: str, response: ClientResponse, record: SendRecord
+    address: str,
+    response: ClientResponse,
+    record: SendRecord,
+    report: EndpointReport,
 ) -> EndpointNotRun | EndpointFailed:
     status = response.status
     reason = f'{address}: status {status}'
     overloaded = status in OVERLOADED_STATUSES
+    error: EndpointNotRun | EndpointFailed
     if record.broken:
         # The broken sends are added when the error leaves the exchange.
-        return EndpointFailed(reason, sends=0)
-    return EndpointNotRun(reason, overloaded=overloaded)
+        error = EndpointFailed(reason, sends=0)
+    else:
+        error = EndpointNotRun(reason, overloaded=overloaded)
+    if status != STATUS_MISDIRECTED:
+        # Another endpoint at the address says nothing about this one.
+        error.report = report
+    return error
 
 
 def server_load(response: ClientResponse) -> EngineLoad | None:
--- a/anvilcove/platform/servers.py
+++ b/anvilcove/platform/servers.py
@@ -15,6 +15,7 @@
     ServerCall,
     ServerConnections,
 )
+from anvilcove.platform.endpoint_reports import read_report
 from anvilcove.platform.exchange import (
     check_framing,
     exchange,
@@ -77,6 +78,7 @@
                 load=server_load(response),
                 sends=record.broken + 1,
                 run_failed=response.status == STATUS_RUN_FAILED,
+                report=read_report(response),
             )
 
 
@@ -116,6 +118,7 @@
                 response.status,
                 end_to_end_headers(response),
                 _pieces(response.content, record.use),
+                read_report(response),
             )
 
 
--- a/anvilcove/ports/engines.py
+++ b/anvilcove/ports/engines.py
@@ -5,6 +5,8 @@
 
 from msgspec import Struct
 
+from anvilcove.ports.reports import NO_REPORT, EndpointReport
+
 # Answers to an order. ALREADY_LOADED: the engine already holds the version.
 # BUSY: it is loading, or has not accepted the expected number of orders.
 ACCEPTED = 'carried out'
@@ -86,6 +88,7 @@
 
     version: int
     load: EngineLoad | None = None
+    report: EndpointReport = NO_REPORT
 
 
 GenerationEvent = GenerationStart | TokenEvent | GenerationEnd
@@ -114,6 +117,10 @@
 class ItemRejected(Exception):
     """Raised when an engine reports that an item can never succeed."""
 
+    report: EndpointReport | None = None
+
 
 class ItemFailed(Exception):
     """Raised when an engine ran an item and reports that it failed."""
+
+    report: EndpointReport | None = None
--- a/anvilcove/ports/errors.py
+++ b/anvilcove/ports/errors.py
@@ -1,5 +1,7 @@
 """Exceptions that the ports raise."""
 
+from anvilcove.ports.reports import EndpointReport
+
 
 class PlatformError(Exception):
     """Base class of the errors of ports."""
@@ -21,7 +23,12 @@
 
 
 class EndpointError(PlatformError):
-    """Base class of the errors of calls to endpoints."""
+    """Base class of the errors of calls to endpoints.
+
+    `report` is what the endpoint said about itself, None without an answer.
+    """
+
+    report: EndpointReport | None = None
 
 
 class EndpointNotRun(EndpointError):
--- a/anvilcove/ports/servers.py
+++ b/anvilcove/ports/servers.py
@@ -5,6 +5,7 @@
 from msgspec import Struct, field
 
 from anvilcove.ports.engines import EngineLoad
+from anvilcove.ports.reports import NO_REPORT, EndpointReport
 
 Headers = list[tuple[str, str]]
 
@@ -40,6 +41,7 @@
     load: EngineLoad | None = None
     sends: int = 1
     run_failed: bool = False
+    report: EndpointReport = NO_REPORT
 
 
 class CallerAnswer(Struct):
--- a/anvilcove/ports/streams.py
+++ b/anvilcove/ports/streams.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct
 
+from anvilcove.ports.reports import NO_REPORT, EndpointReport
 from anvilcove.ports.servers import CallerRequest, Headers
 
 
@@ -22,6 +23,7 @@
     status: int
     headers: Headers
     pieces: AsyncIterator[StreamPiece]
+    report: EndpointReport = NO_REPORT
 
 
 class StreamClient(Protocol):
--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -9,6 +9,7 @@
 
 from anvilcove.control.crashes import ContentCrashes
 from anvilcove.control.desired import Route
+from anvilcove.control.endpoint_reports import EndpointReports
 from anvilcove.decisions.hedging import ObjectiveHedging
 from anvilcove.decisions.types import (
     CANCELLED,
@@ -26,6 +27,7 @@
     EndpointNotRun,
     EndpointRefused,
 )
+from anvilcove.ports.reports import EndpointReport
 from anvilcove.ports.servers import (
     CallerAnswer,
     CallerRequest,
@@ -145,6 +147,7 @@
         '_pools',
         '_servers',
         '_crashes',
+        '_reports',
         '_hedging',
         '_clock',
         '_rng',
@@ -158,6 +161,7 @@
         pools: EndpointPools,
         servers: ServerClient,
         crashes: ContentCrashes,
+        reports: EndpointReports,
         clock: Clock,
         rng: random.Random,
         metrics: NodeMetrics,
@@ -172,6 +176,7 @@
         self._pools = pools
         self._servers = servers
         self._crashes = crashes
+        self._reports = reports
         self._hedging = ObjectiveHedging(settings)
         self._clock = clock
         self._rng = rng
@@ -326,6 +331,7 @@
         if isinstance(error, OSError):
             error = EndpointCrashed(f'{error!r}')
         if isinstance(error, EndpointError):
+            self._record_report(progress, attempt, error.report)
             self._record_failure(progress, attempt, error, latency_s)
             self._crashes.on_failure(
                 progress.request.request_id,
@@ -337,6 +343,7 @@
         if error is not None:
             raise error
         answer = attempt.task.result()
+        self._record_report(progress, attempt, answer.report)
         # A failing server may answer 500 to a content that it did not run.
         if answer.status < 500:
             self._crashes.finished(
@@ -364,6 +371,16 @@
         progress.server_failures += answer.run_failed
         return None
 
+    def _record_report(
+        self,
+        progress: RequestProgress,
+        attempt: Attempt,
+        report: EndpointReport | None,
+    ) -> None:
+        self._reports.record(
+            attempt.state.endpoint, report, progress.request.request_id
+        )
+
     def _record_failure(
         self,
         progress: RequestProgress,
--- a/anvilcove/proxy/streams.py
+++ b/anvilcove/proxy/streams.py
@@ -9,6 +9,7 @@
 
 from anvilcove.control.crashes import ContentCrashes
 from anvilcove.control.desired import Route
+from anvilcove.control.endpoint_reports import EndpointReports
 from anvilcove.decisions.types import (
     CANCELLED,
     CRASH,
@@ -23,6 +24,7 @@
     EndpointNotRun,
     EndpointRefused,
 )
+from anvilcove.ports.reports import EndpointReport
 from anvilcove.ports.servers import CallerAnswer, CallerRequest
 from anvilcove.ports.streams import StreamClient, StreamPiece, StreamSink
 from anvilcove.proxy.forwarder import MAX_NOT_RUN_SENDS, choose_service
@@ -92,13 +94,21 @@
     the route is resumable.
     """
 
-    __slots__ = ('_pools', '_client', '_crashes', '_clock', '_rng')
+    __slots__ = (
+        '_pools',
+        '_client',
+        '_crashes',
+        '_reports',
+        '_clock',
+        '_rng',
+    )
 
     def __init__(
         self,
         pools: EndpointPools,
         client: StreamClient,
         crashes: ContentCrashes,
+        reports: EndpointReports,
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -106,6 +116,7 @@
         self._pools = pools
         self._client = client
         self._crashes = crashes
+        self._reports = reports
         self._clock = clock
         self._rng = rng
 
@@ -136,9 +147,11 @@
                 outcome = OK
                 return None
             except EndpointNotRun as error:
+                self._record_report(request, state, error.report)
                 progress.not_run_count += 1
                 outcome = OVERLOADED if error.overloaded else CRASH
             except EndpointError as error:
+                self._record_report(request, state, error.report)
                 progress.attempts += (
                     error.sends if isinstance(error, EndpointFailed) else 1
                 )
@@ -188,6 +201,7 @@
             route.resumable,
             progress.last_event_id,
         ) as answer:
+            self._record_report(request, state, answer.report)
             progress.may_have_run = True
             if not progress.started:
                 progress.started = True
@@ -206,6 +220,14 @@
                     if piece.event_id is not None:
                         progress.last_event_id = piece.event_id
 
+    def _record_report(
+        self,
+        request: CallerRequest,
+        state: EndpointState,
+        report: EndpointReport | None,
+    ) -> None:
+        self._reports.record(state.endpoint, report, request.request_id)
+
     async def _without_stall(
         self, pieces: AsyncIterator[StreamPiece], route: Route
     ) -> AsyncGenerator[StreamPiece, None]:
--- a/anvilcove/standins/memory_engines.py
+++ b/anvilcove/standins/memory_engines.py
@@ -23,6 +23,7 @@
     EndpointFailed,
     EndpointNotRun,
 )
+from anvilcove.ports.reports import NO_REPORT, EndpointReport
 from anvilcove.ports.servers import CallerRequest, ServerAnswer
 from anvilcove.ports.streams import StreamAnswer, StreamPiece
 from anvilcove.standins.memory_crashes import MemoryCrashes
@@ -64,6 +65,9 @@
         self.order_delay_s: float = 0.0
         # Item of each generation and the event number that it resumed after.
         self.runs: list[tuple[str, int]] = []
+        self.run_at_s: list[float] = []
+        # What it says about itself in each answer.
+        self.report = NO_REPORT
         self.orders: list[tuple[float, VersionOrder]] = []
 
     def accept_order(self, order: VersionOrder) -> str:
@@ -109,6 +113,7 @@
         if item in engine.rejected:
             raise ItemRejected(item)
         engine.runs.append((item, generation.after))
+        engine.run_at_s.append(asyncio.get_running_loop().time())
         if engine.failing.get(item, 0):
             engine.failing[item] -= 1
             raise ItemFailed(item)
@@ -117,7 +122,7 @@
         engine.running += 1
         try:
             await self.crashes.begin(address, generation.body)
-            yield GenerationStart(engine.version)
+            yield GenerationStart(engine.version, report=engine.report)
             for number in range(generation.after + 1, engine.events + 1):
                 await self.crashes.work(
                     address, EVENT_PERIOD_S * engine.slowdown
@@ -186,6 +191,10 @@
         # Services that fail every n-th of their requests, with n.
         self.failing_every: dict[str, int] = {}
         self.work_by_address: dict[str, float] = {}
+        # What services say about themselves in each answer.
+        self.report_by_address: dict[str, EndpointReport] = {}
+        # Time of each run, in the order of `runs`.
+        self.run_at_s: list[float] = []
         # Address and request identifier of each request that ran.
         self.runs: list[tuple[str, str]] = []
         self.cancelled = 0
@@ -203,6 +212,7 @@
             raise EndpointNotRun('refused', overloaded=True)
         self.crashes.connect(address)
         self.runs.append((address, request.request_id))
+        self.run_at_s.append(asyncio.get_running_loop().time())
         if address in self.failing_at_once:
             return _failed_answer()
         try:
@@ -229,7 +239,8 @@
             self.failing[request.request_id] = remaining_failures - 1
             return _failed_answer()
         stamp = f'stamp-{request.request_id}'
-        return ServerAnswer(200, [], request.body, stamp=stamp)
+        report = self.report_by_address.get(address, NO_REPORT)
+        return ServerAnswer(200, [], request.body, stamp=stamp, report=report)
 
 
 def _failed_answer() -> ServerAnswer:
--- a/anvilcove/state/endpoints.py
+++ b/anvilcove/state/endpoints.py
@@ -41,6 +41,8 @@
         'version',
         'idle_connections',
         'idle_since_s',
+        'rate_limit_per_s',
+        'limit_named_at_s',
     )
 
     def __init__(self, member: EndpointMember) -> None:
@@ -62,6 +64,10 @@
         # Idle connections, and when the last of them became idle.
         self.idle_connections = 0
         self.idle_since_s = float('-inf')
+        # Requests per second that it takes from all hosts together, None if
+        # it has named no limit, and when it last named one.
+        self.rate_limit_per_s: float | None = None
+        self.limit_named_at_s = float('-inf')
 
     def has_capacity(self, now: float) -> bool:
         """Return whether the endpoint may take one more request."""
--- a/anvilcove/telemetry/metrics.py
+++ b/anvilcove/telemetry/metrics.py
@@ -96,6 +96,14 @@
             'ejections_total', 'Ejections by service.', {'service': service}
         )
 
+    def endpoint_reported(self, kind: str) -> None:
+        """Count a report of an endpoint about itself."""
+        self._count(
+            'endpoint_reports_total',
+            'Reports in answers of endpoints, by kind.',
+            {'kind': kind},
+        )
+
     def store_call(self, kind: str, outcome: str) -> None:
         """Count a call to the store."""
         self._count(
--- a/features/steps/retry_steps.py
+++ b/features/steps/retry_steps.py
@@ -14,6 +14,7 @@
     Route,
     Target,
 )
+from anvilcove.control.endpoint_reports import EndpointReports
 from anvilcove.control.endpoints import EndpointEntry, EndpointRegistry
 from anvilcove.jobs.progress import ItemProgress
 from anvilcove.jobs.reward_calls import RewardCalls
@@ -276,6 +277,13 @@
     )
 
 
+def reports_of(context):
+    """Return the reports of the raw servers."""
+    return EndpointReports(
+        registry_of(context.servers), SystemClock(), NodeMetrics()
+    )
+
+
 def forwarder_of(context):
     """Return a forwarder to the raw servers."""
     return Forwarder(
@@ -283,6 +291,7 @@
         pools_of(context),
         PlatformServers(context.connections),
         crashes_of(context),
+        reports_of(context),
         SystemClock(),
         random.Random(1),
         NodeMetrics(),
@@ -296,6 +305,7 @@
         pools_of(context),
         PlatformStreams(context.connections),
         crashes_of(context),
+        reports_of(context),
         SystemClock(),
         random.Random(1),
     )
