Share the rates that endpoints name among all daemons

Cause: L1, no daemon knew the limits; and L2, a limit for all hosts together cannot be kept by each alone: with a bucket of the whole limit at each daemon four of seven scenarios fail (50 requests in 4 s, 23 allowed; run on this tree with the keeper taken out). The class: a bound of the whole fleet enforced per process. L3 (sends that are not requests of callers) needs no case of its own: items, reward calls and retries take a permit like requests, hedged attempts never wait for one.

Change: permits from one keeper per endpoint, chosen by a hash over the daemons that are alive, with a second one and an equal share as fallbacks; requests without a permit wait no longer than for a slot and are refused with the time of the next permit.

Evidence: 'Services with a limit get what they take, others the rest' failed on the commit before (27 in 4 s, 12.8 allowed) and passes now with six more scenarios.

--- a/anvilcove/control/endpoint_reports.py
+++ b/anvilcove/control/endpoint_reports.py
@@ -48,11 +48,14 @@
         state = self._registry.view.by_id.get(endpoint)
         if state is None:
             return
-        if limit_per_s is not None:
-            state.limit_named_at_s = self._clock.now()
-        if state.rate_limit_per_s == limit_per_s:
+        before = state.rate_limit_per_s
+        if before is None and limit_per_s is None:
+            return
+        self._registry.view.set_rate_limit(
+            state, limit_per_s, self._clock.now()
+        )
+        if before == limit_per_s:
             return
-        before, state.rate_limit_per_s = state.rate_limit_per_s, limit_per_s
         kind = 'limit' if limit_per_s is not None else 'limit ended'
         self._metrics.endpoint_reported(kind)
         logger.bind(
--- a/anvilcove/jobs/engine_slots.py
+++ b/anvilcove/jobs/engine_slots.py
@@ -3,10 +3,12 @@
 import asyncio
 import random
 from collections import OrderedDict
+from math import ceil
 
 from loguru import logger
 
 from anvilcove.control.endpoints import EndpointEntry, EndpointRegistry
+from anvilcove.control.permits import RatePermits
 from anvilcove.decisions.item_moves import (
     EngineUtilization,
     RunningItem,
@@ -20,11 +22,14 @@
 from anvilcove.jobs.engine_records import EngineRecords, relative_paces
 from anvilcove.jobs.slot_queue import EngineRequirements, NeedKey, SlotQueue
 from anvilcove.state.clock import Clock
+from anvilcove.state.endpoints import EndpointState
 from anvilcove.telemetry.logs import DECISION
 
 # Waiting items are retried this often, since engines also become usable
 # without the release of a slot.
 POLL_PERIOD_S = 0.05
+# Permits are asked for the items of this time.
+PERMIT_PERIOD_S = 0.1
 MAX_REMEMBERED_GROUPS = 2_000
 
 
@@ -79,12 +84,18 @@
         '_runs',
         '_used_at_s_by_model',
         '_work_event',
+        '_permits',
     )
 
     def __init__(
-        self, registry: EndpointRegistry, clock: Clock, rng: random.Random
+        self,
+        registry: EndpointRegistry,
+        clock: Clock,
+        rng: random.Random,
+        permits: RatePermits,
     ) -> None:
         """Start with all slots free."""
+        self._permits = permits
         self.registry = registry
         self._clock = clock
         self._rng = rng
@@ -247,20 +258,41 @@
     def _try_assign(
         self, requirements: EngineRequirements, paces: dict[str, float]
     ) -> EndpointEntry | None:
-        views = [
-            self._view(entry, requirements, paces)
+        now = self._clock.now()
+        usable = [
+            entry
             for entry in self.registry.entry_by_endpoint.values()
             if self._is_usable(entry, requirements)
         ]
+        states = [self.registry.view.by_id[e.endpoint] for e in usable]
+        views = [
+            self._view(entry, requirements, paces)
+            for entry, state in zip(usable, states, strict=True)
+            if state.has_permit(now)
+        ]
+        self._permits.refresh(requirements.service)
         chosen = choose_engine(views, self._rng, requirements.long_item)
         if chosen is None:
+            self._request_permits(usable, states)
             return None
+        self.registry.view.by_id[chosen.endpoint].spend_permit()
         self.engine_records.get_or_create(chosen.endpoint).add_item(
             requirements.model, requirements.long_item
         )
         self._remember_group(requirements.group, chosen.endpoint)
         return self.registry.entry_by_endpoint[chosen.endpoint]
 
+    def _request_permits(
+        self, entries: list[EndpointEntry], states: list[EndpointState]
+    ) -> None:
+        """Ask for permits at engines that name a limit and have room."""
+        for entry, state in zip(entries, states, strict=True):
+            free = entry.slots - self.in_flight_count(entry.endpoint)
+            limit_per_s = state.rate_limit_per_s
+            if free > 0 and limit_per_s is not None:
+                count = ceil(limit_per_s * PERMIT_PERIOD_S)
+                self._permits.request(state, min(free, count))
+
     def _is_usable(
         self, entry: EndpointEntry, requirements: EngineRequirements
     ) -> bool:
--- a/anvilcove/node/app.py
+++ b/anvilcove/node/app.py
@@ -10,6 +10,11 @@
 from aiohttp import ClientSession, TCPConnector, web
 from loguru import logger
 
+from anvilcove.control.permit_peers import (
+    PERMIT_PATH,
+    HttpPermits,
+    serve_permits,
+)
 from anvilcove.control.relay import RELAY_PATH, RelayedStore
 from anvilcove.node.adapters import Adapters, EndpointClients, Listeners
 from anvilcove.node.gauges import set_gauges
@@ -98,6 +103,7 @@
             streams=clients.streams,
             engines=clients.engines,
             probe=clients.probe,
+            permits=HttpPermits(control),
             rows=adapters.rows,
             clock=clock,
             lease_clock=SuspendAwareClock(self.settings.clock),
@@ -122,6 +128,8 @@
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
             if request.path == RELAY_PATH:
                 return await self.relay.serve(request)
+            if request.path == PERMIT_PATH:
+                return await serve_permits(self.components.permits, request)
             if request.path == '/metrics':
                 return web.Response(
                     body=self._render_metrics(), content_type='text/plain'
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -22,6 +22,7 @@
 )
 from anvilcove.control.node_sweep import NodeSweeper
 from anvilcove.control.nodes import NodeDirectory
+from anvilcove.control.permits import RatePermits
 from anvilcove.control.versions import VersionUpdater
 from anvilcove.control.watch import OnGap, OnRows, TableWatch
 from anvilcove.control.watch_pace import FOLLOWER_PAUSE_S, WatchPace
@@ -37,6 +38,7 @@
 from anvilcove.jobs.sweep import JobSweeper
 from anvilcove.node.service import NodeService, NodeState
 from anvilcove.ports.engines import EngineClient
+from anvilcove.ports.permits import PermitPort
 from anvilcove.ports.probes import EndpointProbe
 from anvilcove.ports.rows import RowReader
 from anvilcove.ports.servers import ServerClient
@@ -74,6 +76,7 @@
     streams: StreamClient
     engines: EngineClient
     probe: EndpointProbe
+    permits: PermitPort
     rows: RowReader
     clock: Clock
     lease_clock: Clock
@@ -109,6 +112,13 @@
         self.nodes = NodeDirectory(
             settings, self.crashes, dependencies.clock, nonce
         )
+        self.permits = RatePermits(
+            settings,
+            self.registry,
+            self.nodes,
+            dependencies.permits,
+            dependencies.clock,
+        )
         self.detector = FailureDetector(
             self.nodes, dependencies.clock, self._holds_orders_lease
         )
@@ -232,6 +242,7 @@
             dependencies.clock,
             dependencies.rng,
             self.metrics,
+            self.permits,
         )
         self.forwarder = Forwarder(
             self.settings,
@@ -259,7 +270,10 @@
         records = JobRecords(dependencies.store)
         watch = self.watches['jobs']
         self.slots = EngineSlots(
-            self.registry, dependencies.clock, dependencies.rng
+            self.registry,
+            dependencies.clock,
+            dependencies.rng,
+            self.permits,
         )
         rewards = RewardCalls(
             self.forwarder,
--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -468,7 +468,11 @@
             progress.refusal_reason = 'crashes endpoints'
             return crash_refusal(self._rng)
         progress.refusal_reason = self._refusal_reason(progress)
-        return refusal(progress.route.objective_s, self._rng)
+        return refusal(
+            progress.route.objective_s,
+            self._rng,
+            self._pools.retry_s(progress.service),
+        )
 
     def _refusal_reason(self, progress: RequestProgress) -> str:
         if self._pools.available_count(progress.service) == 0:
--- a/anvilcove/proxy/pools.py
+++ b/anvilcove/proxy/pools.py
@@ -7,6 +7,7 @@
 
 from anvilcove.commands.requests.pool_queue import PoolQueue
 from anvilcove.control.endpoints import EndpointRegistry
+from anvilcove.control.permits import RatePermits
 from anvilcove.decisions.ejection import OutlierEjection
 from anvilcove.decisions.limits import GradientLimit, queue_ratio
 from anvilcove.decisions.routing import LeastExpectedWait
@@ -37,6 +38,7 @@
         '_limits',
         '_ejection',
         '_queue_by_pool',
+        '_permits',
     )
 
     def __init__(
@@ -46,8 +48,11 @@
         clock: Clock,
         rng: random.Random,
         metrics: NodeMetrics,
+        permits: RatePermits,
     ) -> None:
         """Create the policies; the caller keeps `registry` up to date."""
+        self._permits = permits
+        permits.on_answer = self._on_permit_answer
         self._metrics = metrics
         self.registry = registry
         self._clock = clock
@@ -69,6 +74,7 @@
             return None
         state = self.registry.view.by_id[choice.endpoint]
         state.in_flight += 1
+        state.spend_permit()
         now = self._clock.now()
         idle = state.idle_connections if state.has_connection(now) else 0
         state.idle_connections = max(idle - 1, 0)
@@ -81,9 +87,11 @@
 
         The caller must call `finish` or `release` afterwards.
         """
+        self._permits.refresh(request.pool)
         state = self.try_acquire(request)
-        if state is not None or wait_s <= 0:
+        if state is not None or self._permits.retry_s(request.pool) >= wait_s:
             return state
+        self._permits.request_for_pool(request.pool, request.excluded)
         queue = self._queue_by_pool.setdefault(request.pool, PoolQueue())
         waiter = queue.add(request, priority)
         try:
@@ -108,7 +116,7 @@
     def release(self, state: EndpointState) -> None:
         """Release a slot that was not used."""
         state.in_flight -= 1
-        self._serve_waiters(state.pool)
+        self.serve_waiters(state.pool)
 
     def finish(
         self,
@@ -155,9 +163,30 @@
             ).log(DECISION, 'endpoint ejected')
             self._metrics.endpoint_ejected(state.pool)
         self._routing.finished(now, result, state.pool, kind)
-        self._serve_waiters(state.pool)
+        self.serve_waiters(state.pool)
 
-    def _serve_waiters(self, pool: str) -> None:
+    def retry_s(self, pool: str) -> float:
+        """Return the time until a permit, 0 if the pool needs none."""
+        return self._permits.retry_s(pool)
+
+    def _on_permit_answer(self, pool: str, retry_s: float) -> None:
+        self.serve_waiters(pool)
+        self._request_permit(pool)
+        if retry_s > 0:
+            asyncio.get_running_loop().call_later(
+                retry_s, self._request_permit, pool
+            )
+
+    def _request_permit(self, pool: str) -> None:
+        """Ask for a permit for the first request that waits."""
+        queue = self._queue_by_pool.get(pool)
+        waiter = queue.first() if queue is not None else None
+        if waiter is not None:
+            request = waiter.request
+            self._permits.request_for_pool(pool, request.excluded)
+
+    def serve_waiters(self, pool: str) -> None:
+        """Give free slots of a pool to the requests that wait for one."""
         queue = self._queue_by_pool.get(pool)
         while queue is not None:
             waiter = queue.first()
--- a/anvilcove/proxy/streams.py
+++ b/anvilcove/proxy/streams.py
@@ -179,7 +179,7 @@
                     route.name,
                     INTERACTIVE,
                 )
-        return self._unsuccessful_answer(progress, route)
+        return self._unsuccessful_answer(progress, route, service)
 
     async def _attempt(
         self,
@@ -284,7 +284,7 @@
         return route.resumable or not progress.may_have_run
 
     def _unsuccessful_answer(
-        self, progress: StreamProgress, route: Route
+        self, progress: StreamProgress, route: Route, service: str
     ) -> CallerAnswer:
         if progress.started:
             raise StreamBroken(f'after event {progress.last_event_id}')
@@ -292,4 +292,6 @@
             return bad_gateway()
         if self._crashes.is_rejected(progress.content):
             return crash_refusal(self._rng)
-        return refusal(route.objective_s, self._rng)
+        return refusal(
+            route.objective_s, self._rng, self._pools.retry_s(service)
+        )
--- a/anvilcove/state/endpoints.py
+++ b/anvilcove/state/endpoints.py
@@ -15,6 +15,8 @@
 MAX_RECENT_REPORTS = 16
 # An idle connection is assumed to be closed after this time.
 IDLE_CONNECTION_TIMEOUT_S = 8.0
+# A permit that is not used within this time is lost.
+PERMIT_TTL_S = 1.0
 
 
 class EndpointState:
@@ -43,6 +45,8 @@
         'idle_since_s',
         'rate_limit_per_s',
         'limit_named_at_s',
+        'permits',
+        'permits_until_s',
     )
 
     def __init__(self, member: EndpointMember) -> None:
@@ -68,9 +72,16 @@
         # it has named no limit, and when it last named one.
         self.rate_limit_per_s: float | None = None
         self.limit_named_at_s = float('-inf')
+        # Requests that may be sent to it while it names a limit.
+        self.permits = 0
+        self.permits_until_s = float('-inf')
 
     def has_capacity(self, now: float) -> bool:
         """Return whether the endpoint may take one more request."""
+        return self.accepts_work(now) and self.has_permit(now)
+
+    def accepts_work(self, now: float) -> bool:
+        """Return whether it has capacity, apart from the rate it takes."""
         return (
             not self.leaving
             and not self.isolated
@@ -78,6 +89,24 @@
             and self.in_flight < self.limit
         )
 
+    def has_permit(self, now: float) -> bool:
+        """Return whether the rate that the endpoint takes allows a request."""
+        if self.rate_limit_per_s is None:
+            return True
+        return self.permits > 0 and now < self.permits_until_s
+
+    def add_permits(self, now: float, count: int) -> None:
+        """Add permits, which expire together."""
+        if now >= self.permits_until_s:
+            self.permits = 0
+        self.permits += count
+        self.permits_until_s = now + PERMIT_TTL_S
+
+    def spend_permit(self) -> None:
+        """Use a permit for a request, if the endpoint names a limit."""
+        if self.rate_limit_per_s is not None:
+            self.permits -= 1
+
     def has_connection(self, now: float) -> bool:
         """Return whether an idle connection is probably still open."""
         fresh = now - self.idle_since_s < IDLE_CONNECTION_TIMEOUT_S
@@ -96,6 +125,7 @@
         'ids_by_pool',
         'changes',
         'recently_reported',
+        'limited_ids',
         '_leaving_ids',
         '_record_expires_at_s',
     )
@@ -107,6 +137,8 @@
         self.changes: Subject[str] = Subject()
         # Endpoints of the newest reports, oldest first, for gossip.
         self.recently_reported: deque[str] = deque(maxlen=MAX_RECENT_REPORTS)
+        # Endpoints that name a limit of requests a second.
+        self.limited_ids: set[str] = set()
         self._leaving_ids: set[str] = set()
         self._record_expires_at_s: dict[str, float] = {}
 
@@ -183,6 +215,22 @@
             state.report_at_s = at_s
             self.recently_reported.append(state.endpoint)
 
+    def set_rate_limit(
+        self, state: EndpointState, limit_per_s: float | None, at_s: float
+    ) -> None:
+        """Store the rate that an endpoint names, None if it names none."""
+        state.rate_limit_per_s = limit_per_s
+        if limit_per_s is None:
+            self.limited_ids.discard(state.endpoint)
+        else:
+            state.limit_named_at_s = at_s
+            self.limited_ids.add(state.endpoint)
+
+    def limited_in_pool(self, pool: str) -> list[EndpointState]:
+        """Return the endpoints of a pool that name a limit."""
+        limited = (self.by_id[endpoint] for endpoint in self.limited_ids)
+        return [state for state in limited if state.pool == pool]
+
     def in_pool(self, pool: str) -> list[EndpointState]:
         """Return all endpoints of a pool."""
         return [self.by_id[e] for e in self.ids_by_pool.get(pool, [])]
@@ -212,6 +260,7 @@
             self._record_expires_at_s[record] = float('inf')
         state.leaving = True
         self._leaving_ids.discard(endpoint)
+        self.limited_ids.discard(endpoint)
         self.ids_by_pool[state.pool].remove(endpoint)
         self.changes.on_next(endpoint)
 
--- a/features/steps/endpoint_limit_steps.py
+++ b/features/steps/endpoint_limit_steps.py
@@ -101,3 +101,82 @@
     """Check the status of each answer."""
     statuses = [answer.status for answer in context.answers]
     assert set(statuses) == {200}, {s: statuses.count(s) for s in statuses}
+
+
+@when('no service names a limit any more')
+def end_limits(context):
+    """Let all services answer without a limit."""
+    context.memory.servers.report_by_address.clear()
+
+
+@when(
+    'a daemon is killed and {rate:d} requests a second arrive for '
+    '{seconds:d} s, {count:d} times'
+)
+def kill_daemons(context, rate, seconds, count):
+    """Kill one daemon after the other while requests arrive."""
+    site = context.memory
+    for _ in range(count):
+        site.kill(sorted(site.tasks)[0])
+        site.run(send_at_rate(context, rate, seconds))
+
+
+@given('the daemons cannot reach each other for permits')
+def cut_daemons(context):
+    """Let no call for permits be answered."""
+    context.memory.permits_by_peer.clear()
+
+
+@given('engines {numbers} take {limit:g} requests a second')
+def name_engine_limit(context, numbers, limit):
+    """Let engines name a limit in their answers."""
+    site = context.memory
+    context.named_at_s = site.loop.time()
+    for number in numbers_of(numbers):
+        site.engines[number].report = EndpointReport(limit_per_s=limit)
+
+
+@then('no engine got more requests than its limit allows')
+def check_engine_limits(context):
+    """Check each engine that names a limit."""
+    for engine in context.memory.engines:
+        limit = engine.report.limit_per_s
+        if limit is not None:
+            check_windows(
+                engine.run_at_s, context.named_at_s, limit, engine.address
+            )
+
+
+@then('the services got at least {share:g} of what they take')
+def check_used(context, share):
+    """Check that the limits are used from 3 s after their naming."""
+    site = context.memory
+    since_s = context.named_at_s + NAMED_AFTER_S
+    limits = [r.limit_per_s for r in site.servers.report_by_address.values()]
+    expected = share * sum(limits) * (site.loop.time() - since_s)
+    found = sum(t >= since_s for t in site.servers.run_at_s)
+    assert found >= expected, (found, expected)
+
+
+@then(
+    'each refused request was refused within {seconds:g} s, with a '
+    'Retry-After time'
+)
+def check_prompt(context, seconds):
+    """Check that no refused request was held."""
+    refused = 0
+    for answer, latency_s in zip(
+        context.answers, context.latencies_s, strict=True
+    ):
+        if answer.status != 200:
+            refused += 1
+            assert answer.status == 503 and answer.retry_after_s, answer
+            assert latency_s <= seconds, latency_s
+    assert refused
+
+
+@then('no daemon knows a limit')
+def check_no_limit(context):
+    """Check what the daemons know of their endpoints."""
+    for name, daemon in context.memory.daemons.items():
+        assert not daemon.registry.view.limited_ids, name
--- a/features/steps/retry_steps.py
+++ b/features/steps/retry_steps.py
@@ -16,6 +16,8 @@
 )
 from anvilcove.control.endpoint_reports import EndpointReports
 from anvilcove.control.endpoints import EndpointEntry, EndpointRegistry
+from anvilcove.control.nodes import NodeDirectory
+from anvilcove.control.permits import RatePermits
 from anvilcove.jobs.progress import ItemProgress
 from anvilcove.jobs.reward_calls import RewardCalls
 from anvilcove.jobs.reward_gate import RewardGate
@@ -32,6 +34,7 @@
     NodeSettings,
     StoreSettings,
 )
+from anvilcove.standins.memory_permits import MemoryPermits
 from anvilcove.state.clock import SystemClock
 from anvilcove.telemetry.metrics import NodeMetrics
 
@@ -257,12 +260,16 @@
 
 def pools_of(context):
     """Return the slots of the raw servers."""
+    clock = SystemClock()
+    registry = registry_of(context.servers)
+    nodes = NodeDirectory(settings(), crashes_of(context), clock, 'n')
     return EndpointPools(
         settings(),
-        registry_of(context.servers),
-        SystemClock(),
+        registry,
+        clock,
         random.Random(1),
         NodeMetrics(),
+        RatePermits(settings(), registry, nodes, MemoryPermits({}), clock),
     )
 
 
