Send nothing new to an endpoint that says in an answer that it leaves

Cause: only the row in the store counted. It may lag, be missing or unreadable, while the endpoint itself has said it.

Change: the typed report of an answer marks the start of the endpoint as leaving in the registry, from where requests, streams, items, version orders and reward calls see it like a row that says draining; later rows of that start do not undo it, a new start is used at once. Requests that wait while the last endpoint of a service leaves are refused at once. status shows it, a line names the answer.

Conclusion: done for requests, streams, items and reward calls. Version orders and reports of engines are not read for it; they reach a leaving engine at most until its first other answer or its row.

--- a/anvilcove/control/endpoint_reports.py
+++ b/anvilcove/control/endpoint_reports.py
@@ -39,6 +39,11 @@
             return
         if report.unsound:
             self._log_unsound(endpoint, report, request_id)
+        if report.leaving and self._registry.mark_leaving(endpoint):
+            self._metrics.endpoint_reported('leaving')
+            logger.bind(request=request_id, endpoint=endpoint).log(
+                DECISION, 'endpoint said that it is leaving'
+            )
         if UNSOUND_LIMIT not in report.unsound:
             self._record_limit(endpoint, report.limit_per_s, request_id)
 
--- a/anvilcove/control/endpoints.py
+++ b/anvilcove/control/endpoints.py
@@ -1,6 +1,9 @@
 """Registry of the endpoints that have announced themselves."""
 
+from collections import OrderedDict
+
 from msgspec import Struct, field
+from msgspec.structs import replace
 
 from anvilcove.messages.membership import (
     ENGINE,
@@ -14,6 +17,7 @@
 # Rows that expired during a store outage are written again within about 2 s
 # of its end if their endpoints are alive.
 REANNOUNCE_GRACE_S = 2.0
+MAX_REMEMBERED_ENDPOINTS = 1_000
 
 
 class EndpointEntry(Struct):
@@ -46,6 +50,7 @@
         'entry_by_endpoint',
         '_entry_by_row',
         '_missing_until_s',
+        '_left_by_answer',
     )
 
     def __init__(self) -> None:
@@ -54,6 +59,8 @@
         self.entry_by_endpoint: dict[str, EndpointEntry] = {}
         self._entry_by_row: dict[str, EndpointEntry] = {}
         self._missing_until_s: dict[str, float] = {}
+        # Starts of endpoints that said in an answer that they are leaving.
+        self._left_by_answer: OrderedDict[str, None] = OrderedDict()
 
     def replace_all(
         self,
@@ -113,6 +120,27 @@
         entry = self.entry_by_endpoint.get(endpoint)
         return entry.version_by_model.get(model, 0) if entry else 0
 
+    def mark_leaving(self, endpoint: str) -> bool:
+        """Record that a start of an endpoint said that it is leaving.
+
+        Its row may say something else, be missing, or come back. Return
+        whether this was not known yet.
+        """
+        if endpoint in self._left_by_answer:
+            return False
+        self._left_by_answer[endpoint] = None
+        if len(self._left_by_answer) > MAX_REMEMBERED_ENDPOINTS:
+            self._left_by_answer.popitem(last=False)
+        entry = self.entry_by_endpoint.get(endpoint)
+        if entry is None or entry.draining:
+            return False
+        self.entry_by_endpoint[endpoint] = replace(entry, draining=True)
+        return self.view.mark_leaving(endpoint)
+
+    def left_by_answer(self, endpoint: str) -> bool:
+        """Tell whether an endpoint has said in an answer that it leaves."""
+        return endpoint in self._left_by_answer
+
     def _set_entry(self, row: str, entry: EndpointEntry) -> None:
         self._missing_until_s.pop(row, None)
         self._entry_by_row[row] = entry
@@ -126,7 +154,10 @@
 
     def _publish(self, now: float) -> None:
         self.entry_by_endpoint = {
-            entry.endpoint: entry for entry in self._entry_by_row.values()
+            entry.endpoint: replace(entry, draining=True)
+            if entry.endpoint in self._left_by_answer
+            else entry
+            for entry in self._entry_by_row.values()
         }
         self.view.update(
             [to_member(e) for e in self.entry_by_endpoint.values()], now
--- a/anvilcove/node/status.py
+++ b/anvilcove/node/status.py
@@ -67,6 +67,8 @@
             'data_centre': entry.data_centre,
             'address': entry.address,
             'draining': entry.draining,
+            'leaving_by_answer': components.registry.left_by_answer(endpoint),
+            'limit_per_s': state.rate_limit_per_s if state else None,
             'in_flight': running + (state.in_flight if state else 0),
             'slots': entry.slots,
             'out_for_s': round(max(ejected_s, unusable_s, 0.0), 2),
--- a/anvilcove/proxy/pools.py
+++ b/anvilcove/proxy/pools.py
@@ -60,7 +60,8 @@
         self._routing = LeastExpectedWait(settings)
         self._limits = GradientLimit(settings)
         self._ejection = OutlierEjection(settings)
-        self._queue_by_pool: dict[str, PoolQueue[EndpointState]] = {}
+        self._queue_by_pool: dict[str, PoolQueue[EndpointState | None]] = {}
+        registry.view.changes.subscribe(self._on_endpoint_change)
 
     def try_acquire(self, request: RouteRequest) -> EndpointState | None:
         """Acquire a slot without waiting, or return None.
@@ -102,7 +103,9 @@
             return future.result() if future.done() else None
         except asyncio.CancelledError:
             if waiter.future.done() and not waiter.future.cancelled():
-                self.release(waiter.future.result())
+                acquired = waiter.future.result()
+                if acquired is not None:
+                    self.release(acquired)
             raise
         finally:
             queue.remove(waiter)
@@ -165,6 +168,17 @@
         self._routing.finished(now, result, state.pool, kind)
         self.serve_waiters(state.pool)
 
+    def _on_endpoint_change(self, endpoint: str) -> None:
+        """Let no request wait for a pool that all endpoints leave."""
+        state = self.registry.view.by_id.get(endpoint)
+        if state is None or not state.leaving:
+            return
+        queue = self._queue_by_pool.get(state.pool)
+        if queue is None or self.available_count(state.pool):
+            return
+        for waiter in queue.waiting():
+            waiter.future.set_result(None)
+
     def retry_s(self, pool: str) -> float:
         """Return the time until a permit, 0 if the pool needs none."""
         return self._permits.retry_s(pool)
--- a/anvilcove/standins/memory_engines.py
+++ b/anvilcove/standins/memory_engines.py
@@ -208,8 +208,9 @@
         repeatable: bool,
     ) -> ServerAnswer:
         """Echo the body with a stamp that contains the request identifier."""
+        report = self.report_by_address.get(address, NO_REPORT)
         if address in self.refusing:
-            raise EndpointNotRun('refused', overloaded=True)
+            raise _reported(EndpointNotRun('refused', overloaded=True), report)
         self.crashes.connect(address)
         self.runs.append((address, request.request_id))
         self.run_at_s.append(asyncio.get_running_loop().time())
@@ -228,7 +229,7 @@
         every = self.failing_every.get(address, 0)
         count = sum(run_address == address for run_address, _ in self.runs)
         if every and count % every == 0:
-            return _failed_answer()
+            return _failed_answer(report)
         errors = self.connection_errors.get(request.request_id)
         if errors:
             raise errors.pop()
@@ -239,12 +240,19 @@
             self.failing[request.request_id] = remaining_failures - 1
             return _failed_answer()
         stamp = f'stamp-{request.request_id}'
-        report = self.report_by_address.get(address, NO_REPORT)
         return ServerAnswer(200, [], request.body, stamp=stamp, report=report)
 
 
-def _failed_answer() -> ServerAnswer:
-    return ServerAnswer(500, [], b'', stamp='failed', run_failed=True)
+def _failed_answer(report: EndpointReport = NO_REPORT) -> ServerAnswer:
+    return ServerAnswer(
+        500, [], b'', stamp='failed', run_failed=True, report=report
+    )
+
+
+def _reported(error: EndpointNotRun, report: EndpointReport) -> EndpointNotRun:
+    """Return an error of an answer that carries a report."""
+    error.report = report
+    return error
 
 
 class MemoryStreams:
@@ -263,6 +271,8 @@
         self.stall_first: int | None = None
         self.event_period_s = EVENT_PERIOD_S
         self.runs: list[tuple[str, int | None]] = []
+        # What services say about themselves in each answer.
+        self.report_by_address: dict[str, EndpointReport] = {}
 
     @asynccontextmanager
     async def open(
@@ -281,7 +291,12 @@
             self.break_after[address] = self.break_first
             self.break_first = None
         await self.crashes.begin(address, request.body)
-        yield StreamAnswer(200, [], self._pieces(address, after or 0))
+        yield StreamAnswer(
+            200,
+            [],
+            self._pieces(address, after or 0),
+            self.report_by_address.get(address, NO_REPORT),
+        )
 
     async def _pieces(
         self, address: str, after: int
