Grant only a part of a limit without its first keeper

Cause: the keeper of the limit grants itself all of it while the others, which do not reach it, grant themselves their shares; together nearly twice the limit. The failures varied because a set was iterated in hash order.

Change: the second keeper grants a quarter, and a daemon that reaches neither an equal share of a quarter, from an empty bucket; one and a half times the limit is what the rule allows. The endpoints with a limit are kept in order.

--- a/anvilcove/control/permits.py
+++ b/anvilcove/control/permits.py
@@ -18,6 +18,9 @@
 KEEPER_COUNT = 2
 # A keeper that did not answer is not asked again for this time.
 UNREACHABLE_S = 1.0
+# Share of the limit for all that do not reach the first keeper: others may
+# reach it meanwhile.
+FALLBACK_SHARE = 0.25
 # An endpoint that has not named its limit for this long gets a request as
 # soon as a permit is granted, as the limit may have ended.
 REFRESH_S = 2.0
@@ -27,7 +30,8 @@
     """Permits for requests to endpoints that name a limit.
 
     For each endpoint one daemon, its keeper, grants the permits of all of
-    them. While no keeper answers, a daemon grants itself an equal share.
+    them. Daemons that do not reach it ask the second one for a part of the
+    limit, and those that reach neither grant themselves an equal share of one.
     """
 
     __slots__ = (
@@ -63,8 +67,8 @@
         self._nodes = nodes
         self._port = port
         self._clock = clock
-        self._buckets = PermitBuckets()
-        self._own_shares = PermitBuckets()
+        self._buckets = PermitBuckets(first_tokens=1.0)
+        self._own_shares = PermitBuckets(first_tokens=0.0)
         self._asking_by_endpoint: dict[str, asyncio.Task[None]] = {}
         self._retry_at_s_by_endpoint: dict[str, float] = {}
         self._unreachable_until_s_by_host: dict[str, float] = {}
@@ -150,7 +154,9 @@
         keepers = permit_keepers(
             request.endpoint, [*peers_by_host, own], KEEPER_COUNT
         )
-        for host in keepers:
+        for position, host in enumerate(keepers):
+            if position == 1:
+                request.limit_per_s *= FALLBACK_SHARE
             if host == own:
                 return self.serve(request)
             if self._unreachable_until_s(host) > self._clock.now():
--- a/anvilcove/decisions/rate_permits.py
+++ b/anvilcove/decisions/rate_permits.py
@@ -22,9 +22,9 @@
 
     __slots__ = ('tokens', 'filled_at_s')
 
-    def __init__(self, now: float) -> None:
-        """Start with one token."""
-        self.tokens = 1.0
+    def __init__(self, now: float, tokens: float) -> None:
+        """Start with some tokens."""
+        self.tokens = tokens
         self.filled_at_s = now
 
     def take(self, now: float, limit_per_s: float, count: int) -> PermitGrant:
@@ -44,10 +44,11 @@
 class PermitBuckets:
     """Token buckets by endpoint, the least recently used ones forgotten."""
 
-    __slots__ = ('_by_endpoint',)
+    __slots__ = ('_by_endpoint', '_first_tokens')
 
-    def __init__(self) -> None:
-        """Start without buckets."""
+    def __init__(self, first_tokens: float) -> None:
+        """Start without buckets; a new one holds `first_tokens`."""
+        self._first_tokens = first_tokens
         self._by_endpoint: OrderedDict[str, PermitBucket] = OrderedDict()
 
     def take(self, now: float, request: PermitRequest) -> PermitGrant:
@@ -56,7 +57,7 @@
             return PermitGrant(0)
         bucket = self._by_endpoint.pop(request.endpoint, None)
         if bucket is None:
-            bucket = PermitBucket(now)
+            bucket = PermitBucket(now, self._first_tokens)
         self._by_endpoint[request.endpoint] = bucket
         if len(self._by_endpoint) > MAX_BUCKETS:
             self._by_endpoint.popitem(last=False)
--- a/anvilcove/state/endpoints.py
+++ b/anvilcove/state/endpoints.py
@@ -137,8 +137,9 @@
         self.changes: Subject[str] = Subject()
         # Endpoints of the newest reports, oldest first, for gossip.
         self.recently_reported: deque[str] = deque(maxlen=MAX_RECENT_REPORTS)
-        # Endpoints that name a limit of requests a second.
-        self.limited_ids: set[str] = set()
+        # Endpoints that name a limit of requests a second, in the order in
+        # which they did.
+        self.limited_ids: dict[str, None] = {}
         self._leaving_ids: set[str] = set()
         self._record_expires_at_s: dict[str, float] = {}
 
@@ -221,10 +222,10 @@
         """Store the rate that an endpoint names, None if it names none."""
         state.rate_limit_per_s = limit_per_s
         if limit_per_s is None:
-            self.limited_ids.discard(state.endpoint)
+            self.limited_ids.pop(state.endpoint, None)
         else:
             state.limit_named_at_s = at_s
-            self.limited_ids.add(state.endpoint)
+            self.limited_ids[state.endpoint] = None
 
     def limited_in_pool(self, pool: str) -> list[EndpointState]:
         """Return the endpoints of a pool that name a limit."""
@@ -260,7 +261,7 @@
             self._record_expires_at_s[record] = float('inf')
         state.leaving = True
         self._leaving_ids.discard(endpoint)
-        self.limited_ids.discard(endpoint)
+        self.limited_ids.pop(endpoint, None)
         self.ids_by_pool[state.pool].remove(endpoint)
         self.changes.on_next(endpoint)
 
