Refuse a request after one wait for a slot, not two

Callers that are refused may come back inside a quarter of their objective.

Cause: the first wait for a slot ended without one, and the loop that retries started with another wait of the same length: a refusal took 0.4 of the objective where 0.2 is stated. The class: a result that is ignored.

Ruled out: the permits of limited endpoints; the same wait occurs at full ones.

Change: a request that gets no slot in its first wait is refused then.

Evidence: 'Services that all have a limit are used as far as it allows' with a bound of 0.05 s for refusals (a quarter of the objective of 0.2 s) failed before with 0.08 s and passes now.

--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -211,9 +211,9 @@
     ) -> CallerAnswer:
         if not await self._may_send_content(progress, deadline_at_s):
             return self._unsuccessful_answer(progress)
-        await self._start_attempt(
-            progress, self._max_wait_s(progress, deadline_at_s)
-        )
+        wait_s = self._max_wait_s(progress, deadline_at_s)
+        if not await self._start_attempt(progress, wait_s):
+            return self._unsuccessful_answer(progress)
         while True:
             now = self._clock.now()
             if now >= deadline_at_s:
--- a/features/endpoint_limits.feature
+++ b/features/endpoint_limits.feature
@@ -21,6 +21,7 @@
     When 30 requests a second arrive at all daemons for 20 s
     Then no service got more requests than its limit allows
     And the services got at least 0.7 of what they take
+    And each refused request was refused within 0.05 s, with a Retry-After time
 
   Scenario: A limit that has ended is no longer kept
     Guards against an endpoint that keeps its limit for ever because nothing is
