--- a/anvilcove/platform/standin.py
+++ b/anvilcove/platform/standin.py
@@ -37,6 +37,7 @@
     content_marker,
     late_response,
     lateness_s,
+    report_headers,
     reset_connection,
 )
 from anvilcove.ports.errors import (
@@ -60,6 +61,7 @@
 EVENT_INTERVAL_S = 0.02
 # Time in which a model server loads a version.
 LOAD_TIME_S = 0.5
+ENDLESS_BLOCK = b'x' * 65_536
 
 
 class StoreStandin:
@@ -202,6 +204,8 @@
         # Attempt id, path and body digest of each request that began to run.
         self.runs: list[tuple[str, str, str]] = []
         self.run_at_s: list[float] = []
+        # Start of the server at each run.
+        self.run_instances: list[str] = []
         # Weight versions that generated an event, by item and event number.
         self.versions_by_event: dict[tuple[str, int], set[int]] = {}
 
@@ -224,10 +228,11 @@
         attempt = request.headers.get(ATTEMPT_ID, '')
         full = self.loading or self.running >= self.slots
         if full or self.faults.refusing or attempt in self._running_unseen:
-            return _refusal(request, 503)
+            return _refusal(request, 503, report_headers(self.faults))
         digest = hashlib.sha256(body).hexdigest()[:8]
         self.runs.append((attempt, request.raw_path, digest))
         self.run_at_s.append(asyncio.get_running_loop().time())
+        self.run_instances.append(self.instance)
         self.running += 1
         try:
             return await self._run(request, attempt, digest)
@@ -255,6 +260,8 @@
         if self.faults.breaking:
             transport.abort()
         answer = self._answer(attempt, digest)
+        if self.faults.endless:
+            return await _send_without_end(request, answer)
         if self.faults.cutting:
             return await _send_half(request, answer)
         return answer
@@ -330,6 +337,7 @@
             ATTEMPT_ID: attempt,
             SERVER_STAMP: f'{self.instance}.{attempt}',
             SERVER_LOAD: f'{self.running},0,{self.slots}',
+            **report_headers(self.faults),
         }
 
     async def _generate(
@@ -409,14 +417,29 @@
         )
 
 
-def _refusal(request: web.BaseRequest, status: int) -> web.Response:
+def _refusal(
+    request: web.BaseRequest,
+    status: int,
+    report: dict[str, str] | None = None,
+) -> web.Response:
     """Return the refusal of a request that was not run."""
-    headers = {NOT_EXECUTED: '1'}
+    headers = {NOT_EXECUTED: '1', **(report or {})}
     if ATTEMPT_ID in request.headers:
         headers[ATTEMPT_ID] = request.headers[ATTEMPT_ID]
     return web.Response(status=status, headers=headers)
 
 
+async def _send_without_end(
+    request: web.BaseRequest, answer: web.Response
+) -> web.StreamResponse:
+    """Send a body until the caller closes the connection."""
+    endless = web.StreamResponse(status=answer.status, headers=answer.headers)
+    endless.enable_chunked_encoding()
+    await endless.prepare(request)
+    while True:
+        await endless.write(ENDLESS_BLOCK)
+
+
 async def _send_half(
     request: web.BaseRequest, answer: web.Response
 ) -> web.StreamResponse:
--- a/anvilcove/platform/standin_faults.py
+++ b/anvilcove/platform/standin_faults.py
@@ -6,7 +6,12 @@
 import socket
 import struct
 
-from anvilcove.platform.names import ATTEMPT_ID, SERVER_STAMP
+from anvilcove.platform.names import (
+    ATTEMPT_ID,
+    SERVER_LEAVING,
+    SERVER_LIMIT,
+    SERVER_STAMP,
+)
 
 # Prefixes of the last segment of a path that select what its content does.
 CRASHING = 'crash-'
@@ -48,6 +53,12 @@
         self.work_s = 0.02
         # Number of the event after which streams break off, None for never.
         self.break_after: int | None = None
+        # All responses say that the server is leaving; its row does not.
+        self.leaving = False
+        # Requests per second that all responses name as a limit, 0 for none.
+        self.limit_per_s = 0.0
+        # Plain servers send a body without end.
+        self.endless = False
         # Id of a second response that follows each response, '' for none.
         self.late_id = ''
         # Connections are reset after the last byte of a response.
@@ -57,6 +68,16 @@
         self.break_after_s = 0.0
 
 
+def report_headers(faults: ServerFaults) -> dict[str, str]:
+    """Return the headers in which a server reports about itself."""
+    headers = {}
+    if faults.leaving:
+        headers[SERVER_LEAVING] = '1'
+    if faults.limit_per_s:
+        headers[SERVER_LIMIT] = f'{faults.limit_per_s:.2f}'
+    return headers
+
+
 def content_marker(path: str) -> str:
     """Return the marker of a harmful content, '' for an ordinary one."""
     name = path.rpartition('/')[2]
--- a/anvilcove/platform/standin_wire.py
+++ b/anvilcove/platform/standin_wire.py
@@ -1,12 +1,20 @@
 """Encode and decode the platform's protocol for stand-ins and soak callers."""
 
 from base64 import b64encode
+from collections.abc import Mapping
 from typing import Any
 
 from msgspec import DecodeError, Struct, json
 
 from anvilcove.control.desired import JOB
-from anvilcove.platform.names import ATTEMPT_ID, DEADLINE_MS, WAIT_MS
+from anvilcove.platform.names import (
+    ATTEMPT_ID,
+    DEADLINE_MS,
+    SERVER_LEAVING,
+    SERVER_LIMIT,
+    SERVER_STAMP,
+    WAIT_MS,
+)
 from anvilcove.platform.rows import (
     CONFIG_KEY,
     ENDPOINT_TABLE,
@@ -178,6 +186,18 @@
     return headers
 
 
+def reporting_server(headers: Mapping[str, str]) -> tuple[str, str]:
+    """Return the start of a server that leaves, and of one with a limit.
+
+    Each is empty if the answer does not say so.
+    """
+    instance = headers.get(SERVER_STAMP, '').rpartition('.')[0]
+    return (
+        instance if SERVER_LEAVING in headers else '',
+        instance if SERVER_LIMIT in headers else '',
+    )
+
+
 def submission(
     host: str, model: str, min_version: int, groups: int, items: list[ItemSpec]
 ) -> bytes:
--- a/anvilcove/soak/callers.py
+++ b/anvilcove/soak/callers.py
@@ -19,6 +19,7 @@
     lookup_path,
     read_addresses,
     read_page,
+    reporting_server,
     request_headers,
     results_headers,
     results_path,
@@ -68,6 +69,10 @@
     sent_s: float = 0.0
     # Whether the connection ended before the response.
     cut: bool = False
+    # Start of a server that said in the response that it leaves, and of one
+    # that named a limit.
+    leaving_server: str = ''
+    limited_server: str = ''
 
 
 class JobRecord(Struct):
@@ -201,6 +206,7 @@
         body = (content or request_id).encode() * 3
         digest = hashlib.sha256(body).hexdigest()[:8]
         status, intact, cut = 0, True, False
+        leaving_server = limited_server = ''
         sent_s = asyncio.get_running_loop().time()
         start_number = self._start_number(address)
         try:
@@ -211,6 +217,9 @@
             ) as response:
                 answer = await response.read()
                 status = response.status
+                leaving_server, limited_server = reporting_server(
+                    response.headers
+                )
                 if status == 200:
                     intact = answer == f'{request_id}:{digest}'.encode()
         except (ClientError, TimeoutError, OSError) as error:
@@ -230,6 +239,8 @@
                 intact,
                 sent_s,
                 cut,
+                leaving_server,
+                limited_server,
             )
         )
         return status
--- a/anvilcove/soak/closing.py
+++ b/anvilcove/soak/closing.py
@@ -1,6 +1,7 @@
 """Checks of guarantees that need a site without active faults."""
 
 import asyncio
+import math
 import signal
 
 from aiohttp import ClientError, ClientSession
@@ -63,12 +64,13 @@
     draining_servers = [site.servers[0], site.engines[0]]
     site.draining |= {server.instance for server in draining_servers}
     await asyncio.sleep(DRAIN_TIMEOUT_S + SLACK_S)
+    # A server that crashes meanwhile comes back as a start that may get some.
     before = {server.instance: len(server.runs) for server in draining_servers}
     await asyncio.sleep(OBSERVATION_S)
     violations = [
         f'leaving: {server.instance} got {server.runs[-1][0]}'
         for server in draining_servers
-        if len(server.runs) > before[server.instance]
+        if len(server.runs) > before.get(server.instance, math.inf)
     ]
     site.draining -= {server.instance for server in draining_servers}
     await asyncio.sleep(ANNOUNCE_TIMEOUT_S)
--- a/anvilcove/soak/server_faults.py
+++ b/anvilcove/soak/server_faults.py
@@ -13,7 +13,12 @@
     fault,
 )
 from anvilcove.soak.proxy import DELAY, ONE_WAY, PASS, RESET, SILENT, SPLIT
-from anvilcove.soak.site import LoopbackSite
+from anvilcove.soak.site import LoopbackSite, NamedLimit
+
+# Time in which a server that leaves may still get requests.
+DRAIN_S = 2.0
+# Limits last longer than the time from which they have to be kept.
+LIMITED_FACTOR = 3.0
 
 
 @fault('link of a server harmed')
@@ -68,6 +73,48 @@
     setattr(chosen.faults, name, False)
 
 
+@fault('server leaves by its answers')
+async def leave_by_answers(
+    site: LoopbackSite, rng: random.Random, for_s: float
+) -> None:
+    """Let a server say in its answers only that it leaves, then restart it."""
+    server = rng.choice([*site.servers, *site.engines])
+    server.faults.leaving = True
+    await asyncio.sleep(DRAIN_S + for_s)
+    await site.restart_server(server)
+    server.faults.leaving = False
+
+
+@fault('servers name limits')
+async def name_limits(
+    site: LoopbackSite, rng: random.Random, for_s: float
+) -> None:
+    """Let servers and engines name the requests a second that they take."""
+    backends = [*site.servers, *site.engines]
+    sampled = rng.sample(backends, rng.randint(1, len(backends)))
+    chosen = [s for s in sampled if not s.faults.limit_per_s]
+    loop = asyncio.get_running_loop()
+    limits = []
+    for server in chosen:
+        limit_per_s = rng.uniform(2.0, 6.0)
+        server.faults.limit_per_s = limit_per_s
+        limits.append(NamedLimit(server.instance, limit_per_s, loop.time()))
+    site.limits += limits
+    await asyncio.sleep(LIMITED_FACTOR * for_s)
+    for server, limit in zip(chosen, limits, strict=True):
+        server.faults.limit_per_s = 0.0
+        limit.ended_s = loop.time()
+
+
+@fault('servers send without end')
+async def send_without_end(
+    site: LoopbackSite, rng: random.Random, for_s: float
+) -> None:
+    """Let plain servers send bodies without end."""
+    chosen = rng.sample(site.servers, rng.randint(1, len(site.servers)))
+    await _set_server_fault(chosen, 'endless', True, False, for_s)
+
+
 @fault('bytes split')
 async def split_bytes(
     site: LoopbackSite, rng: random.Random, for_s: float
--- a/anvilcove/soak/site.py
+++ b/anvilcove/soak/site.py
@@ -186,6 +186,15 @@
     ended_s: float = math.inf
 
 
+class NamedLimit(Struct):
+    """Limit that a start of a server named, and the time in which it did."""
+
+    instance: str
+    limit_per_s: float
+    started_s: float
+    ended_s: float = math.inf
+
+
 class LoopbackSite:
     """Store, servers and daemons of one soak run."""
 
@@ -215,6 +224,7 @@
         # Names of the servers that have crashed and are not back yet.
         self.crashed: set[str] = set()
         self.fault_periods: list[FaultPeriod] = []
+        self.limits: list[NamedLimit] = []
         crash_count_by_path: Counter[str] = Counter()
         for server in [*self.engines, *self.servers]:
             server.crash_count_by_path = crash_count_by_path
@@ -299,6 +309,12 @@
             self.crashed.add(server.name)
             self._tasks.append(asyncio.create_task(self._crash(server)))
 
+    async def restart_server(self, server: ServerStandin) -> None:
+        """End a server like a crash and start it again."""
+        if server.name not in self.crashed:
+            self.crashed.add(server.name)
+            await self._crash(server)
+
     async def _crash(self, server: ServerStandin) -> None:
         """Reset the connections of a server and restart it later."""
         row = endpoint_row(server.instance)
--- a/features/machine_faults.feature
+++ b/features/machine_faults.feature
@@ -47,3 +47,14 @@
     Guards against states that only a second fault in the recovery causes.
     Given a soak test of "power lost on all hosts, daemon stopped as planned, store slow" with seed 903 and 3 faults in 4 s
     Then no guarantee was broken
+
+  Scenario: Servers that leave by their answers, or name limits, are believed
+    Guards against requests to a server that has said that it leaves while its
+    row has not, and against more requests than the named limit.
+    Given a soak test of "server leaves by its answers, servers name limits" with seed 12 and 3 faults in 5 s
+    Then no guarantee was broken
+
+  Scenario: Bodies without end leave the daemons sound
+    Guards against daemons that read without end, or fail other requests.
+    Given a soak test of "servers send without end" with seed 11 and 2 faults in 4 s
+    Then no guarantee was broken
