Let the stand-in end quietly when a caller has closed its connection

KNOWN-RED: 'ClientConnectionResetError: Cannot write to closing transport' was printed by runs of machine_faults.feature that passed.

The line comes from the stand-in's web server, not from a daemon.

Ruled out: the daemons; their output goes to files and is checked to be JSON lines.

Change: the stand-in ends such a request.

--- a/anvilcove/platform/standin.py
+++ b/anvilcove/platform/standin.py
@@ -13,7 +13,7 @@
 from urllib.parse import parse_qs, unquote
 from weakref import WeakKeyDictionary, WeakSet
 
-from aiohttp import web
+from aiohttp import ClientConnectionResetError, web
 from msgspec import json
 
 from anvilcove.platform.names import (
@@ -236,6 +236,9 @@
         self.running += 1
         try:
             return await self._run(request, attempt, digest)
+        except ClientConnectionResetError:
+            # The caller has closed the connection.
+            return web.Response(status=500)
         finally:
             self.running -= 1
             self._schedule_faults(transport, attempt, digest)
