Measure what reports of endpoints cost, and give permits to a test's slots

Change: the scenario's slots get the permits of a daemon that knows no other one; 'anvilcove bench reports' measures the reading of a report and a routing decision among 64 servers, plain and with half of them leaving or limited.

--- a/anvilcove/bench/routing_time.py
+++ b/anvilcove/bench/routing_time.py
@@ -66,9 +66,16 @@
 
 def measure(variant: str, size: int, seed: int) -> float:
     """Return the mean CPU time of a decision, in microseconds."""
+    return measure_view(build_view(size), random.Random(seed), variant)
+
+
+def measure_view(
+    view: EndpointView,
+    rng: random.Random,
+    variant: str = 'least_expected_wait',
+) -> float:
+    """Return the mean CPU time of a decision in a view, in microseconds."""
     router = policy_class('routing', variant)(offline_settings())
-    view = build_view(size)
-    rng = random.Random(seed)
     _run_decisions(router, view, rng, DECISIONS // 4)
     started_s = time.process_time()
     _run_decisions(router, view, rng, DECISIONS)
--- a/anvilcove/cli/bench.py
+++ b/anvilcove/cli/bench.py
@@ -16,6 +16,8 @@
 from anvilcove.bench.compare import compare as run_comparison
 from anvilcove.bench.log_cost import measure as measure_log_cost
 from anvilcove.bench.placement_time import measure_placement_s
+from anvilcove.bench.report_cost import ReportCost
+from anvilcove.bench.report_cost import measure as measure_report_cost
 from anvilcove.bench.subsets import measure_loss
 from anvilcove.cli.registry import program
 from anvilcove.daemon.app import load_modules
@@ -90,19 +92,38 @@
     return 0
 
 
+def endpoint_reports() -> int:
+    """Measure the processor time of reports of endpoints."""
+    load_modules()
+    cost = measure_report_cost()
+    with tempfile.TemporaryDirectory(prefix='anvilcove-') as run:
+        request_us = asyncio.run(measure_log_cost(Path(run))).request_s * 1e6
+    for name in ReportCost.__struct_fields__:
+        print(f'{name}: {getattr(cost, name):.2f}')
+    added_us = cost.silent_read_us + max(
+        cost.mixed_decision_us - cost.decision_us, 0.0
+    )
+    print(
+        f'request {request_us:.0f} us of processor time, share of the reports '
+        f'{added_us / request_us:.3f}'
+    )
+    return 0
+
+
 COMMANDS: dict[str, Callable[[], int]] = {
     'capacity': capacity,
     'page': page,
     'compare': compare,
     'logs': logs,
     'placement': placement,
+    'reports': endpoint_reports,
 }
 
 
 @program(
     'bench',
     'Run a benchmark: '
-    'anvilcove bench capacity|page|compare|logs|placement [FLAGS]',
+    'anvilcove bench capacity|page|compare|logs|placement|reports [FLAGS]',
 )
 def bench(arguments: list[str]) -> int:
     """Run the benchmark that the first argument names."""
--- a/features/steps/fleet_control_steps.py
+++ b/features/steps/fleet_control_steps.py
@@ -7,6 +7,7 @@
 import msgspec
 from behave import given, then, when
 from memory_site import MemorySite, job_spec
+from retry_steps import permits_of
 
 from anvilcove.control.endpoints import EndpointEntry, EndpointRegistry
 from anvilcove.control.node_rows import NodeRow
@@ -474,7 +475,9 @@
     }
     registry.replace_all(entries, 0.0, False)
     clock = LoopClock(context.virtual_loop)
-    context.slots = CountingSlots(registry, clock, random.Random(1))
+    context.slots = CountingSlots(
+        registry, clock, random.Random(1), permits_of(registry, clock)
+    )
 
 
 @when(
--- a/features/steps/retry_steps.py
+++ b/features/steps/retry_steps.py
@@ -262,17 +262,25 @@
     """Return the slots of the raw servers."""
     clock = SystemClock()
     registry = registry_of(context.servers)
-    nodes = NodeDirectory(settings(), crashes_of(context), clock, 'n')
     return EndpointPools(
         settings(),
         registry,
         clock,
         random.Random(1),
         NodeMetrics(),
-        RatePermits(settings(), registry, nodes, MemoryPermits({}), clock),
+        permits_of(registry, clock),
     )
 
 
+def permits_of(registry, clock):
+    """Return the permits of a daemon that knows no other one."""
+    crashes = ContentCrashes(
+        settings(), registry, ConnectionProbe(), clock, NodeMetrics()
+    )
+    nodes = NodeDirectory(settings(), crashes, clock, 'n')
+    return RatePermits(settings(), registry, nodes, MemoryPermits({}), clock)
+
+
 def crashes_of(context):
     """Return counts of crashes of the raw servers."""
     return ContentCrashes(
