End the fault of unlucky items when their crashes are over

Cause, from the kept logs: the new fault 'engines crash under items' crashed the plain servers under the reward calls of its items after the period of faults, so that all three were down when the closing checks began ('Cannot connect', 'no endpoint'). And the check of draining servers took a server that had crashed before its count, and was back as a start that does not drain, for a draining one.

Ruled out: the daemons; they refused as not run with endpoints=0 or after refused connections.

Change: the fault lasts until the crashes of its items and reward calls are over; the check looks at the starts that were told to drain. No bound changes.

Conclusion: faults of the soak, mended.

--- a/anvilcove/soak/closing.py
+++ b/anvilcove/soak/closing.py
@@ -1,7 +1,6 @@
 """Checks of guarantees that need a site without active faults."""
 
 import asyncio
-import math
 import signal
 
 from aiohttp import ClientError, ClientSession
@@ -62,17 +61,19 @@
     The callers and the trainer of the run continue meanwhile.
     """
     draining_servers = [site.servers[0], site.engines[0]]
-    site.draining |= {server.instance for server in draining_servers}
+    draining = {server.instance for server in draining_servers}
+    site.draining |= draining
     await asyncio.sleep(DRAIN_TIMEOUT_S + SLACK_S)
-    # A server that crashes meanwhile comes back as a start that may get some.
     before = {server.instance: len(server.runs) for server in draining_servers}
     await asyncio.sleep(OBSERVATION_S)
+    # A server that crashed meanwhile is back as a start that does not drain.
     violations = [
         f'leaving: {server.instance} got {server.runs[-1][0]}'
         for server in draining_servers
-        if len(server.runs) > before.get(server.instance, math.inf)
+        if server.instance in draining
+        and len(server.runs) > before[server.instance]
     ]
-    site.draining -= {server.instance for server in draining_servers}
+    site.draining -= draining
     await asyncio.sleep(ANNOUNCE_TIMEOUT_S)
     return violations
 
--- a/anvilcove/soak/content_faults.py
+++ b/anvilcove/soak/content_faults.py
@@ -9,6 +9,8 @@
     FAILING,
     REJECTED,
     UNLUCKY,
+    UNLUCKY_CRASHES,
+    content_marker,
 )
 from anvilcove.soak.faults import (
     fault,
@@ -21,6 +23,10 @@
 KILLING_FAILURES = 2
 # Several lives of an owner.
 OWNERS_KILLED_S = 13.0
+# Longest time of unlucky items after their job's submission, and the number of
+# paths of the items and reward calls of one job.
+MAX_UNLUCKY_S = 30.0
+UNLUCKY_PATHS = 4
 
 
 @fault('contents crash servers')
@@ -38,8 +44,23 @@
 async def crash_engines(
     site: LoopbackSite, rng: random.Random, for_s: float
 ) -> None:
-    """Crash the first engines that run certain items, which are owed."""
+    """Crash the first engines that run certain items, which are owed.
+
+    The servers of their reward calls crash likewise. The fault lasts until all
+    crashes have happened.
+    """
+    known = set(site.crash_count_by_path)
     await _submit_harmful(site, UNLUCKY, for_s)
+    deadline_at_s = asyncio.get_running_loop().time() + MAX_UNLUCKY_S
+    while asyncio.get_running_loop().time() < deadline_at_s:
+        counts = [
+            count
+            for path, count in site.crash_count_by_path.items()
+            if path not in known and content_marker(path) == UNLUCKY
+        ]
+        if len(counts) == UNLUCKY_PATHS and min(counts) >= UNLUCKY_CRASHES:
+            return
+        await asyncio.sleep(FAILURE_POLL_S)
 
 
 @fault('items fail')
--- a/anvilcove/soak/site.py
+++ b/anvilcove/soak/site.py
@@ -225,9 +225,9 @@
         self.crashed: set[str] = set()
         self.fault_periods: list[FaultPeriod] = []
         self.limits: list[NamedLimit] = []
-        crash_count_by_path: Counter[str] = Counter()
+        self.crash_count_by_path: Counter[str] = Counter()
         for server in [*self.engines, *self.servers]:
-            server.crash_count_by_path = crash_count_by_path
+            server.crash_count_by_path = self.crash_count_by_path
         # Names of contents that callers send again and again.
         self.crashing_contents: set[str] = set()
         # Prefixes of items for the trainer to submit, and their time.
