--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -31,7 +31,6 @@
 from anvilcove.ports.servers import (
     CallerAnswer,
     CallerRequest,
-    ServerAnswer,
     ServerClient,
 )
 from anvilcove.proxy.outcomes import (
@@ -41,16 +40,12 @@
     timed_out,
 )
 from anvilcove.proxy.pools import EndpointPools
+from anvilcove.proxy.progress import Attempt, RequestProgress
 from anvilcove.settings.daemon import HostSettings
 from anvilcove.state.clock import Clock
-from anvilcove.state.content import request_content_hash
-from anvilcove.state.endpoints import EndpointState
 from anvilcove.telemetry.logs import DECISION
 from anvilcove.telemetry.metrics import NodeMetrics
 
-# Limit of the sends of one request that endpoints report as not run. They do
-# not count as attempts.
-MAX_NOT_RUN_SENDS = 4
 # Share of the objective that a request may wait for a slot before it is
 # refused. A later refusal leaves the caller too little time to retry
 # elsewhere.
@@ -62,84 +57,6 @@
 HASH_RANGE = 2**64
 
 
-class Attempt:
-    """Send, in progress, of a request to an endpoint."""
-
-    __slots__ = ('state', 'task', 'started_at_s')
-
-    def __init__(
-        self,
-        state: EndpointState,
-        task: 'asyncio.Task[ServerAnswer]',
-        started_at_s: float,
-    ) -> None:
-        """Store the endpoint whose slot is held and the running send."""
-        self.state = state
-        self.task = task
-        self.started_at_s = started_at_s
-
-
-class RequestProgress:
-    """Attempts of one request and their outcomes.
-
-    `executions` counts the sends that an endpoint may have run,
-    `not_run_count` those that were certainly not run.
-    """
-
-    __slots__ = (
-        'request',
-        'content',
-        'route',
-        'service',
-        'owed',
-        'tried',
-        'executions',
-        'not_run_count',
-        'may_have_run',
-        'last_error_answer',
-        'server_failures',
-        'running',
-        'hedge_at_s',
-        'refusal_reason',
-    )
-
-    def __init__(
-        self,
-        request: CallerRequest,
-        route: Route,
-        service: str,
-        owed: bool,
-    ) -> None:
-        """Start without attempts."""
-        self.owed = owed
-        self.request = request
-        self.content = request_content_hash(
-            request.method, request.host, request.path, request.body
-        )
-        self.route = route
-        self.service = service
-        self.tried: set[str] = set()
-        self.executions = 0
-        self.not_run_count = 0
-        self.may_have_run = False
-        self.last_error_answer: ServerAnswer | None = None
-        self.server_failures = 0
-        self.running: list[Attempt] = []
-        self.hedge_at_s = float('inf')
-        # Reason of a refusal; empty if the request was not refused.
-        self.refusal_reason = ''
-
-    def may_send(self) -> bool:
-        """Tell whether another send is allowed."""
-        if self.not_run_count >= MAX_NOT_RUN_SENDS:
-            return False
-        if self.may_have_run and not self.route.repeatable:
-            return False
-        if self.running and not self.route.repeatable:
-            return False
-        return self.executions + len(self.running) < self.route.max_attempts
-
-
 class Forwarder:
     """Forward requests to endpoints of the service of their route."""
 
--- a/anvilcove/proxy/streams.py
+++ b/anvilcove/proxy/streams.py
@@ -27,9 +27,10 @@
 from anvilcove.ports.reports import EndpointReport
 from anvilcove.ports.servers import CallerAnswer, CallerRequest
 from anvilcove.ports.streams import StreamClient, StreamPiece, StreamSink
-from anvilcove.proxy.forwarder import MAX_NOT_RUN_SENDS, choose_service
+from anvilcove.proxy.forwarder import choose_service
 from anvilcove.proxy.outcomes import bad_gateway, crash_refusal, refusal
 from anvilcove.proxy.pools import EndpointPools
+from anvilcove.proxy.progress import MAX_NOT_RUN_SENDS
 from anvilcove.state.clock import Clock
 from anvilcove.state.content import request_content_hash
 from anvilcove.state.endpoints import EndpointState
