Limit the lines from one event of a generation to the next

Cause: 2 MiB of short lines are some 260,000; lines that were read ahead are parsed without a pause, so that the daemon's event loop stands still for seconds. Streams of callers had a limit of lines, generations none. The class: a bound on one measure (bytes) where the cost follows another (lines).

Ruled out: a slow machine alone; the next slowest scenarios took under 1 s at the same load.

--- a/anvilcove/platform/engines.py
+++ b/anvilcove/platform/engines.py
@@ -6,7 +6,10 @@
 from msgspec import json
 
 from anvilcove.platform.bodies import BodyError, decode_object
-from anvilcove.platform.client_protocol import MAX_EVENT_BYTES
+from anvilcove.platform.client_protocol import (
+    MAX_EVENT_BYTES,
+    MAX_EVENT_LINES,
+)
 from anvilcove.platform.connections import (
     SendRecord,
     ServerCall,
@@ -219,9 +222,14 @@
     for malformed, missing or reordered events.
     """
     parser = EventParser(after, version)
+    lines_left = MAX_EVENT_LINES
     async for line in lines:
+        lines_left -= 1
+        if lines_left < 0:
+            raise AnswerMismatch('stream has too many lines without an event')
         event = parser.feed(line)
         if event is not None:
+            lines_left = MAX_EVENT_LINES
             yield event
     parser.finish()
 
--- a/anvilcove/platform/servers.py
+++ b/anvilcove/platform/servers.py
@@ -8,6 +8,7 @@
 
 from anvilcove.platform.client_protocol import (
     MAX_EVENT_BYTES,
+    MAX_EVENT_LINES,
     ConnectionUse,
 )
 from anvilcove.platform.connections import (
@@ -36,8 +37,6 @@
 # say nothing about the call: they come from a server that is overloaded, or
 # out of time, or from a gateway.
 STATUS_RUN_FAILED = 500
-# Lines of a stream from one event to the next.
-MAX_EVENT_LINES = 50_000
 
 
 class PlatformServers:
