Name the contents of early crashes in the soak by what they do

Cause: read-through; 'unlucky' says nothing to a newcomer.

Change: names and comments only. Evidence: the soak scenario of machine_faults that uses them passes.

--- a/anvilcove/platform/standin.py
+++ b/anvilcove/platform/standin.py
@@ -27,11 +27,11 @@
 )
 from anvilcove.platform.standin_faults import (
     CRASHING,
+    EARLY_CRASH_COUNT,
+    EARLY_CRASHES,
     FAILING,
     FAILURE_TIME_S,
     REJECTED,
-    UNLUCKY,
-    UNLUCKY_CRASHES,
     UNSEEN_RUN_S,
     ServerFaults,
     content_marker,
@@ -249,7 +249,9 @@
         transport = request.transport
         assert transport is not None
         marker = content_marker(request.raw_path)
-        if marker == UNLUCKY and self._has_crashed_enough(request.raw_path):
+        if marker == EARLY_CRASHES and self._has_crashed_enough(
+            request.raw_path
+        ):
             marker = ''
         if marker:
             return await self._run_harmful(marker, request.raw_path, attempt)
@@ -272,7 +274,7 @@
     async def _run_harmful(
         self, marker: str, path: str, attempt: str
     ) -> web.Response:
-        if marker in (CRASHING, UNLUCKY):
+        if marker in (CRASHING, EARLY_CRASHES):
             self.crash_count_by_path[path] += 1
             now_s = asyncio.get_running_loop().time()
             self.crashes.append((now_s, attempt, path))
@@ -285,7 +287,7 @@
         return web.Response(status=status, headers=self._headers(attempt))
 
     def _has_crashed_enough(self, path: str) -> bool:
-        return self.crash_count_by_path[path] >= UNLUCKY_CRASHES
+        return self.crash_count_by_path[path] >= EARLY_CRASH_COUNT
 
     async def _run_unseen(
         self, transport: asyncio.BaseTransport, attempt: str
--- a/anvilcove/platform/standin_faults.py
+++ b/anvilcove/platform/standin_faults.py
@@ -15,11 +15,12 @@
 
 # Prefixes of the last segment of a path that select what its content does.
 CRASHING = 'crash-'
-UNLUCKY = 'unlucky-'
+EARLY_CRASHES = 'early-crash-'
 FAILING = 'fail-'
 REJECTED = 'reject-'
-# Servers that crash while they run an unlucky content, which is sound.
-UNLUCKY_CRASHES = 4
+# Number of servers that crash under a content of early crashes; it is sound
+# after that.
+EARLY_CRASH_COUNT = 4
 # Ids that a late second response carries: that of the request which it
 # repeats, that of an earlier one, or none.
 SAME_ID, OTHER_ID, NO_ID = 'same', 'other', 'none'
@@ -81,7 +82,7 @@
 def content_marker(path: str) -> str:
     """Return the marker of a harmful content, '' for an ordinary one."""
     name = path.rpartition('/')[2]
-    for marker in (CRASHING, UNLUCKY, FAILING, REJECTED):
+    for marker in (CRASHING, EARLY_CRASHES, FAILING, REJECTED):
         if name.startswith(marker):
             return marker
     return ''
--- a/anvilcove/soak/callers.py
+++ b/anvilcove/soak/callers.py
@@ -11,7 +11,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 from msgspec import Struct, field
 
-from anvilcove.platform.standin_faults import FAILING, UNLUCKY
+from anvilcove.platform.standin_faults import EARLY_CRASHES, FAILING
 from anvilcove.platform.standin_wire import (
     ItemSpec,
     JobResult,
@@ -290,8 +290,8 @@
         while True:
             prefix, for_s = await self._site.harmful_items.get()
             job = self.make_job(next(self._ids), groups=2)
-            # Unlucky items are sound, so that their job has to be completed.
-            job.harmful = prefix != UNLUCKY
+            # Items with early crashes are sound: their job has to be completed.
+            job.harmful = prefix != EARLY_CRASHES
             for position in range(0, len(job.item_ids), GROUP_SIZE):
                 job.item_ids[position] = prefix + job.item_ids[position]
             self.jobs.append(job)
--- a/anvilcove/soak/checks.py
+++ b/anvilcove/soak/checks.py
@@ -5,7 +5,7 @@
 from collections import Counter
 
 from anvilcove.platform.standin import complete_text
-from anvilcove.platform.standin_faults import UNLUCKY
+from anvilcove.platform.standin_faults import EARLY_CRASHES
 from anvilcove.platform.standin_wire import JobResult, reward_id
 from anvilcove.soak.callers import Callers, JobRecord
 from anvilcove.soak.report_checks import check_leaving, check_limits
@@ -270,7 +270,7 @@
     violations = []
     for job in callers.jobs:
         for item_id in job.item_ids:
-            if not item_id.startswith(UNLUCKY):
+            if not item_id.startswith(EARLY_CRASHES):
                 continue
             runs_s = sorted(
                 at_s
--- a/anvilcove/soak/content_faults.py
+++ b/anvilcove/soak/content_faults.py
@@ -6,10 +6,10 @@
 
 from anvilcove.platform.standin_faults import (
     CRASHING,
+    EARLY_CRASH_COUNT,
+    EARLY_CRASHES,
     FAILING,
     REJECTED,
-    UNLUCKY,
-    UNLUCKY_CRASHES,
     content_marker,
 )
 from anvilcove.soak.faults import (
@@ -23,10 +23,10 @@
 KILLING_FAILURES = 2
 # Several lives of an owner.
 OWNERS_KILLED_S = 13.0
-# Longest time of unlucky items after their job's submission, and the number of
+# Longest time of such items after their job's submission, and the number of
 # paths of the items and reward calls of one job.
-MAX_UNLUCKY_S = 30.0
-UNLUCKY_PATHS = 4
+MAX_EARLY_CRASHES_S = 30.0
+EARLY_CRASH_PATHS = 4
 
 
 @fault('contents crash servers')
@@ -50,15 +50,18 @@
     crashes have happened.
     """
     known = set(site.crash_count_by_path)
-    await _submit_harmful(site, UNLUCKY, for_s)
-    deadline_at_s = asyncio.get_running_loop().time() + MAX_UNLUCKY_S
+    await _submit_harmful(site, EARLY_CRASHES, for_s)
+    deadline_at_s = asyncio.get_running_loop().time() + MAX_EARLY_CRASHES_S
     while asyncio.get_running_loop().time() < deadline_at_s:
         counts = [
             count
             for path, count in site.crash_count_by_path.items()
-            if path not in known and content_marker(path) == UNLUCKY
+            if path not in known and content_marker(path) == EARLY_CRASHES
         ]
-        if len(counts) == UNLUCKY_PATHS and min(counts) >= UNLUCKY_CRASHES:
+        if (
+            len(counts) == EARLY_CRASH_PATHS
+            and min(counts) >= EARLY_CRASH_COUNT
+        ):
             return
         await asyncio.sleep(FAILURE_POLL_S)
 
--- a/anvilcove/soak/report_checks.py
+++ b/anvilcove/soak/report_checks.py
@@ -47,7 +47,7 @@
 
 
 def check_leaving(site: LoopbackSite, callers: Callers) -> list[str]:
-    """Check that daemons keep to the word of servers that leave."""
+    """Check that daemons send nothing new to servers that said they leave."""
     told_at_s = _first_told_at_s(callers, lambda call: call.leaving_server)
     runs_by_request = _starts_by_request(site)
     violations = []
--- a/features/endpoint_states.feature
+++ b/features/endpoint_states.feature
@@ -3,7 +3,7 @@
   registries, reports and permits of three daemons.
 
   Scenario: No sequence of events breaks the promises about endpoints
-    Guards against a new request after the word of this start that it leaves, a
-    new start that is shut out by the word of an old one, and more requests than
+    Guards against a new request after this start has said that it leaves, a
+    new start that is shut out because of an old one, and more requests than
     the limit that was named.
     Then 200 random sequences of events keep the promises
