--- a/anvilcove/soak/callers.py
+++ b/anvilcove/soak/callers.py
@@ -290,7 +290,7 @@
         while True:
             prefix, for_s = await self._site.harmful_items.get()
             job = self.make_job(next(self._ids), groups=2)
-            # Items with early crashes are sound: their job has to be completed.
+            # Items with early crashes are sound; their job must be completed.
             job.harmful = prefix != EARLY_CRASHES
             for position in range(0, len(job.item_ids), GROUP_SIZE):
                 job.item_ids[position] = prefix + job.item_ids[position]
