--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -71,7 +71,7 @@
         )
         text = report.read_text() if report.exists() else ''
     statuses = [
-        (element['name'], element['status'])
+        (element['name'].strip(), element['status'])
         for feature in json.loads(text or '[]')
         for element in feature.get('elements', [])
         if element['type'] == 'scenario'
