--- a/anvilcove/control/endpoints.py
+++ b/anvilcove/control/endpoints.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 
+from loguru import logger
 from msgspec import Struct, field
 from msgspec.structs import replace
 
@@ -35,6 +36,8 @@
     draining: bool
     slots: int
     version_by_model: dict[str, int] = field(default_factory=dict)
+    # Version of its software, '' if it names none.
+    software: str = ''
 
     @property
     def endpoint(self) -> str:
@@ -153,6 +156,7 @@
         self._entry_by_row.pop(row, None)
 
     def _publish(self, now: float) -> None:
+        known = self.entry_by_endpoint
         self.entry_by_endpoint = {
             entry.endpoint: replace(entry, draining=True)
             if entry.endpoint in self._left_by_answer
@@ -162,6 +166,14 @@
         self.view.update(
             [to_member(e) for e in self.entry_by_endpoint.values()], now
         )
+        for endpoint, entry in self.entry_by_endpoint.items():
+            if endpoint not in known:
+                logger.bind(
+                    endpoint=endpoint,
+                    service=entry.service,
+                    address=entry.address,
+                    software=entry.software,
+                ).info('endpoint listed')
 
 
 def to_member(entry: EndpointEntry) -> EndpointMember:
@@ -173,4 +185,5 @@
         pool=entry.service,
         kind=ENGINE if entry.version_by_model else SERVICE,
         state=LEAVING if entry.draining else LIVE,
+        software=entry.software,
     )
--- a/anvilcove/messages/membership.py
+++ b/anvilcove/messages/membership.py
@@ -20,7 +20,10 @@
 
 
 class EndpointMember(Message):
-    """An endpoint; `kind` is engine or service, `state` live or leaving."""
+    """An endpoint; `kind` is engine or service, `state` live or leaving.
+
+    `software` is the version of its software, '' if unknown.
+    """
 
     endpoint: str
     address: str
@@ -28,6 +31,7 @@
     pool: str
     kind: str
     state: str = LIVE
+    software: str = ''
 
 
 class Members(Message):
--- a/anvilcove/platform/rows.py
+++ b/anvilcove/platform/rows.py
@@ -118,9 +118,17 @@
         draining=state == DRAINING_STATE,
         slots=max(slots, 1),
         version_by_model=decode_models(data.get('models', [])),
+        software=_decode_software(data.get('version')),
     )
 
 
+def _decode_software(version: Any) -> str:
+    """Return the version of a server's software, '' if it is malformed."""
+    if isinstance(version, str):
+        return version
+    return str(version) if _is_integer(version) else ''
+
+
 def decode_models(models: Any) -> dict[str, int]:
     """Decode the loaded version of each model, or raise RowError."""
     if not isinstance(models, list):
--- a/anvilcove/proxy/streams.py
+++ b/anvilcove/proxy/streams.py
@@ -141,6 +141,12 @@
             if state is None:
                 break
             progress.tried.add(state.endpoint)
+            logger.bind(
+                request=request.request_id,
+                endpoint=state.endpoint,
+                software=state.software,
+                after=progress.last_event_id,
+            ).info('stream sent')
             outcome = CANCELLED
             started_at_s = self._clock.now()
             try:
--- a/anvilcove/state/endpoints.py
+++ b/anvilcove/state/endpoints.py
@@ -32,6 +32,7 @@
         'data_centre',
         'pool',
         'kind',
+        'software',
         'leaving',
         'in_flight',
         'limit',
@@ -56,6 +57,7 @@
         self.data_centre = member.data_centre
         self.pool = member.pool
         self.kind = member.kind
+        self.software = member.software
         self.leaving = member.state == LEAVING
         self.in_flight = 0
         self.limit = DEFAULT_LIMIT
