--- a/anvilcove/decisions/routing.py
+++ b/anvilcove/decisions/routing.py
@@ -147,6 +147,8 @@
         for draw in range(draws):
             if draw == 0 and draws > 1:
                 drawn = self._first_draw(request, view, share_by_endpoint, rng)
+            elif request.software is not None:
+                drawn = _sample_software(request, view, rng)
             else:
                 drawn = view.sample(request.pool, CANDIDATE_COUNT, rng)
             usable = [
@@ -228,6 +230,8 @@
     ) -> bool:
         if not state.has_capacity(now) or state.endpoint in request.excluded:
             return False
+        if not request.suits(state.software):
+            return False
         reservation = self._reservation_by_endpoint.get(state.endpoint)
         if reservation is not None and reservation[1] > now:
             return False
@@ -349,6 +353,7 @@
             for state in successors
             if state.has_capacity(now)
             and state.endpoint not in request.excluded
+            and request.suits(state.software)
             and self._is_free_or_reserved_for(now, request, state)
         ]
         for state in usable:
@@ -377,6 +382,19 @@
         )
 
 
+def _sample_software(
+    request: RouteRequest, view: EndpointView, rng: random.Random
+) -> list[EndpointState]:
+    """Draw from the endpoints of the requested software version.
+
+    Few of a large pool may have it, so that random draws would miss them.
+    """
+    states = [
+        s for s in view.in_pool(request.pool) if request.suits(s.software)
+    ]
+    return rng.sample(states, min(CANDIDATE_COUNT, len(states)))
+
+
 def _score_key(candidate: ScoredCandidate) -> float:
     return candidate.score
 
--- a/anvilcove/decisions/types.py
+++ b/anvilcove/decisions/types.py
@@ -42,7 +42,11 @@
 
 
 class RouteRequest(Struct):
-    """Properties of a request that routing depends on."""
+    """Properties of a request that routing depends on.
+
+    `software` is the only version of the endpoints' software that may take it,
+    None for any.
+    """
 
     request_id: str
     class_name: str
@@ -53,6 +57,11 @@
     excluded: set[str] = field(default_factory=set)
     deadline_at_s: float = 0.0
     isolated: bool = False
+    software: str | None = None
+
+    def suits(self, software: str) -> bool:
+        """Tell whether endpoints of a software version may take it."""
+        return self.software is None or self.software == software
 
 
 class Candidate(Struct):
--- a/anvilcove/proxy/pools.py
+++ b/anvilcove/proxy/pools.py
@@ -110,10 +110,14 @@
         finally:
             queue.remove(waiter)
 
-    def available_count(self, pool: str) -> int:
-        """Return the number of endpoints of a pool that accept new work."""
+    def available_count(self, pool: str, software: str | None = None) -> int:
+        """Return the number of endpoints of a pool that accept new work.
+
+        With `software`, only endpoints of that software version count.
+        """
         return sum(
-            not state.leaving for state in self.registry.view.in_pool(pool)
+            not state.leaving and software in (None, state.software)
+            for state in self.registry.view.in_pool(pool)
         )
 
     def release(self, state: EndpointState) -> None:
@@ -202,12 +206,17 @@
     def _serve_waiters(self, pool: str) -> None:
         """Give free slots of a pool to the requests that wait for one."""
         queue = self._queue_by_pool.get(pool)
-        while queue is not None:
-            waiter = queue.first()
-            if waiter is None:
-                return
+        if queue is None:
+            return
+        passed_over = []
+        while (waiter := queue.first()) is not None:
             state = self.try_acquire(waiter.request)
-            if state is None:
-                return
-            queue.pop()
-            waiter.future.set_result(state)
+            if state is not None:
+                queue.pop()
+                waiter.future.set_result(state)
+            elif waiter.request.software is None:
+                break
+            else:
+                # Endpoints that do not suit it may suit the next one.
+                passed_over.append(queue.pop())
+        queue.restore(passed_over)
--- a/anvilcove/proxy/streams.py
+++ b/anvilcove/proxy/streams.py
@@ -6,6 +6,7 @@
 from contextlib import aclosing
 
 from loguru import logger
+from msgspec.structs import replace
 
 from anvilcove.control.crashes import ContentCrashes
 from anvilcove.control.desired import Route
@@ -26,7 +27,12 @@
 )
 from anvilcove.ports.reports import EndpointReport
 from anvilcove.ports.servers import CallerAnswer, CallerRequest
-from anvilcove.ports.streams import StreamClient, StreamPiece, StreamSink
+from anvilcove.ports.streams import (
+    StreamAnswer,
+    StreamClient,
+    StreamPiece,
+    StreamSink,
+)
 from anvilcove.proxy.forwarder import choose_service
 from anvilcove.proxy.outcomes import bad_gateway, crash_refusal, refusal
 from anvilcove.proxy.pools import EndpointPools
@@ -37,6 +43,9 @@
 
 # Share of the objective that a stream may wait for a slot.
 MAX_WAIT_SHARE = 0.2
+# Time that a stream which has begun may wait for an endpoint of its software
+# version. Callers abandon a stream after 2 s without an event.
+RESUME_WAIT_S = 1.0
 # A stream has stalled if no event arrives for this long, or for this multiple
 # of the objective if that is more. Callers give up after less than half of it.
 MIN_STALL_S = 5.0
@@ -68,6 +77,7 @@
         'not_run_count',
         'may_have_run',
         'last_event_id',
+        'software',
         'tried',
         'content',
         'received_pieces',
@@ -85,6 +95,9 @@
         self.not_run_count = 0
         self.may_have_run = False
         self.last_event_id: int | None = None
+        # Software version of the endpoint that sent the first event, None
+        # before it. What two versions write does not fit together.
+        self.software: str | None = None
         self.tried: set[str] = set()
 
 
@@ -210,9 +223,6 @@
         ) as answer:
             self._record_report(request, state, answer.report)
             progress.may_have_run = True
-            if not progress.started:
-                progress.started = True
-                await _to_caller(sink.start(answer.status, answer.headers))
             pieces = self._without_stall(answer.pieces, route)
             async with aclosing(pieces):
                 async for piece in pieces:
@@ -223,9 +233,27 @@
                             request.request_id,
                             state.endpoint,
                         )
+                    # Until its first part the stream may begin anew at any
+                    # endpoint, whose head the caller then gets.
+                    await self._start(sink, answer, state, progress)
                     await _to_caller(sink.write(piece.data))
                     if piece.event_id is not None:
                         progress.last_event_id = piece.event_id
+            await self._start(sink, answer, state, progress)
+
+    async def _start(
+        self,
+        sink: StreamSink,
+        answer: StreamAnswer,
+        state: EndpointState,
+        progress: StreamProgress,
+    ) -> None:
+        """Send the head to the caller, unless it was sent before."""
+        if progress.started:
+            return
+        progress.started = True
+        progress.software = state.software
+        await _to_caller(sink.start(answer.status, answer.headers))
 
     def _record_report(
         self,
@@ -266,18 +294,26 @@
         service: str,
         progress: StreamProgress,
     ) -> EndpointState | None:
-        return await self._pools.acquire(
-            RouteRequest(
-                request_id=request.request_id,
-                class_name=route.name,
-                kind=INTERACTIVE,
-                pool=service,
-                excluded=progress.tried,
-                deadline_at_s=request.deadline_at_s,
-            ),
-            route.priority,
-            route.objective_s * MAX_WAIT_SHARE,
+        if not self._pools.available_count(service, progress.software):
+            return None
+        wanted = RouteRequest(
+            request_id=request.request_id,
+            class_name=route.name,
+            kind=INTERACTIVE,
+            pool=service,
+            excluded=progress.tried,
+            deadline_at_s=request.deadline_at_s,
+            software=progress.software,
         )
+        wait_s = route.objective_s * MAX_WAIT_SHARE
+        state = await self._pools.acquire(wanted, route.priority, wait_s)
+        if state is None and progress.software is not None:
+            # Few endpoints may have the version. One whose connection broke
+            # is better than none.
+            state = await self._pools.acquire(
+                replace(wanted, excluded=set()), route.priority, RESUME_WAIT_S
+            )
+        return state
 
     def _may_send(
         self, progress: StreamProgress, route: Route, request: CallerRequest
--- a/anvilcove/standins/memory_engines.py
+++ b/anvilcove/standins/memory_engines.py
@@ -267,6 +267,11 @@
         self.break_first: int | None = None
         # Number of events after which each stream of a service fails.
         self.break_after: dict[str, int] = {}
+        # Number of events after which each request's first stream fails.
+        self.break_each: int | None = None
+        # Address of the service that made an event, by request identifier
+        # and number.
+        self.made_by: dict[tuple[str, int], str] = {}
         # Number of events after which the first stream sends only comments.
         self.stall_first: int | None = None
         self.event_period_s = EVENT_PERIOD_S
@@ -294,20 +299,24 @@
         yield StreamAnswer(
             200,
             [],
-            self._pieces(address, after or 0),
+            self._pieces(address, after or 0, request.request_id),
             self.report_by_address.get(address, NO_REPORT),
         )
 
     async def _pieces(
-        self, address: str, after: int
+        self, address: str, after: int, request_id: str
     ) -> AsyncIterator[StreamPiece]:
         stall_after, self.stall_first = self.stall_first, None
+        breaks_at = self.break_after.get(address, self.events)
+        if self.break_each is not None and (request_id, 1) not in self.made_by:
+            breaks_at = min(breaks_at, self.break_each)
         for number in range(after + 1, self.events + 1):
             while stall_after is not None and number > stall_after:
                 await self.crashes.work(address, COMMENT_PERIOD_S)
                 yield StreamPiece(b': still here\n\n')
             await self.crashes.work(address, self.event_period_s)
-            if number > self.break_after.get(address, self.events):
+            if number > breaks_at:
                 raise EndpointCrashed('broken off by the test')
+            self.made_by[request_id, number] = address
             data = f'id: {number}\ndata: {number}\n\n'.encode()
             yield StreamPiece(data, number)
--- a/features/steps/memory_site.py
+++ b/features/steps/memory_site.py
@@ -95,6 +95,8 @@
         self.servers = MemoryServers(self.crashes)
         self.streams = MemoryStreams(self.crashes)
         self.server_addresses = [f'10.1.0.{i}:80' for i in range(servers)]
+        # Software versions of engines and services; others run v1.
+        self.software_by_address = {}
         # Wraps the store for the daemon of a name.
         self.wrap_store = lambda name: self.store
         self.daemons = {}
@@ -248,6 +250,7 @@
             draining=draining,
             slots=engine.slots,
             version_by_model={MODEL: engine.version},
+            software=self.software_by_address.get(engine.address, 'v1'),
         )
         self.put('servers', engine.address, msgspec.msgpack.encode(entry))
 
@@ -261,6 +264,7 @@
             data_centre='dc',
             draining=draining,
             slots=6,
+            software=self.software_by_address.get(address, 'v1'),
         )
         self.put('servers', address, msgspec.msgpack.encode(entry))
 
