--- a/anvilcove/decisions/routing.py
+++ b/anvilcove/decisions/routing.py
@@ -228,7 +228,9 @@
         state: EndpointState,
         limit: float,
     ) -> bool:
-        if not state.has_capacity(now) or state.endpoint in request.excluded:
+        if not state.has_capacity(now, ejected_too=request.last_resort):
+            return False
+        if state.endpoint in request.excluded:
             return False
         if not request.suits(state.software):
             return False
--- a/anvilcove/decisions/types.py
+++ b/anvilcove/decisions/types.py
@@ -45,7 +45,7 @@
     """Properties of a request that routing depends on.
 
     `software` is the only version of the endpoints' software that may take it,
-    None for any.
+    None for any. A request of `last_resort` takes ejected endpoints, too.
     """
 
     request_id: str
@@ -58,6 +58,7 @@
     deadline_at_s: float = 0.0
     isolated: bool = False
     software: str | None = None
+    last_resort: bool = False
 
     def suits(self, software: str) -> bool:
         """Tell whether endpoints of a software version may take it."""
--- a/anvilcove/proxy/streams.py
+++ b/anvilcove/proxy/streams.py
@@ -310,8 +310,9 @@
         if state is None and progress.software is not None:
             # Few endpoints may have the version. One whose connection broke
             # is better than none.
+            wanted = replace(wanted, excluded=set(), last_resort=True)
             state = await self._pools.acquire(
-                replace(wanted, excluded=set()), route.priority, RESUME_WAIT_S
+                wanted, route.priority, RESUME_WAIT_S
             )
         return state
 
--- a/anvilcove/state/endpoints.py
+++ b/anvilcove/state/endpoints.py
@@ -78,16 +78,16 @@
         self.permits = 0
         self.permits_until_s = float('-inf')
 
-    def has_capacity(self, now: float) -> bool:
+    def has_capacity(self, now: float, ejected_too: bool = False) -> bool:
         """Return whether the endpoint may take one more request."""
-        return self.accepts_work(now) and self.has_permit(now)
+        return self.accepts_work(now, ejected_too) and self.has_permit(now)
 
-    def accepts_work(self, now: float) -> bool:
+    def accepts_work(self, now: float, ejected_too: bool = False) -> bool:
         """Return whether it has capacity, apart from the rate it takes."""
         return (
             not self.leaving
             and not self.isolated
-            and self.ejected_until_s <= now
+            and (ejected_too or self.ejected_until_s <= now)
             and self.in_flight < self.limit
         )
 
