--- a/anvilcove/control/endpoints.py
+++ b/anvilcove/control/endpoints.py
@@ -1,6 +1,7 @@
 """Registry of the endpoints that have announced themselves."""
 
 from collections import OrderedDict
+from collections.abc import Callable
 
 from loguru import logger
 from msgspec import Struct, field
@@ -19,6 +20,9 @@
 # of its end if their endpoints are alive.
 REANNOUNCE_GRACE_S = 2.0
 MAX_REMEMBERED_ENDPOINTS = 1_000
+# A stream may have begun at a software version that was last listed this long
+# ago.
+SOFTWARE_MEMORY_S = 60.0
 
 
 class EndpointEntry(Struct):
@@ -54,6 +58,8 @@
         '_entry_by_row',
         '_missing_until_s',
         '_left_by_answer',
+        '_software_seen_at_s',
+        'on_new_software',
     )
 
     def __init__(self) -> None:
@@ -64,6 +70,10 @@
         self._missing_until_s: dict[str, float] = {}
         # Starts of endpoints that said in an answer that they are leaving.
         self._left_by_answer: OrderedDict[str, None] = OrderedDict()
+        # When each software version was last listed, by service.
+        self._software_seen_at_s: dict[str, dict[str, float]] = {}
+        # Called with a service in which a further software version serves.
+        self.on_new_software: Callable[[str], None] = lambda service: None
 
     def replace_all(
         self,
@@ -144,6 +154,34 @@
         """Tell whether an endpoint has said in an answer that it leaves."""
         return endpoint in self._left_by_answer
 
+    def recent_software(self, service: str, now: float) -> set[str]:
+        """Return the software versions that serve or served until lately."""
+        seen_at_s = self._software_seen_at_s.get(service, {})
+        listed = {
+            entry.software
+            for entry in self.entry_by_endpoint.values()
+            if entry.service == service
+        }
+        return listed | {
+            software
+            for software, at_s in seen_at_s.items()
+            if now - at_s <= SOFTWARE_MEMORY_S
+        }
+
+    def _record_software(self, now: float) -> None:
+        grown = set()
+        for entry in self.entry_by_endpoint.values():
+            seen_at_s = self._software_seen_at_s.setdefault(entry.service, {})
+            if entry.software not in seen_at_s and seen_at_s:
+                grown.add(entry.service)
+            seen_at_s[entry.software] = now
+        for seen_at_s in self._software_seen_at_s.values():
+            for software, at_s in list(seen_at_s.items()):
+                if now - at_s > SOFTWARE_MEMORY_S:
+                    del seen_at_s[software]
+        for service in grown:
+            self.on_new_software(service)
+
     def _set_entry(self, row: str, entry: EndpointEntry) -> None:
         self._missing_until_s.pop(row, None)
         self._entry_by_row[row] = entry
@@ -157,6 +195,8 @@
 
     def _publish(self, now: float) -> None:
         known = self.entry_by_endpoint
+        # The time until which those that are removed now were listed.
+        self._record_software(now)
         self.entry_by_endpoint = {
             entry.endpoint: replace(entry, draining=True)
             if entry.endpoint in self._left_by_answer
@@ -166,6 +206,7 @@
         self.view.update(
             [to_member(e) for e in self.entry_by_endpoint.values()], now
         )
+        self._record_software(now)
         for endpoint, entry in self.entry_by_endpoint.items():
             if endpoint not in known:
                 logger.bind(
--- a/anvilcove/control/permits.py
+++ b/anvilcove/control/permits.py
@@ -8,9 +8,11 @@
 
 from anvilcove.control.endpoints import EndpointRegistry
 from anvilcove.control.nodes import NodeDirectory
-from anvilcove.decisions.rate_permits import PermitBuckets, permit_keepers
+from anvilcove.decisions.rate_permits import PermitBuckets
+from anvilcove.decisions.rendezvous import rendezvous_order
 from anvilcove.messages.permits import PermitGrant, PermitRequest
-from anvilcove.ports.permits import PeerUnreachable, PermitPort
+from anvilcove.ports.peers import PeerUnreachable
+from anvilcove.ports.permits import PermitPort
 from anvilcove.settings.node import NodeSettings
 from anvilcove.state.clock import Clock
 from anvilcove.state.endpoints import EndpointState
@@ -152,10 +154,8 @@
     async def _ask_keepers(self, request: PermitRequest) -> PermitGrant:
         peers_by_host = {node.host: node.peers for node in self._nodes.alive()}
         own = self._settings.host
-        keepers = permit_keepers(
-            request.endpoint, [*peers_by_host, own], KEEPER_COUNT
-        )
-        for position, host in enumerate(keepers):
+        order = rendezvous_order(request.endpoint, [*peers_by_host, own])
+        for position, host in enumerate(order[:KEEPER_COUNT]):
             if position == 1:
                 limit_per_s = request.limit_per_s * FALLBACK_SHARE
                 request = replace(request, limit_per_s=limit_per_s)
--- a/anvilcove/decisions/rate_permits.py
+++ b/anvilcove/decisions/rate_permits.py
@@ -1,11 +1,8 @@
 """Permits for requests to endpoints that name a limit of requests a second."""
 
 from collections import OrderedDict
-from collections.abc import Iterable
 from math import floor
 
-from xxhash import xxh3_64_intdigest
-
 from anvilcove.messages.permits import PermitGrant, PermitRequest
 
 # Time whose requests may be sent at once after a pause.
@@ -62,18 +59,3 @@
         if len(self._by_endpoint) > MAX_BUCKETS:
             self._by_endpoint.popitem(last=False)
         return bucket.take(now, request.limit_per_s, request.count)
-
-
-def permit_keepers(
-    endpoint: str, hosts: Iterable[str], count: int
-) -> list[str]:
-    """Return the hosts that keep the permits of an endpoint, best one first.
-
-    All daemons that know the same hosts return the same ones.
-    """
-
-    def weight(host: str) -> int:
-        digest: int = xxh3_64_intdigest(f'{endpoint} {host}'.encode())
-        return digest
-
-    return sorted(hosts, key=weight, reverse=True)[:count]
--- a/anvilcove/node/app.py
+++ b/anvilcove/node/app.py
@@ -10,6 +10,12 @@
 from aiohttp import ClientSession, TCPConnector, web
 from loguru import logger
 
+from anvilcove.control.origin_peers import (
+    FIND_PATH,
+    KEEP_PATH,
+    HttpOrigins,
+    serve_origins,
+)
 from anvilcove.control.permit_peers import (
     PERMIT_PATH,
     HttpPermits,
@@ -104,6 +110,7 @@
             engines=clients.engines,
             probe=clients.probe,
             permits=HttpPermits(control),
+            origins=HttpOrigins(control),
             rows=adapters.rows,
             clock=clock,
             lease_clock=SuspendAwareClock(self.settings.clock),
@@ -130,6 +137,8 @@
                 return await self.relay.serve(request)
             if request.path == PERMIT_PATH:
                 return await serve_permits(self.components.permits, request)
+            if request.path in (KEEP_PATH, FIND_PATH):
+                return await serve_origins(self.components.origins, request)
             if request.path == '/metrics':
                 return web.Response(
                     body=self._render_metrics(), content_type='text/plain'
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -23,6 +23,7 @@
 from anvilcove.control.node_sweep import NodeSweeper
 from anvilcove.control.nodes import NodeDirectory
 from anvilcove.control.permits import RatePermits
+from anvilcove.control.stream_origins import StreamOrigins
 from anvilcove.control.versions import VersionUpdater
 from anvilcove.control.watch import OnGap, OnRows, TableWatch
 from anvilcove.control.watch_pace import FOLLOWER_PAUSE_S, WatchPace
@@ -38,6 +39,7 @@
 from anvilcove.jobs.sweep import JobSweeper
 from anvilcove.node.service import NodeService, NodeState
 from anvilcove.ports.engines import EngineClient
+from anvilcove.ports.peers import OriginPort
 from anvilcove.ports.permits import PermitPort
 from anvilcove.ports.probes import EndpointProbe
 from anvilcove.ports.rows import RowReader
@@ -77,6 +79,7 @@
     engines: EngineClient
     probe: EndpointProbe
     permits: PermitPort
+    origins: OriginPort
     rows: RowReader
     clock: Clock
     lease_clock: Clock
@@ -119,6 +122,9 @@
             dependencies.permits,
             dependencies.clock,
         )
+        self.origins = StreamOrigins(
+            self.registry, self.nodes, dependencies.origins, dependencies.clock
+        )
         self.detector = FailureDetector(
             self.nodes, dependencies.clock, self._holds_orders_lease
         )
@@ -226,6 +232,7 @@
         nodes_watch.pause_s = lambda: FOLLOWER_PAUSE_S
         heartbeats_watch.is_needed = pace.is_standby
         heartbeats_watch.long_poll_s = HEARTBEATS_LONG_POLL_S
+        self.origins.registry_age_s = watches['endpoints'].age_s
         self.nodes.rows_read_at = lambda: nodes_watch.answered_at_s
         self.detector.rows_read_at = lambda: heartbeats_watch.answered_at_s
         self.jobs_view.observed_s = lambda: jobs_watch.observed_s
@@ -261,8 +268,10 @@
             dependencies.streams,
             self.crashes,
             self.reports,
+            self.origins,
             dependencies.clock,
             dependencies.rng,
+            self.metrics,
         )
 
     def _build_jobs(self) -> None:
--- a/anvilcove/platform/listeners.py
+++ b/anvilcove/platform/listeners.py
@@ -25,6 +25,8 @@
     ATTEMPT_ID,
     DEADLINE_MS,
     HOP_BY_HOP,
+    LAST_EVENT_ID,
+    RESUMES,
     RETRY_AFTER,
     WAIT_MS,
 )
@@ -103,6 +105,8 @@
             body=body,
             received_s=received_s,
             deadline_at_s=received_s + _deadline_s(request),
+            resumes=request.headers.get(RESUMES, ''),
+            resumed_after=request.headers.get(LAST_EVENT_ID, ''),
         )
         if route.kind == STREAM:
             return await self._stream(request, caller_request, route)
--- a/anvilcove/ports/permits.py
+++ b/anvilcove/ports/permits.py
@@ -5,10 +5,6 @@
 from anvilcove.messages.permits import PermitGrant, PermitRequest
 
 
-class PeerUnreachable(Exception):
-    """Raised when a peer does not answer in time."""
-
-
 class PermitPort(Protocol):
     """Client of the peers that keep the permits of endpoints."""
 
--- a/anvilcove/ports/servers.py
+++ b/anvilcove/ports/servers.py
@@ -14,7 +14,9 @@
     """A request as its caller sent it.
 
     `received_s` and `deadline_at_s` are times of the daemon's clock. The
-    caller stops waiting at `deadline_at_s`.
+    caller stops waiting at `deadline_at_s`. A request that resumes a stream
+    has `resumes` set to the request whose answer brought the first event, ''
+    if the caller does not name it, and `resumed_after` to the last event.
     """
 
     request_id: str
@@ -25,6 +27,8 @@
     body: bytes
     received_s: float
     deadline_at_s: float
+    resumes: str = ''
+    resumed_after: str = ''
 
 
 class ServerAnswer(Struct):
--- a/anvilcove/proxy/streams.py
+++ b/anvilcove/proxy/streams.py
@@ -11,6 +11,7 @@
 from anvilcove.control.crashes import ContentCrashes
 from anvilcove.control.desired import Route
 from anvilcove.control.endpoint_reports import EndpointReports
+from anvilcove.control.stream_origins import StreamOrigins
 from anvilcove.decisions.types import (
     CANCELLED,
     CRASH,
@@ -19,6 +20,7 @@
     OVERLOADED,
     RouteRequest,
 )
+from anvilcove.messages.streams import StreamOrigin
 from anvilcove.ports.errors import (
     EndpointError,
     EndpointFailed,
@@ -40,6 +42,8 @@
 from anvilcove.state.clock import Clock
 from anvilcove.state.content import request_content_hash
 from anvilcove.state.endpoints import EndpointState
+from anvilcove.telemetry.logs import DECISION
+from anvilcove.telemetry.metrics import NodeMetrics
 
 # Share of the objective that a stream may wait for a slot.
 MAX_WAIT_SHARE = 0.2
@@ -113,8 +117,10 @@
         '_client',
         '_crashes',
         '_reports',
+        '_origins',
         '_clock',
         '_rng',
+        '_metrics',
     )
 
     def __init__(
@@ -123,10 +129,14 @@
         client: StreamClient,
         crashes: ContentCrashes,
         reports: EndpointReports,
+        origins: StreamOrigins,
         clock: Clock,
         rng: random.Random,
+        metrics: NodeMetrics,
     ) -> None:
         """Set up; `client` opens the streams at the endpoints."""
+        self._origins = origins
+        self._metrics = metrics
         self._pools = pools
         self._client = client
         self._crashes = crashes
@@ -143,7 +153,12 @@
         after that it raises StreamBroken.
         """
         progress = StreamProgress(request)
-        service = choose_service(route, request.request_id)
+        if route.resumable and (request.resumes or request.resumed_after):
+            service = await self._find_origin(request, route, progress)
+            if service is None:
+                return refusal(route.objective_s, self._rng)
+        else:
+            service = choose_service(route, request.request_id)
         while await self._crashes.may_send(
             request.request_id,
             progress.content,
@@ -235,14 +250,53 @@
                         )
                     # Until its first part the stream may begin anew at any
                     # endpoint, whose head the caller then gets.
-                    await self._start(sink, answer, state, progress)
+                    await self._start(
+                        request, route, sink, answer, state, progress
+                    )
                     await _to_caller(sink.write(piece.data))
                     if piece.event_id is not None:
                         progress.last_event_id = piece.event_id
-            await self._start(sink, answer, state, progress)
+            await self._start(request, route, sink, answer, state, progress)
+
+    async def _find_origin(
+        self, request: CallerRequest, route: Route, progress: StreamProgress
+    ) -> str | None:
+        """Return the service at which a stream goes on, None if unknown.
+
+        Sets the software version that it has to go on at.
+        """
+        origin = await self._origins.find(
+            request.resumes,
+            choose_service(route, request.resumes),
+            ambiguous=len(route.targets) > 1,
+        )
+        outcome = 'resumed'
+        if origin is None:
+            outcome = 'origin unknown'
+        elif all(origin.service != t.service for t in route.targets):
+            outcome = 'service no longer on the route'
+        elif not self._pools.available_count(origin.service, origin.software):
+            outcome = 'software version no longer serves'
+        logger.bind(
+            request=request.request_id,
+            resumes=request.resumes,
+            after=request.resumed_after,
+            service=origin.service if origin else '',
+            software=origin.software if origin else '',
+            outcome=outcome,
+        ).log(DECISION, 'stream resumed by its caller')
+        self._metrics.stream_resumed(outcome)
+        if origin is None or outcome != 'resumed':
+            return None
+        progress.software = origin.software
+        if request.resumed_after.isdecimal():
+            progress.last_event_id = int(request.resumed_after)
+        return origin.service
 
     async def _start(
         self,
+        request: CallerRequest,
+        route: Route,
         sink: StreamSink,
         answer: StreamAnswer,
         state: EndpointState,
@@ -253,6 +307,11 @@
             return
         progress.started = True
         progress.software = state.software
+        if route.resumable and not request.resumes:
+            await self._origins.begin(
+                StreamOrigin(request.request_id, state.pool, state.software),
+                ambiguous=len(route.targets) > 1,
+            )
         await _to_caller(sink.start(answer.status, answer.headers))
 
     def _record_report(
--- a/anvilcove/standins/memory_permits.py
+++ b/anvilcove/standins/memory_permits.py
@@ -4,7 +4,7 @@
 
 from anvilcove.control.permits import RatePermits
 from anvilcove.messages.permits import PermitGrant, PermitRequest
-from anvilcove.ports.permits import PeerUnreachable
+from anvilcove.ports.peers import PeerUnreachable
 
 ROUND_TRIP_S = 0.002
 TIMEOUT_S = 0.15
--- a/anvilcove/telemetry/metrics.py
+++ b/anvilcove/telemetry/metrics.py
@@ -90,6 +90,14 @@
             {'event': event},
         )
 
+    def stream_resumed(self, outcome: str) -> None:
+        """Count a stream that its caller resumes."""
+        self._count(
+            'stream_resumptions_total',
+            'Streams that callers resume, by outcome.',
+            {'outcome': outcome},
+        )
+
     def endpoint_ejected(self, service: str) -> None:
         """Count an ejection of an endpoint."""
         self._count(
--- a/features/steps/memory_site.py
+++ b/features/steps/memory_site.py
@@ -33,6 +33,7 @@
     MemoryServers,
     MemoryStreams,
 )
+from anvilcove.standins.memory_origins import MemoryOrigins
 from anvilcove.standins.memory_permits import MemoryPermits
 from anvilcove.standins.memory_store import MemoryStore
 from anvilcove.standins.virtual_loop import LoopClock, VirtualLoop
@@ -102,6 +103,8 @@
         self.daemons = {}
         # Permits of the daemons that can be reached, by peer address.
         self.permits_by_peer = {}
+        # Origins of streams that these daemons remember.
+        self.origins_by_peer = {}
         self.clocks = {}
         self.tasks = {}
         self.write_operator()
@@ -147,6 +150,7 @@
                 engines=self.engine_client,
                 probe=self.crashes,
                 permits=MemoryPermits(self.permits_by_peer),
+                origins=MemoryOrigins(self.origins_by_peer),
                 rows=MemoryRows(),
                 clock=clock,
                 lease_clock=lease_clock,
@@ -155,6 +159,7 @@
         )
         self.daemons[name] = daemon
         self.permits_by_peer[f'{name}:2'] = daemon.permits
+        self.origins_by_peer[f'{name}:2'] = daemon.origins
         self.tasks[name] = [
             self.loop.create_task(work) for work in daemon.loops()
         ]
@@ -163,6 +168,7 @@
     def kill(self, name):
         """End a daemon without handing anything over."""
         self.permits_by_peer.pop(f'{name}:2', None)
+        self.origins_by_peer.pop(f'{name}:2', None)
         for task in self.tasks.pop(name):
             task.cancel()
         for run in list(self.daemons[name].owner.runs.values()):
--- a/features/steps/retry_steps.py
+++ b/features/steps/retry_steps.py
@@ -18,6 +18,7 @@
 from anvilcove.control.endpoints import EndpointEntry, EndpointRegistry
 from anvilcove.control.nodes import NodeDirectory
 from anvilcove.control.permits import RatePermits
+from anvilcove.control.stream_origins import StreamOrigins
 from anvilcove.jobs.progress import ItemProgress
 from anvilcove.jobs.reward_calls import RewardCalls
 from anvilcove.jobs.reward_gate import RewardGate
@@ -34,6 +35,7 @@
     NodeSettings,
     StoreSettings,
 )
+from anvilcove.standins.memory_origins import MemoryOrigins
 from anvilcove.standins.memory_permits import MemoryPermits
 from anvilcove.state.clock import SystemClock
 from anvilcove.telemetry.metrics import NodeMetrics
@@ -299,6 +301,13 @@
     )
 
 
+def origins_of(context):
+    """Return the origins of the streams of a daemon without peers."""
+    registry, clock = registry_of(context.servers), SystemClock()
+    nodes = NodeDirectory(settings(), crashes_of(context), clock, 'n')
+    return StreamOrigins(registry, nodes, MemoryOrigins({}), clock)
+
+
 def forwarder_of(context):
     """Return a forwarder to the raw servers."""
     return Forwarder(
@@ -321,8 +330,10 @@
         PlatformStreams(context.connections),
         crashes_of(context),
         reports_of(context),
+        origins_of(context),
         SystemClock(),
         random.Random(1),
+        NodeMetrics(),
     )
 
 
