--- a/anvilcove/jobs/engine_slots.py
+++ b/anvilcove/jobs/engine_slots.py
@@ -40,6 +40,7 @@
         'item_id',
         'requirements',
         'endpoint',
+        'software',
         'events',
         'moves',
         'move_requested',
@@ -50,14 +51,15 @@
         self,
         item_id: str,
         requirements: EngineRequirements,
-        endpoint: str,
+        entry: EndpointEntry,
         events: int,
         moves: int,
     ) -> None:
         """Start with the events and moves of earlier runs of the item."""
         self.item_id = item_id
         self.requirements = requirements
-        self.endpoint = endpoint
+        self.endpoint = entry.endpoint
+        self.software = entry.software
         self.events = events
         self.moves = moves
         self.move_requested = False
@@ -214,16 +216,19 @@
             return
         now = self._clock.now()
         intervals = self.engine_records.interval_by_endpoint()
-        handles_by_model: dict[tuple[str, str, int], list[RunHandle]] = {}
+        handles_by_needs: dict[tuple[str, str, int, str], list[RunHandle]] = {}
         for handle in self._runs.values():
             if handle.events and not handle.move_requested:
                 needs = handle.requirements
-                key = (needs.service, needs.model, needs.min_version)
-                handles_by_model.setdefault(key, []).append(handle)
-        for handles in handles_by_model.values():
-            engines = self._engine_utilizations(
-                handles[0].requirements, intervals
-            )
+                key = (
+                    needs.service,
+                    needs.model,
+                    needs.min_version,
+                    handle.software,
+                )
+                handles_by_needs.setdefault(key, []).append(handle)
+        for handles in handles_by_needs.values():
+            engines = self._engine_utilizations(handles[0], intervals)
             moves = select_items_to_move(
                 engines, [_running_item(handle, now) for handle in handles]
             )
@@ -239,8 +244,10 @@
                 self._runs[item.item_id].request_move()
 
     def _engine_utilizations(
-        self, requirements: EngineRequirements, intervals: dict[str, float]
+        self, handle: RunHandle, intervals: dict[str, float]
     ) -> list[EngineUtilization]:
+        """Return the engines at which the text of a run may go on."""
+        requirements = handle.requirements
         paces = relative_paces(intervals)
         return [
             EngineUtilization(
@@ -252,7 +259,9 @@
                 interval_s=intervals.get(entry.endpoint, 0.0),
             )
             for entry in self.registry.entry_by_endpoint.values()
-            if entry.service == requirements.service and not entry.draining
+            if entry.service == requirements.service
+            and entry.software == handle.software
+            and not entry.draining
         ]
 
     def _try_assign(
@@ -264,6 +273,7 @@
             for entry in self.registry.entry_by_endpoint.values()
             if self._is_usable(entry, requirements)
         ]
+        usable = _of_software(usable, requirements.software)
         states = [self.registry.view.by_id[e.endpoint] for e in usable]
         views = [
             self._view(entry, requirements, paces)
@@ -342,6 +352,15 @@
             self._engine_by_group.popitem(last=False)
 
 
+def _of_software(
+    entries: list[EndpointEntry], software: str | None
+) -> list[EndpointEntry]:
+    """Return the engines of a software version, all if there is none."""
+    if software is None:
+        return entries
+    return [e for e in entries if e.software == software] or entries
+
+
 def _running_item(handle: RunHandle, now: float) -> RunningItem:
     requirements = handle.requirements
     return RunningItem(
--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -40,6 +40,7 @@
 from anvilcove.ports.reports import EndpointReport
 from anvilcove.state.clock import Clock
 from anvilcove.state.content import request_content_hash
+from anvilcove.telemetry.logs import DECISION
 
 # An attempt fails if its engine sends nothing for this long. Loading a weight
 # version, which pauses the runs of an engine, takes about a second.
@@ -223,6 +224,8 @@
         """Generate the rest of the text at one engine."""
         if route.job is not None and route.job.single_version:
             self._reset_if_version_differs(progress, entry, spec.model)
+        self._reset_if_software_differs(progress, entry)
+        progress.software = entry.software
         generation = Generation(
             item_id=progress.item.item_id,
             host=spec.host,
@@ -238,7 +241,7 @@
         handle = RunHandle(
             progress.item.item_id,
             requirements,
-            entry.endpoint,
+            entry,
             len(progress.texts),
             progress.moves,
         )
@@ -358,6 +361,28 @@
         if progress.versions and progress.versions != [version]:
             progress.reset()
 
+    def _reset_if_software_differs(
+        self, progress: ItemProgress, entry: EndpointEntry
+    ) -> None:
+        """Discard a text that an engine of another version can't go on."""
+        known = progress.software
+        if known is None:
+            # The text is of an owner that did not store the version.
+            recent = self._slots.registry.recent_software(
+                entry.service, self._clock.now()
+            )
+            known = entry.software if len(recent) == 1 else None
+        if not progress.texts or known == entry.software:
+            return
+        logger.bind(
+            request=progress.item.item_id,
+            endpoint=entry.endpoint,
+            software=entry.software,
+            text_software=progress.software,
+            events=len(progress.texts),
+        ).log(DECISION, 'text discarded: no engine of its software version')
+        progress.reset()
+
     def _job_route(self, spec: JobSpec) -> Route | None:
         state = self._desired.current
         route = state.find_route(spec.host, spec.path) if state else None
@@ -381,6 +406,7 @@
             expected_events=progress.expected_events,
             started_at_s=progress.started_at_s,
             objective_s=route.job.result_objective_s if route.job else 0.0,
+            software=progress.software if progress.texts else None,
         )
 
     def _record_attempt_failure(
--- a/anvilcove/jobs/job_run.py
+++ b/anvilcove/jobs/job_run.py
@@ -366,7 +366,13 @@
             if size > MAX_CHECKPOINT_BYTES:
                 break
             parts.append(
-                TextPart(item_id, after, texts, list(progress.versions))
+                TextPart(
+                    item_id,
+                    after,
+                    texts,
+                    list(progress.versions),
+                    progress.software,
+                )
             )
         return parts
 
--- a/anvilcove/jobs/progress.py
+++ b/anvilcove/jobs/progress.py
@@ -26,6 +26,7 @@
         'content',
         'texts',
         'versions',
+        'software',
         'was_reset',
         'attempts',
         'failures',
@@ -59,6 +60,9 @@
         self.runs: list[ItemRun] = []
         self.texts: list[str] = []
         self.versions: list[int] = []
+        # Software version of the engines that generated the text, None if it
+        # is unknown or there is no text.
+        self.software: str | None = None
         # Whether the text was discarded; its checkpoints then no longer match.
         self.was_reset = False
         self.attempts = 0
@@ -78,6 +82,7 @@
         """Continue from a checkpoint of an earlier owner."""
         self.texts = list(part.texts)
         self.versions = list(part.versions)
+        self.software = part.software
 
     async def record_failure(self, endpoint: str) -> None:
         """Count an answer that reported a failed item, and store the count."""
@@ -108,6 +113,7 @@
         """Discard the generated text."""
         self.texts = []
         self.versions = []
+        self.software = None
         self.was_reset = True
 
     def generation_time_s(self) -> float:
--- a/anvilcove/jobs/records.py
+++ b/anvilcove/jobs/records.py
@@ -183,6 +183,7 @@
             if part.after == len(known.texts):
                 known.texts += part.texts
                 known.versions = part.versions
+                known.software = part.software
         return found
 
     async def failures(self, job_id: str) -> dict[str, ItemFailures]:
--- a/anvilcove/jobs/slot_queue.py
+++ b/anvilcove/jobs/slot_queue.py
@@ -9,7 +9,7 @@
 
 from anvilcove.control.endpoints import EndpointEntry
 
-NeedKey = tuple[str, str, int, bool, frozenset[str]]
+NeedKey = tuple[str, str, int, bool, frozenset[str], str | None]
 
 
 class EngineRequirements(Struct):
@@ -18,7 +18,9 @@
     `excluded` holds the endpoints at which the item has failed. `group` names
     the items that share a prompt, which one engine may have cached. A
     `long_item` will probably decide when its step ends. The item started at
-    `started_at_s` and is due within `objective_s`.
+    `started_at_s` and is due within `objective_s`. Its text goes on only at
+    engines of the version `software`; elsewhere it begins anew. None stands for
+    no text.
     """
 
     service: str
@@ -30,6 +32,7 @@
     expected_events: float = 0.0
     started_at_s: float = 0.0
     objective_s: float = 0.0
+    software: str | None = None
 
     def key(self) -> NeedKey:
         """Return what decides whether an engine is usable."""
@@ -39,6 +42,7 @@
             self.min_version,
             self.long_item,
             frozenset(self.excluded),
+            self.software,
         )
 
 
--- a/anvilcove/jobs/types.py
+++ b/anvilcove/jobs/types.py
@@ -122,13 +122,15 @@
     """Checkpoint of an unfinished item: its events from index `after` on.
 
     `versions` are the weight versions that generated the text up to the end
-    of this part.
+    of this part, `software` the software version of its engines, None if
+    unknown: daemons of earlier versions don't store it.
     """
 
     item_id: str
     after: int
     texts: list[str]
     versions: list[int]
+    software: str | None = None
 
 
 class Commit(Struct):
--- a/anvilcove/standins/memory_engines.py
+++ b/anvilcove/standins/memory_engines.py
@@ -97,6 +97,8 @@
         """Index the engines by address."""
         self.by_address = {engine.address: engine for engine in engines}
         self.crashes = crashes
+        # Address of the engine that made an event last, by item and number.
+        self.made_by: dict[tuple[str, int], str] = {}
 
     async def generate(
         self, address: str, instance: str, generation: Generation
@@ -140,6 +142,7 @@
                 ):
                     engine.broken.add(item)
                     raise EndpointCrashed('broken off by the test')
+                self.made_by[item, number] = address
                 yield TokenEvent(number, f'{item}:{number}', engine.version)
             yield GenerationEnd(engine.events)
         finally:
