--- a/anvilcove/control/announcer.py
+++ b/anvilcove/control/announcer.py
@@ -48,6 +48,7 @@
         '_due_event',
         '_holds_orders_lease',
         '_desired_state',
+        '_is_cut',
         '_must_announce',
         '_scheduled_state',
         '_refresh_at_s',
@@ -63,12 +64,15 @@
         clock: Clock,
         holds_orders_lease: Callable[[], bool],
         desired_state: Callable[[], tuple[int, float]],
+        is_cut: Callable[[], bool],
     ) -> None:
         """Prepare the row; nothing is written before `run`.
 
         `desired_state` returns the current version and the seconds since it
-        was last confirmed by a read.
+        was last confirmed by a read, `is_cut` whether this host is cut from
+        all endpoints.
         """
+        self._is_cut = is_cut
         self._row = NodeRow(
             host=settings.host,
             nonce=nonce,
@@ -136,6 +140,7 @@
         """Write a sign of life; return whether it was acknowledged."""
         self._row.beat += 1
         self._row.orders = self._holds_orders_lease()
+        self._row.cut = self._is_cut()
         if self._announcement_due():
             return await self._announce()
         heartbeat = Heartbeat(self._row.nonce, self._row.beat)
@@ -203,8 +208,9 @@
 
 def _agree(stored: NodeRow, row: NodeRow) -> bool:
     """Tell whether a stored announcement says what others must know."""
-    return (stored.nonce, stored.leaving, stored.orders) == (
+    return (stored.nonce, stored.leaving, stored.orders, stored.cut) == (
         row.nonce,
         row.leaving,
         row.orders,
+        row.cut,
     )
--- a/anvilcove/control/node_rows.py
+++ b/anvilcove/control/node_rows.py
@@ -41,6 +41,8 @@
     # Nonces of the daemons whose heartbeats have stopped, by host. The holder
     # of the orders lease keeps it up to date.
     lost_by_host: dict[str, str] = field(default_factory=dict)
+    # Whether the daemon is cut from all endpoints.
+    cut: bool = False
 
     @property
     def recently_restarted(self) -> bool:
--- a/anvilcove/control/nodes.py
+++ b/anvilcove/control/nodes.py
@@ -39,6 +39,7 @@
         'is_known',
         'nonce',
         'rows_read_at',
+        'on_cut',
         '_settings',
         '_crashes',
         '_clock',
@@ -68,6 +69,8 @@
         self._clock = clock
         # Returns the time at which the last answered read was sent.
         self.rows_read_at: Callable[[], float] = clock.now
+        # Called when another host says that it is cut from all endpoints.
+        self.on_cut: Callable[[], None] = lambda: None
         self._holder_watch = LeaseWatch(PEER_TIMEOUT_S)
         # Version of the row that `lost_by_host` was read from.
         self._lost_version = 0
@@ -80,6 +83,7 @@
 
     def on_rows(self, rows: list[StoredRow], full_read: bool) -> None:
         """Apply rows; `full_read` tells that they are the full table."""
+        was_cut = self._cut_hosts()
         if full_read:
             self.by_host = {}
             if not self.is_known:
@@ -96,6 +100,15 @@
                 self._lost_version = row.version
                 self.lost_by_host = node.lost_by_host
         self._record_holders()
+        if self._cut_hosts() - was_cut:
+            self.on_cut()
+
+    def _cut_hosts(self) -> set[str]:
+        return {
+            host
+            for host, node in self.by_host.items()
+            if node.cut and host != self._settings.host
+        }
 
     def reset_heartbeat_timers(self) -> None:
         """Restart all timeouts after a time in which no row could be read."""
@@ -222,15 +235,24 @@
             self._ranked_at_s = now
         return self._rank
 
+    def endpoints_reached(self) -> bool:
+        """Tell whether another daemon is not cut from all endpoints."""
+        return any(not node.cut for node in self.alive())
+
     def caller_addresses(
-        self, region: str, own_ready: bool, rng: random.Random
+        self, region: str, own_ready: bool, own_cut: bool, rng: random.Random
     ) -> list[str]:
         """Return the listen addresses that callers should use.
 
         Daemons of the region are preferred; others are returned only if it
-        has none.
+        has none. Those that are cut from all endpoints are left out while
+        others are not.
         """
         nodes = self.alive()
+        if own_ready and own_cut and any(not node.cut for node in nodes):
+            own_ready = False
+        if any(not node.cut for node in nodes) or (own_ready and not own_cut):
+            nodes = [node for node in nodes if not node.cut]
         addresses = [n.callers for n in nodes if n.region == region] or [
             n.callers for n in nodes
         ]
--- a/anvilcove/jobs/slot_queue.py
+++ b/anvilcove/jobs/slot_queue.py
@@ -19,8 +19,8 @@
     the items that share a prompt, which one engine may have cached. A
     `long_item` will probably decide when its step ends. The item started at
     `started_at_s` and is due within `objective_s`. Its text goes on only at
-    engines of the version `software`; elsewhere it begins anew. None stands for
-    no text.
+    engines of the version `software`; elsewhere it begins anew. None stands
+    for no text.
     """
 
     service: str
--- a/anvilcove/node/adapters.py
+++ b/anvilcove/node/adapters.py
@@ -1,25 +1,47 @@
 """Interfaces between the daemon and the adapters of a platform."""
 
+from collections.abc import Awaitable, Callable
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
-from aiohttp import ClientSession
+from aiohttp import ClientSession, web
 from msgspec import Struct
 
 from anvilcove.node.service import NodeService
 from anvilcove.ports.engines import EngineClient
 from anvilcove.ports.probes import EndpointProbe
+from anvilcove.ports.relays import RelayPort
 from anvilcove.ports.rows import RowReader
 from anvilcove.ports.servers import ServerClient
 from anvilcove.ports.store import StorePort
 from anvilcove.ports.streams import StreamClient
 from anvilcove.ports.transport import StoreTransport
+from anvilcove.ports.ways import WayObserver
 from anvilcove.settings.node import NodeSettings
 
 
+class EndpointConnections(Protocol):
+    """Connections to endpoints, of this host and of peers through it."""
+
+    def attach(
+        self, session: ClientSession, observer: WayObserver, peers: RelayPort
+    ) -> None:
+        """Tell `observer` of the ways, and relay calls through `peers`."""
+
+    def abandon_silent(self) -> None:
+        """End calls that nothing has answered yet, to send them elsewhere."""
+
+    def relay_handlers(
+        self,
+    ) -> dict[str, Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]]:
+        """Return the handlers, by path, of calls that peers relay here."""
+
+
 class EndpointClients(Struct):
     """Clients for requests, streams, engine calls and checks."""
 
+    connections: EndpointConnections
+
     servers: ServerClient
     streams: StreamClient
     engines: EngineClient
@@ -53,7 +75,7 @@
         """Return a store client that sends its calls through `transport`."""
 
     def endpoint_clients(
-        self,
+        self, settings: NodeSettings
     ) -> AbstractAsyncContextManager[EndpointClients]:
         """Open connection pools to endpoints and yield their clients."""
 
--- a/anvilcove/node/app.py
+++ b/anvilcove/node/app.py
@@ -41,6 +41,8 @@
 # Changes of the settings are also detected without a signal; reading the
 # settings takes about 1 ms.
 SETTINGS_POLL_PERIOD_S = 2.0
+# Relayed calls and store transactions with their bodies.
+MAX_PEER_MESSAGE_BYTES = 32 << 20
 # The maximum delay of the event loop decays by this factor per measurement.
 LAG_DECAY = 0.95
 
@@ -90,7 +92,7 @@
             ClientSession(
                 connector=TCPConnector(limit=0), auto_decompress=False
             ) as control,
-            self._adapters.endpoint_clients() as clients,
+            self._adapters.endpoint_clients(self.settings) as clients,
         ):
             self._build(control, clients)
             listeners = await self._listen()
@@ -119,6 +121,11 @@
         self.components = NodeComponents(
             self.settings, self._nonce, dependencies
         )
+        clients.connections.attach(
+            control, self.components.ways, self.components.relay_peers
+        )
+        self.components.ways.on_cut = clients.connections.abandon_silent
+        self._peer_handlers = clients.connections.relay_handlers()
         self.relay.list_peers = self.components.nodes.relay_addresses
         self.relay.count_call = self.components.metrics.store_call
 
@@ -135,6 +142,8 @@
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
             if request.path == RELAY_PATH:
                 return await self.relay.serve(request)
+            if request.path in self._peer_handlers:
+                return await self._peer_handlers[request.path](request)
             if request.path == PERMIT_PATH:
                 return await serve_permits(self.components.permits, request)
             if request.path in (KEEP_PATH, FIND_PATH):
@@ -149,7 +158,14 @@
                 )
             return web.Response(status=404)
 
-        server = web.Server(handle, access_log=None)
+        # A relayed call ends when the host that asked for it closes its
+        # connection.
+        server = web.Server(
+            handle,
+            request_factory=_make_peer_request,
+            access_log=None,
+            handler_cancellation=True,
+        )
         self._peer_runner = web.ServerRunner(
             server, shutdown_timeout=POLL_PERIOD_S
         )
@@ -262,6 +278,19 @@
         logs.flush()
 
 
+def _make_peer_request(*connection_state: Any) -> web.BaseRequest:
+    message, payload, protocol, writer, task = connection_state
+    return web.BaseRequest(
+        message,
+        payload,
+        protocol,
+        writer,
+        task,
+        asyncio.get_running_loop(),
+        client_max_size=MAX_PEER_MESSAGE_BYTES,
+    )
+
+
 async def _run_logged(work: Coroutine[Any, Any, None]) -> None:
     """Await a coroutine and log an exception that ends it."""
     try:
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -12,6 +12,7 @@
 from anvilcove.control.crashes import ContentCrashes
 from anvilcove.control.desired import DesiredStateView
 from anvilcove.control.endpoint_reports import EndpointReports
+from anvilcove.control.endpoint_ways import EndpointWays
 from anvilcove.control.endpoints import EndpointRegistry
 from anvilcove.control.failure_detector import FailureDetector
 from anvilcove.control.leases import Lease
@@ -23,6 +24,7 @@
 from anvilcove.control.node_sweep import NodeSweeper
 from anvilcove.control.nodes import NodeDirectory
 from anvilcove.control.permits import RatePermits
+from anvilcove.control.relay_peers import RelayPeers
 from anvilcove.control.stream_origins import StreamOrigins
 from anvilcove.control.versions import VersionUpdater
 from anvilcove.control.watch import OnGap, OnRows, TableWatch
@@ -64,6 +66,8 @@
 # The same for heartbeats: it bounds the time until a lost daemon is noticed.
 HEARTBEATS_LONG_POLL_S = 0.3
 ORDERS_LEASE = 'versions'
+# A host that has heard an endpoint within this time is not cut off.
+MAX_SILENCE_S = 1.0
 
 
 class Dependencies(Struct):
@@ -109,12 +113,28 @@
             dependencies.clock,
             self.metrics,
         )
+        self.ways = EndpointWays(
+            self.registry,
+            dependencies.probe,
+            dependencies.clock,
+            dependencies.rng,
+            self.metrics,
+        )
         self.reports = EndpointReports(
             self.registry, dependencies.clock, self.metrics
         )
         self.nodes = NodeDirectory(
             settings, self.crashes, dependencies.clock, nonce
         )
+        self.nodes.on_cut = self._check_ways
+        self.relay_peers = RelayPeers(
+            settings.host,
+            self.ways,
+            self.nodes,
+            self.registry,
+            dependencies.clock,
+        )
+        self.relay_peers.count_call = self.metrics.call_relayed
         self.permits = RatePermits(
             settings,
             self.registry,
@@ -142,6 +162,7 @@
             self.streams,
             self.intake,
             self.reader,
+            self._is_cut,
             dependencies.clock,
             dependencies.rng,
         )
@@ -159,6 +180,7 @@
             self.detector.run(),
             self.node_sweeper.run(),
             self.crashes.run(),
+            self.ways.run(),
             self._expire_endpoints(),
         ]
 
@@ -352,7 +374,9 @@
             dependencies.clock,
             self._holds_orders_lease,
             self._desired_state,
+            self._is_cut,
         )
+        self.ways.on_change = self.announcer.announce_soon
         self.crashes.on_change = self.announcer.announce_soon
         self.detector.on_change = self.announcer.announce_soon
         self.node_sweeper = NodeSweeper(
@@ -405,6 +429,14 @@
     def _holds_orders_lease(self) -> bool:
         return self.lease.fence() is not None
 
+    def _is_cut(self) -> bool:
+        return self.ways.is_cut
+
+    def _check_ways(self) -> None:
+        """Find out whether a cut of another host has hit this one, too."""
+        if self.ways.silent_s() > MAX_SILENCE_S:
+            self.ways.check()
+
     async def _expire_endpoints(self) -> None:
         while True:
             await self._clock.sleep(EXPIRY_PERIOD_S)
--- a/anvilcove/node/service.py
+++ b/anvilcove/node/service.py
@@ -1,6 +1,7 @@
 """Operations that a daemon offers to callers and trainers."""
 
 import random
+from collections.abc import Callable
 
 from loguru import logger
 from msgspec import Struct
@@ -39,6 +40,7 @@
         '_forwarder',
         '_streams',
         '_intake',
+        '_is_cut',
         '_clock',
         '_rng',
     )
@@ -52,10 +54,15 @@
         streams: StreamForwarder,
         intake: JobIntake,
         jobs: JobReader,
+        is_cut: Callable[[], bool],
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        """Store the components that handle the requests."""
+        """Store the components that handle the requests.
+
+        `is_cut` tells whether this host is cut from all endpoints.
+        """
+        self._is_cut = is_cut
         self.state = state
         self.jobs = jobs
         self._desired = desired
@@ -76,7 +83,9 @@
 
     def addresses(self, region: str) -> list[str]:
         """Return the addresses of daemons that callers should use."""
-        return self._nodes.caller_addresses(region, self.ready(), self._rng)
+        return self._nodes.caller_addresses(
+            region, self.ready(), self._is_cut(), self._rng
+        )
 
     def route(self, host: str, path: str) -> Route | None:
         """Return the route of a request, or None if no route matches."""
--- a/anvilcove/platform/client_protocol.py
+++ b/anvilcove/platform/client_protocol.py
@@ -4,6 +4,7 @@
 from contextvars import ContextVar
 from functools import partial
 from typing import Any
+from weakref import WeakSet
 
 from aiohttp import (
     ClientError,
@@ -17,6 +18,7 @@
 from aiohttp.connector import Connection
 
 from anvilcove.platform.names import ATTEMPT_ID
+from anvilcove.ports.ways import NoObserver, WayObserver
 
 # A server that has closed an idle connection resets a call within about one
 # round trip. A connection that breaks later was carrying a running request.
@@ -74,6 +76,8 @@
             self.close()
             return
         self.received = self.received or bool(data)
+        if self.last_use is not None:
+            self.last_use.on_data()
         if self.last_use is not None and not self.last_use.accepts(data):
             self._end_answer()
             return
@@ -83,6 +87,12 @@
         if self.idle and self.should_close:
             self.close()
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Tell of a connection that ended as nothing arrived on it."""
+        if isinstance(exc, TimeoutError) and self.last_use is not None:
+            self.last_use.on_silence(repr(exc))
+        super().connection_lost(exc)
+
     def _end_answer(self) -> None:
         """Fail the call and close the connection."""
         error = ClientPayloadError('answer without end')
@@ -105,10 +115,29 @@
         '_started_at_s',
         '_protocol',
         '_bytes_left',
+        '_address',
+        '_observer',
+        'unanswered',
+        'abandoned',
+        '__weakref__',
     )
 
-    def __init__(self, repeatable: bool) -> None:
-        """Start before a connection is chosen."""
+    def __init__(
+        self,
+        repeatable: bool,
+        address: str = '',
+        observer: WayObserver | None = None,
+        unanswered: 'WeakSet[ConnectionUse] | None' = None,
+    ) -> None:
+        """Start before a connection to an address is chosen.
+
+        The use is in `unanswered` from the send of a repeatable call to the
+        first bytes that arrive.
+        """
+        self.unanswered = WeakSet() if unanswered is None else unanswered
+        self.abandoned = False
+        self._address = address
+        self._observer = observer or NoObserver()
         self.reused = False
         # Whether the answer before on this connection carried an id.
         self.follows_identified = True
@@ -119,6 +148,22 @@
         self._protocol: ServerProtocol | None = None
         self._bytes_left = MAX_HEAD_BYTES
 
+    def on_data(self) -> None:
+        """Note that something arrived on the connection."""
+        self.unanswered.discard(self)
+        self._observer.heard(self._address)
+
+    def abandon(self) -> None:
+        """End the call, as its answer can't arrive."""
+        self.abandoned = True
+        protocol = self._protocol
+        if protocol is not None and protocol.transport is not None:
+            protocol.transport.abort()
+
+    def on_silence(self, reason: str) -> None:
+        """Note that nothing arrives on the connection any more."""
+        self._observer.failed(self._address, reason)
+
     def allow_bytes(self, count: int) -> None:
         """Set how many more bytes of the answer may arrive."""
         self._bytes_left = count
@@ -137,6 +182,7 @@
         now = _now()
         if protocol.connect_s is None:
             protocol.connect_s = now - self._started_at_s
+            self._observer.heard(self._address)
         else:
             self.reused = True
             self.follows_identified = protocol.last_identified
@@ -149,6 +195,9 @@
         self._started_at_s = now
         protocol.last_use = self
         protocol.last_attempt_id = attempt_id
+        self._observer.sent(self._address)
+        if self._repeatable:
+            self.unanswered.add(self)
 
     def record_answer(self, identified: bool, unclear_kind: str = '') -> None:
         """Record whether the answer carries an id, and its kind if unclear."""
--- a/anvilcove/platform/connections.py
+++ b/anvilcove/platform/connections.py
@@ -1,16 +1,23 @@
 """Pooled connections to servers, which may close idle ones unannounced."""
 
 import asyncio
+import errno
+import socket
 from collections.abc import AsyncIterator, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 from types import TracebackType
-from typing import Self
+from typing import Any, Protocol, Self
+from weakref import WeakSet
 
 from aiohttp import (
+    AddrInfoType,
+    ClientConnectorError,
     ClientError,
     ClientResponse,
     ClientSession,
     ClientTimeout,
+    ConnectionTimeoutError,
+    TCPConnector,
 )
 from loguru import logger
 from msgspec import Struct
@@ -25,11 +32,23 @@
     ServerRequest,
     UnsuitableConnection,
 )
+from anvilcove.ports.relays import NoRelay, RelayPort
+from anvilcove.ports.ways import NoObserver, WayObserver
 
 # Servers announce that they close idle connections after 10 s; the pool closes
 # them earlier.
 KEEPALIVE_S = 9.0
 CONNECT_TIMEOUT_S = 0.4
+# An open connection on which nothing arrives is probed after this time, and
+# then each second. It ends after this number of probes without an answer, so
+# that a host without a way to its servers finds it out. TCP_USER_TIMEOUT stays
+# unset: it would end the probes whatever their number, and also a call whose
+# server reads slowly.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+# Errors of connecting that are not those of the way.
+LOCAL_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS})
 # Maximum number of retries of a call that finds its idle connection closed.
 # The last one opens a connection of its own.
 MAX_STALE_RETRIES = 2
@@ -49,7 +68,8 @@
     """One HTTP call to a server.
 
     A `repeatable` call is sent again if the server seems to have closed the
-    idle connection that it used. The answer echoes `attempt_id`.
+    idle connection that it used. The answer echoes `attempt_id`. A `direct`
+    call never goes through a peer.
     """
 
     method: str
@@ -59,6 +79,24 @@
     body: bytes = b''
     attempt_id: str = ''
     repeatable: bool = False
+    direct: bool = False
+
+
+class CallNotSent(ClientError):
+    """Raised when neither this host nor a peer can connect to a server."""
+
+
+class RelayBroken(ClientError):
+    """Raised when a relayed call failed after it may have begun to run."""
+
+
+class CallRelay(Protocol):
+    """Sender of calls through peers."""
+
+    async def send(
+        self, call: ServerCall, record: 'SendRecord'
+    ) -> ClientResponse | None:
+        """Return the server's response, or None if no peer took the call."""
 
 
 class SendRecord(Struct):
@@ -81,10 +119,25 @@
         '_pooled',
         '_unpooled',
         '_stale_at_s_by_address',
+        '_source_ip',
+        'observer',
+        'peers',
+        'relay',
+        '_unanswered',
     )
 
-    def __init__(self) -> None:
-        """Create the object; the sessions open when the context is entered."""
+    def __init__(self, source_ip: str = '') -> None:
+        """Create the object; the sessions open when the context is entered.
+
+        Connections come from `source_ip`; the system chooses it if empty.
+        """
+        self._source_ip = source_ip
+        # What connections show about the ways to the servers goes here.
+        self.observer: WayObserver = NoObserver()
+        self.peers: RelayPort = NoRelay()
+        self.relay: CallRelay | None = None
+        # Uses of connections for repeatable calls, of which nothing arrived.
+        self._unanswered: WeakSet[ConnectionUse] = WeakSet()
         self.identity = AnswerIdentity()
         self._stack = AsyncExitStack()
         self._pooled: ClientSession | None = None
@@ -95,10 +148,10 @@
         """Open the sessions."""
         open_session = self._stack.enter_async_context
         self._pooled = await open_session(
-            _session(ServerConnector(limit=0, keepalive_timeout=KEEPALIVE_S))
+            _session(self._connector(keepalive_timeout=KEEPALIVE_S))
         )
         self._unpooled = await open_session(
-            _session(ServerConnector(limit=0, force_close=True))
+            _session(self._connector(force_close=True))
         )
         return self
 
@@ -124,11 +177,60 @@
         async with response:
             yield response
 
+    def _connector(self, **options: Any) -> ServerConnector:
+        source = (self._source_ip, 0) if self._source_ip else None
+        return ServerConnector(
+            limit=0, local_addr=source, socket_factory=open_socket, **options
+        )
+
+    def abandon_silent(self) -> None:
+        """End repeatable calls that nothing has answered yet."""
+        for use in list(self._unanswered):
+            use.abandon()
+
     async def _send(
         self, call: ServerCall, record: SendRecord
+    ) -> ClientResponse:
+        if not call.direct and self.relay is not None and self.peers.needed():
+            response = await self.relay.send(call, record)
+            if response is not None:
+                return response
+        try:
+            return await self._send_directly(call, record)
+        except (ClientError, OSError) as error:
+            relayed = await self._relay_after(error, call, record)
+            if relayed is None:
+                raise
+            return relayed
+
+    async def _relay_after(
+        self, error: Exception, call: ServerCall, record: SendRecord
+    ) -> ClientResponse | None:
+        """Send a call through a peer if its own way may have failed."""
+        not_sent = isinstance(
+            error, ClientConnectorError | ConnectionTimeoutError
+        )
+        if not_sent and getattr(error, 'errno', None) not in LOCAL_ERRORS:
+            self.observer.failed(call.address, repr(error))
+        if call.direct or self.relay is None:
+            return None
+        if not_sent and not record.broken:
+            if not self.peers.needed_after_failure(call.address):
+                return None
+        elif record.use is not None and record.use.abandoned:
+            # It may have run: the host was cut off after it was sent.
+            record.broken += 1
+        else:
+            return None
+        return await self.relay.send(call, record)
+
+    async def _send_directly(
+        self, call: ServerCall, record: SendRecord
     ) -> ClientResponse:
         for retries_left in range(MAX_STALE_RETRIES, -1, -1):
-            record.use = use = ConnectionUse(call.repeatable)
+            record.use = use = ConnectionUse(
+                call.repeatable, call.address, self.observer, self._unanswered
+            )
             try:
                 return await self._send_once(call, use, bool(retries_left))
             except UnsuitableConnection:
@@ -180,7 +282,21 @@
         ).info('server had closed the idle connection')
 
 
-def _session(connector: ServerConnector) -> ClientSession:
+def open_socket(address: AddrInfoType) -> socket.socket:
+    """Return a socket with keep-alive probes for a connection."""
+    family, kind, protocol, _, _ = address
+    opened = socket.socket(family, kind, protocol)
+    for level, option, value in (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    ):
+        opened.setsockopt(level, option, value)
+    return opened
+
+
+def _session(connector: TCPConnector) -> ClientSession:
     session = ClientSession(
         connector=connector, auto_decompress=False, request_class=ServerRequest
     )
--- a/anvilcove/platform/engines.py
+++ b/anvilcove/platform/engines.py
@@ -141,7 +141,14 @@
         # Repeating it is safe: the server rejects an order whose expected
         # order count is not its own.
         call = ServerCall(
-            'POST', address, '/-/order', headers, body, repeatable=True
+            'POST',
+            address,
+            '/-/order',
+            headers,
+            body,
+            repeatable=True,
+            # An order through a peer would be one of a second holder.
+            direct=True,
         )
         async with exchange(self._connections, call) as response:
             if _is_report(await response.read()):
--- a/anvilcove/platform/exchange.py
+++ b/anvilcove/platform/exchange.py
@@ -17,6 +17,8 @@
     is_refusal,
 )
 from anvilcove.platform.connections import (
+    CallNotSent,
+    RelayBroken,
     SendRecord,
     ServerCall,
     ServerConnections,
@@ -65,7 +67,11 @@
     except EndpointFailed as error:
         error.sends += record.broken
         raise
-    except (ConnectionTimeoutError, ClientConnectorError) as error:
+    except (
+        CallNotSent,
+        ConnectionTimeoutError,
+        ClientConnectorError,
+    ) as error:
         if record.broken:
             raise EndpointCrashed(
                 f'{address}: {error}, after the connection broke',
@@ -74,6 +80,11 @@
         raise EndpointNotRun(
             f'{address}: {error}', unreachable=True
         ) from error
+    except RelayBroken as error:
+        # The way of the call broke; the server need not have crashed.
+        raise EndpointFailed(
+            f'{address}: {error}', sends=record.broken + 1
+        ) from error
     except ServerDisconnectedError as error:
         raise EndpointCrashed(
             f'{address}: {error!r}', sends=record.broken + 1
--- a/anvilcove/platform/family.py
+++ b/anvilcove/platform/family.py
@@ -12,6 +12,7 @@
 from anvilcove.node.adapters import EndpointClients
 from anvilcove.node.service import NodeService
 from anvilcove.platform.connections import ServerConnections
+from anvilcove.platform.endpoint_relay import RelayedConnections
 from anvilcove.platform.engines import PlatformEngines
 from anvilcove.platform.listeners import (
     CallerListener,
@@ -134,14 +135,17 @@
         return PlatformStore(transport)
 
     @asynccontextmanager
-    async def endpoint_clients(self) -> AsyncIterator[EndpointClients]:
+    async def endpoint_clients(
+        self, settings: NodeSettings
+    ) -> AsyncIterator[EndpointClients]:
         """Open the connections to endpoints and yield their clients."""
-        async with ServerConnections() as connections:
+        async with ServerConnections(settings.source_ip) as connections:
             yield EndpointClients(
+                connections=RelayedConnections(connections),
                 servers=PlatformServers(connections),
                 streams=PlatformStreams(connections),
                 engines=PlatformEngines(connections),
-                probe=ConnectionProbe(),
+                probe=ConnectionProbe(settings.source_ip),
             )
 
     async def listen(
--- a/anvilcove/platform/settings.py
+++ b/anvilcove/platform/settings.py
@@ -61,8 +61,10 @@
         peer_port=internal_ports[0],
         memory_mb=int(data.get('limits', {}).get('memory-mb', 0)),
         metrics_port=internal_ports[1],
-        # The platform has no such table; the soak writes it.
+        # The platform has neither this table nor `source-ip`; the soak writes
+        # them.
         clock=ClockSettings(float(data.get('clock', {}).get('offset-s', 0))),
+        source_ip=str(data.get('source-ip', '')),
     )
 
 
--- a/anvilcove/platform/standin_wire.py
+++ b/anvilcove/platform/standin_wire.py
@@ -42,6 +42,7 @@
     peers_port: int
     grace_s: float
     clock_offset_s: float = 0.0
+    source_ip: str = ''
 
 
 class RouteSpec(Struct):
@@ -89,6 +90,7 @@
 zone = "z"
 region = "r"
 ip = "{host.ip}"
+source-ip = "{host.source_ip}"
 internal-ports = [{host.peers_port}, {host.peers_port + 1}]
 seed-nodes = [{seeds}]
 [listen]
--- a/anvilcove/ports/probes.py
+++ b/anvilcove/ports/probes.py
@@ -8,3 +8,6 @@
 
     async def refuses_connections(self, address: str) -> bool:
         """Open a connection; return whether the address refused it."""
+
+    async def accepts_connections(self, address: str) -> bool:
+        """Open a connection; return whether the address accepted it."""
--- a/anvilcove/settings/node.py
+++ b/anvilcove/settings/node.py
@@ -54,6 +54,9 @@
     # Port of the metrics; the second of the internal ports.
     metrics_port: int = 0
     clock: ClockSettings = ClockSettings()
+    # Address that connections to endpoints come from, '' if the system chooses
+    # it.
+    source_ip: str = ''
 
 
 # Settings that a reload changes without a restart of the process.
--- a/anvilcove/soak/proxy.py
+++ b/anvilcove/soak/proxy.py
@@ -3,8 +3,10 @@
 import asyncio
 import contextlib
 import random
+from typing import Any
 
 from anvilcove.platform.standin_faults import reset_connection
+from anvilcove.standins.network import set_drop_filter
 
 PASS = 'pass'
 DELAY = 'delay'
@@ -28,6 +30,11 @@
         self.listen = listen
         self.target = target
         self.mode = PASS
+        # Addresses whose packets are lost, and those whose new connections are
+        # lost while open ones live on.
+        self.cut_sources: set[str] = set()
+        self.closed_sources: set[str] = set()
+        self._accepted: set[Any] = set()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -35,6 +42,28 @@
         """Start listening."""
         ip, _, port = self.listen.rpartition(':')
         self._server = await asyncio.start_server(self._relay, ip, int(port))
+        self._filter_sources()
+
+    def cut(self, sources: set[str], keep_open: bool) -> None:
+        """Lose what some addresses send, or their new connections only."""
+        chosen = self.closed_sources if keep_open else self.cut_sources
+        chosen |= sources
+        self._filter_sources()
+
+    def heal(self, sources: set[str]) -> None:
+        """Deliver what some addresses send again."""
+        self.cut_sources -= sources
+        self.closed_sources -= sources
+        self._filter_sources()
+
+    def _filter_sources(self) -> None:
+        if self._server is None:
+            return
+        lost = sorted(self.cut_sources | self.closed_sources)
+        for listening in self._server.sockets:
+            set_drop_filter(listening, lost, prefix_bits=32)
+        for accepted in list(self._accepted):
+            set_drop_filter(accepted, sorted(self.cut_sources), prefix_bits=32)
 
     async def stop(self) -> None:
         """Stop listening and reset every connection."""
@@ -73,12 +102,16 @@
         target_reader, target_writer = await asyncio.open_connection(
             ip, int(port)
         )
+        accepted = writer.get_extra_info('socket')
+        self._accepted.add(accepted)
+        self._filter_sources()
+        source = writer.get_extra_info('peername')[0]
         forwarders = [
             asyncio.create_task(
-                self._forward(reader, target_writer, to_target=True)
+                self._forward(reader, target_writer, source, to_target=True)
             ),
             asyncio.create_task(
-                self._forward(target_reader, writer, to_target=False)
+                self._forward(target_reader, writer, source, to_target=False)
             ),
         ]
         try:
@@ -90,6 +123,7 @@
             # Leave time to deliver what the other side still sends.
             await asyncio.sleep(POLL_S)
         finally:
+            self._accepted.discard(accepted)
             for forwarder in forwarders:
                 forwarder.cancel()
             target_writer.transport.abort()
@@ -98,11 +132,12 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        source: str,
         to_target: bool,
     ) -> None:
         while True:
             data = await reader.read(CHUNK_BYTES)
-            while self._is_blocked(to_target):
+            while self._is_blocked(source, to_target):
                 await asyncio.sleep(POLL_S)
             if self.mode == RESET:
                 return
@@ -116,7 +151,9 @@
                 if len(piece) < len(data):
                     await asyncio.sleep(PIECE_PAUSE_S)
 
-    def _is_blocked(self, to_target: bool) -> bool:
+    def _is_blocked(self, source: str, to_target: bool) -> bool:
+        if source in self.cut_sources:
+            return True
         return self.mode == SILENT or (self.mode == ONE_WAY and not to_target)
 
     def _split(self, data: bytes) -> list[bytes]:
--- a/anvilcove/soak/site.py
+++ b/anvilcove/soak/site.py
@@ -174,6 +174,7 @@
                 peers_port=PEERS_PORT,
                 grace_s=GRACE_S,
                 clock_offset_s=random_clock_offset_s(self._site.rng),
+                source_ip=self.ip,
             )
         )
 
--- a/anvilcove/standins/network.py
+++ b/anvilcove/standins/network.py
@@ -24,7 +24,7 @@
 # Classic BPF of Linux: load the source address (offset 12 of the IP header,
 # which starts at SKF_NET_OFF), keep two octets, compare.
 BPF_LOAD_SOURCE = (0x20, 0, 0, 0xFFF00000 + 12)
-BPF_MASK = (0x54, 0, 0, 0xFFFF0000)
+BPF_AND = 0x54
 BPF_JUMP_EQUAL, BPF_RETURN = 0x15, 0x06
 ACCEPT, DROP = 0xFFFFFFFF, 0
 
@@ -336,16 +336,20 @@
         self.transport.abort()
 
 
-def set_drop_filter(server_socket: Any, prefixes: list[str]) -> None:
-    """Drop connection attempts from /16 networks without a response.
+def set_drop_filter(
+    server_socket: Any, prefixes: list[str], prefix_bits: int = 16
+) -> None:
+    """Drop packets from networks, of a /16 by default, without a response.
 
-    This simulates a lost link; an empty list removes the filter.
+    On a listening socket these are connection attempts. This simulates a lost
+    link; an empty list removes the filter.
     """
     if not prefixes:
         with suppress(OSError):
             server_socket.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
         return
-    code = [BPF_LOAD_SOURCE, BPF_MASK]
+    mask = -1 << (32 - prefix_bits) & 0xFFFFFFFF
+    code = [BPF_LOAD_SOURCE, (BPF_AND, 0, 0, mask)]
     for prefix in prefixes:
         code.append((BPF_JUMP_EQUAL, 0, 1, int(IPv4Address(prefix))))
         code.append((BPF_RETURN, 0, 0, DROP))
--- a/anvilcove/telemetry/metrics.py
+++ b/anvilcove/telemetry/metrics.py
@@ -98,6 +98,22 @@
             {'outcome': outcome},
         )
 
+    def cut_from_endpoints(self, event: str) -> None:
+        """Count a change of whether this host reaches endpoints."""
+        self._count(
+            'endpoint_cuts_total',
+            'Times at which the host was cut from all endpoints, or back.',
+            {'event': event},
+        )
+
+    def call_relayed(self, outcome: str) -> None:
+        """Count a call to an endpoint that went through a peer."""
+        self._count(
+            'relayed_calls_total',
+            'Calls to endpoints that peers relayed for this host.',
+            {'outcome': outcome},
+        )
+
     def endpoint_ejected(self, service: str) -> None:
         """Count an ejection of an endpoint."""
         self._count(
