--- a/anvilcove/control/leases.py
+++ b/anvilcove/control/leases.py
@@ -95,6 +95,7 @@
         'name',
         'row',
         'get_rank',
+        'may_hold',
         '_host',
         '_nonce',
         '_handover_gap_s',
@@ -127,6 +128,8 @@
         self.row: LeaseRow | None = None
         # Returns how many daemons precede this one in the takeover order.
         self.get_rank: Callable[[], int] = lambda: 0
+        # Tells whether this daemon can do what the lease is for.
+        self.may_hold: Callable[[], bool] = lambda: True
         self._host = host
         self._nonce = nonce
         self._handover_gap_s = handover_gap_s
@@ -237,7 +240,9 @@
         """Renew or try to acquire the lease until it is released."""
         while not self._released:
             try:
-                if self.fence() is not None:
+                if not self.may_hold():
+                    await self._give_back()
+                elif self.fence() is not None:
                     await self._renew()
                 else:
                     await self._try_acquire()
@@ -264,24 +269,42 @@
         """Release the lease; announced resources stay blocked for a while."""
         held = self.fence() is not None
         self._released = True
-        if not held or self.row is None:
+        if not held:
             return
         try:
-            async with self._write_lock:
-                await self._write(
-                    replace(
-                        self.row,
-                        holder='',
-                        nonce='',
-                        beat=self.row.beat + 1,
-                        use_by_resource=self._recent_uses(),
-                    )
-                )
+            await self._write_released()
         except (StoreUnavailable, StoreAnswerLost) as error:
             logger.bind(lease=self.name, reason=str(error)).info(
                 'lease not released'
             )
 
+    async def _give_back(self) -> None:
+        """Release a lease that this daemon may take again later.
+
+        It ends here first: the write may be applied without an answer.
+        """
+        if self.fence() is None:
+            return
+        self._valid_until_s = float('-inf')
+        try:
+            await self._write_released()
+        finally:
+            self._mark_lost('the host cannot do what it is for')
+
+    async def _write_released(self) -> None:
+        async with self._write_lock:
+            if self.row is None:
+                return
+            await self._write(
+                replace(
+                    self.row,
+                    holder='',
+                    nonce='',
+                    beat=self.row.beat + 1,
+                    use_by_resource=self._recent_uses(),
+                )
+            )
+
     async def _renew(self) -> bool:
         async with self._write_lock:
             if self.row is None:
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -395,6 +395,7 @@
             dependencies.rng,
         )
         self.lease.get_rank = self.nodes.takeover_rank
+        self.lease.may_hold = self._can_give_orders
         self.version_updater = VersionUpdater(
             settings.host,
             self.lease,
@@ -432,6 +433,10 @@
     def _is_cut(self) -> bool:
         return self.ways.is_cut
 
+    def _can_give_orders(self) -> bool:
+        """Tell whether orders reach engines from here, or from nowhere."""
+        return not self.ways.is_cut or not self.nodes.endpoints_reached()
+
     def _check_ways(self) -> None:
         """Find out whether a cut of another host has hit this one, too."""
         if self.ways.silent_s() > MAX_SILENCE_S:
