--- a/anvilcove/control/crashes.py
+++ b/anvilcove/control/crashes.py
@@ -61,6 +61,7 @@
 
     __slots__ = (
         'on_change',
+        'is_cut',
         '_registry',
         '_probe',
         '_clock',
@@ -85,6 +86,8 @@
         """Start without counts."""
         # Called when a crash was counted here, or counts were cleared.
         self.on_change: Callable[[], None] = lambda: None
+        # Tells whether this host is cut from all endpoints.
+        self.is_cut: Callable[[], bool] = lambda: False
         self._registry = registry
         self._probe = probe
         self._clock = clock
@@ -188,7 +191,7 @@
         error: EndpointError,
     ) -> None:
         """Consider a run that failed before it produced anything."""
-        if not isinstance(error, EndpointCrashed):
+        if not isinstance(error, EndpointCrashed) or self.is_cut():
             return
         if endpoint in self._address_by_crashed_endpoint:
             address = self._address_by_crashed_endpoint[endpoint]
@@ -257,7 +260,8 @@
 
     def _confirm_crash(self, endpoint: str) -> None:
         broken = self._broken_by_endpoint.pop(endpoint, None)
-        if broken is None:
+        # A host that reaches no endpoint can't tell which one has crashed.
+        if broken is None or self.is_cut():
             return
         address = broken.entry.address
         self._address_by_crashed_endpoint[endpoint] = address
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -120,6 +120,7 @@
             dependencies.rng,
             self.metrics,
         )
+        self.crashes.is_cut = self._is_cut
         self.reports = EndpointReports(
             self.registry, dependencies.clock, self.metrics
         )
