--- a/features/steps/memory_site.py
+++ b/features/steps/memory_site.py
@@ -77,6 +77,24 @@
             registry.apply_changes(entries, now, keep_missing)
 
 
+class MemoryProbe:
+    """Checks of endpoints by one daemon."""
+
+    def __init__(self, site, name):
+        """Check from the daemon of a name."""
+        self._site = site
+        self._name = name
+
+    async def refuses_connections(self, address):
+        """Tell whether the endpoint, or a cut of the daemon, refuses."""
+        refused = await self._site.crashes.refuses_connections(address)
+        return refused or self._name in self._site.cut_names
+
+    async def accepts_connections(self, address):
+        """Tell whether a connection can be opened."""
+        return not await self.refuses_connections(address)
+
+
 class MemorySite:
     """A store, engines, services and the daemons that use them."""
 
@@ -103,6 +121,8 @@
         self.daemons = {}
         # Permits of the daemons that can be reached, by peer address.
         self.permits_by_peer = {}
+        # Daemons whose connections to all endpoints fail.
+        self.cut_names = set()
         # Origins of streams that these daemons remember.
         self.origins_by_peer = {}
         self.clocks = {}
@@ -148,7 +168,7 @@
                 servers=self.servers,
                 streams=self.streams,
                 engines=self.engine_client,
-                probe=self.crashes,
+                probe=MemoryProbe(self, name),
                 permits=MemoryPermits(self.permits_by_peer),
                 origins=MemoryOrigins(self.origins_by_peer),
                 rows=MemoryRows(),
