--- a/anvilcove/jobs/engine_slots.py
+++ b/anvilcove/jobs/engine_slots.py
@@ -4,6 +4,7 @@
 import random
 from collections import OrderedDict
 from math import ceil
+from statistics import median
 
 from loguru import logger
 
@@ -31,6 +32,8 @@
 # Permits are asked for the items of this time.
 PERMIT_PERIOD_S = 0.1
 MAX_REMEMBERED_GROUPS = 2_000
+# Time for an event while no engine has been measured.
+DEFAULT_INTERVAL_S = 0.02
 
 
 class RunHandle:
@@ -273,7 +276,7 @@
             for entry in self.registry.entry_by_endpoint.values()
             if self._is_usable(entry, requirements)
         ]
-        usable = _of_software(usable, requirements.software)
+        usable = self._of_software(usable, requirements, now)
         states = [self.registry.view.by_id[e.endpoint] for e in usable]
         views = [
             self._view(entry, requirements, paces)
@@ -292,6 +295,36 @@
         self._remember_group(requirements.group, chosen.endpoint)
         return self.registry.entry_by_endpoint[chosen.endpoint]
 
+    def _of_software(
+        self,
+        usable: list[EndpointEntry],
+        requirements: EngineRequirements,
+        now: float,
+    ) -> list[EndpointEntry]:
+        """Return the engines at which an item may go on, or begin anew.
+
+        It waits for an engine of its software version that can't be used for
+        the moment, but no longer than it takes to make its text again.
+        """
+        software = requirements.software
+        if software is None:
+            return usable
+        same = [e for e in usable if e.software == software]
+        if same or now >= requirements.remade_from_s:
+            return same or usable
+        serves = any(
+            e.service == requirements.service
+            and e.software == software
+            and not e.draining
+            for e in self.registry.entry_by_endpoint.values()
+        )
+        return [] if serves else usable
+
+    def typical_interval_s(self) -> float:
+        """Return the time that an engine usually takes for an event."""
+        intervals = self.engine_records.interval_by_endpoint().values()
+        return median(intervals) if intervals else DEFAULT_INTERVAL_S
+
     def _request_permits(
         self, entries: list[EndpointEntry], states: list[EndpointState]
     ) -> None:
@@ -352,15 +385,6 @@
             self._engine_by_group.popitem(last=False)
 
 
-def _of_software(
-    entries: list[EndpointEntry], software: str | None
-) -> list[EndpointEntry]:
-    """Return the engines of a software version, all if there is none."""
-    if software is None:
-        return entries
-    return [e for e in entries if e.software == software] or entries
-
-
 def _running_item(handle: RunHandle, now: float) -> RunningItem:
     requirements = handle.requirements
     return RunningItem(
--- a/anvilcove/jobs/item_run.py
+++ b/anvilcove/jobs/item_run.py
@@ -396,6 +396,7 @@
         excluded = progress.failures.endpoints
         if len(excluded) >= self._slots.engine_count(service):
             excluded = set()
+        remake_s = len(progress.texts) * self._slots.typical_interval_s()
         return EngineRequirements(
             service=service,
             model=item.model or spec.model,
@@ -407,6 +408,8 @@
             started_at_s=progress.started_at_s,
             objective_s=route.job.result_objective_s if route.job else 0.0,
             software=progress.software if progress.texts else None,
+            remake_s=remake_s,
+            remade_from_s=self._clock.now() + remake_s,
         )
 
     def _record_attempt_failure(
--- a/anvilcove/jobs/slot_queue.py
+++ b/anvilcove/jobs/slot_queue.py
@@ -9,7 +9,10 @@
 
 from anvilcove.control.endpoints import EndpointEntry
 
-NeedKey = tuple[str, str, int, bool, frozenset[str], str | None]
+# Texts whose making takes times within this step have the same needs.
+REMAKE_STEP_S = 0.5
+
+NeedKey = tuple[str, str, int, bool, frozenset[str], str | None, int]
 
 
 class EngineRequirements(Struct):
@@ -19,8 +22,8 @@
     the items that share a prompt, which one engine may have cached. A
     `long_item` will probably decide when its step ends. The item started at
     `started_at_s` and is due within `objective_s`. Its text goes on only at
-    engines of the version `software`; elsewhere it begins anew. None stands
-    for no text.
+    engines of the version `software`; elsewhere it begins anew, which takes
+    `remake_s` and is not done before `remade_from_s`. None stands for no text.
     """
 
     service: str
@@ -33,6 +36,8 @@
     started_at_s: float = 0.0
     objective_s: float = 0.0
     software: str | None = None
+    remake_s: float = 0.0
+    remade_from_s: float = 0.0
 
     def key(self) -> NeedKey:
         """Return what decides whether an engine is usable."""
@@ -43,6 +48,8 @@
             self.long_item,
             frozenset(self.excluded),
             self.software,
+            # Those with short texts don't wait behind one with a long text.
+            round(self.remake_s / REMAKE_STEP_S),
         )
 
 
--- a/features/item_software.feature
+++ b/features/item_software.feature
@@ -48,3 +48,15 @@
     Then every daemon lists 24 completed results of job j1 in the same order
     And some items were resumed at engine 1
     And no text of job j1 has events of two software versions
+
+  Scenario: A long text waits for its only engine, but no longer than it took to make
+    Guards against texts that are discarded as a connection broke.
+    Given a platform with 4 engines and daemons a, b and c
+    And engines 1, 2 and 3 run software v2
+    And engines make 60 events for each item
+    And each item of job j1 breaks off after 50 events
+    When daemon a accepts job j1 with 16 items
+    And 12 s go by
+    Then every daemon lists 16 completed results of job j1 in the same order
+    And engine 0 resumed each item that it began after event 50
+    And no text of job j1 has events of two software versions
--- a/features/steps/item_software_steps.py
+++ b/features/steps/item_software_steps.py
@@ -93,3 +93,14 @@
     assert len(owners) == 1, owners
     site.kill(owners[0])
     site.daemons.pop(owners[0])
+
+
+@then(
+    'engine {number:d} resumed each item that it began after event {event:d}'
+)
+def check_all_resumed_at(context, number, event):
+    """Check that no text that an engine began was discarded."""
+    runs = context.memory.engines[number].runs
+    began = {item for item, after in runs if not after}
+    resumed = {item for item, after in runs if after == event}
+    assert began and resumed == began, (began, resumed)
