--- a/anvilcove/platform/standin.py
+++ b/anvilcove/platform/standin.py
@@ -21,6 +21,7 @@
     EXPECT_INSTANCE,
     LAST_EVENT_ID,
     NOT_EXECUTED,
+    RESUMES,
     SERVER_LOAD,
     SERVER_STAMP,
     WEIGHT_VERSIONS,
@@ -179,6 +180,10 @@
         self.name = instance
         self.instance = instance
         self.starts = 1
+        # Version of its software, and that of its next start.
+        self.software = self.next_software = 'v1'
+        # Software versions that made an event, by request and event number.
+        self.software_by_event: dict[tuple[str, int], set[str]] = {}
         self.model = model
         self.slots = slots
         self.version = 1
@@ -324,6 +329,7 @@
     def restart(self) -> None:
         """Come back as a new instance that has the same weights."""
         self.starts += 1
+        self.software = self.next_software
         self.instance = f'{self.name}.{self.starts}'
         self.order_count = 0
         self.loading = False
@@ -349,8 +355,10 @@
         self, request: web.BaseRequest, attempt: str
     ) -> web.StreamResponse:
         headers = self._headers(attempt)
+        # A caller that resumes its stream names the attempt that began it.
+        subject = request.headers.get(RESUMES, attempt)
         first_event = int(request.headers.get(LAST_EVENT_ID, '0')) + 1
-        if first_event <= event_count(attempt):
+        if first_event <= event_count(subject):
             # Servers omit this header if no event is left to send.
             headers[WEIGHT_VERSIONS] = str(self.version)
         response = web.StreamResponse(headers=headers)
@@ -358,7 +366,8 @@
         response.enable_chunked_encoding()
         await response.prepare(request)
         sent_version = self.version
-        for number in range(first_event, event_count(attempt) + 1):
+        software = self.software
+        for number in range(first_event, event_count(subject) + 1):
             await asyncio.sleep(EVENT_INTERVAL_S)
             if self.faults.break_after == number - 1:
                 assert request.transport is not None
@@ -371,7 +380,10 @@
             self.versions_by_event.setdefault((attempt, number), set()).add(
                 sent_version
             )
-            lines += [f'id: {number}', f'data: {attempt}:{number}', '', '']
+            self.software_by_event.setdefault((attempt, number), set()).add(
+                software
+            )
+            lines += [f'id: {number}', f'data: {subject}:{number}', '', '']
             await response.write('\n'.join(lines).encode())
         await response.write_eof()
         return response
@@ -412,7 +424,7 @@
                 'service': service,
                 'address': address,
                 'zone': zone,
-                'version': 'v1',
+                'version': self.software,
                 'batch-size': self.slots,
                 'state': 'ready',
                 'models': models if self.model else [],
--- a/anvilcove/platform/standin_wire.py
+++ b/anvilcove/platform/standin_wire.py
@@ -10,6 +10,8 @@
 from anvilcove.platform.names import (
     ATTEMPT_ID,
     DEADLINE_MS,
+    LAST_EVENT_ID,
+    RESUMES,
     SERVER_LEAVING,
     SERVER_LIMIT,
     SERVER_STAMP,
@@ -54,6 +56,7 @@
     service: str
     objective_ms: int
     max_attempts: int
+    resumable: bool = False
 
 
 class ItemSpec(Struct):
@@ -188,6 +191,21 @@
     return headers
 
 
+def resumption_headers(first_request: str, last: int) -> dict[str, str]:
+    """Return the headers with which a caller resumes a stream."""
+    return {RESUMES: first_request, LAST_EVENT_ID: str(last)}
+
+
+def read_stream_event(lines: list[bytes]) -> tuple[int, str] | None:
+    """Return number and data of an event, None for a comment."""
+    fields = dict(
+        line.decode().strip().split(': ', 1) for line in lines if b': ' in line
+    )
+    if 'id' not in fields:
+        return None
+    return int(fields['id']), fields.get('data', '')
+
+
 def reporting_server(headers: Mapping[str, str]) -> tuple[str, str]:
     """Return the start of a server that leaves, and of one with a limit.
 
@@ -267,6 +285,8 @@
         'service': route.service,
         'max-attempts': route.max_attempts,
     }
+    if route.resumable:
+        data['resumable'] = True
     if route.kind == JOB:
         data |= {'result-goal-ms': 7500, 'item-ttl-s': 60}
     return data
--- a/anvilcove/soak/callers.py
+++ b/anvilcove/soak/callers.py
@@ -39,6 +39,7 @@
     UNSCORED,
     LoopbackSite,
 )
+from anvilcove.soak.streams import StreamCallers
 
 REQUEST_DEADLINE_S = 2.0
 CONNECT_TIMEOUT_S = 0.5
@@ -110,6 +111,10 @@
         self._ids = itertools.count()
         self._addresses = [f'{d.ip}:{CALLERS_PORT}' for d in site.daemons]
         self.calls: list[CallRecord] = []
+        # Its own random numbers keep the calls of known seeds as they were.
+        self.stream_callers = StreamCallers(
+            site, random.Random(rng.getrandbits(32))
+        )
         self.jobs: list[JobRecord] = []
         self.version = 1
         self.trainer_stopped = False
@@ -133,6 +138,7 @@
                     self._submit_small(session),
                     self._submit_harmful(session),
                     self._read_again(session),
+                    self.stream_callers.run(session),
                 )
             finally:
                 for task in self._tasks:
--- a/anvilcove/soak/checks.py
+++ b/anvilcove/soak/checks.py
@@ -16,6 +16,7 @@
     FaultPeriod,
     LoopbackSite,
 )
+from anvilcove.soak.stream_checks import HOSTS_CUT, check_streams
 
 # Responses that arrive within this time of each other may be reordered.
 MAX_REORDERING_S = 0.5
@@ -29,6 +30,10 @@
 PLANNED_STOPS = ('daemon stopped as planned', 'daemons stopped in turn')
 LINK_FAULTS = ('link of a server harmed',)
 CONTENT_FAULTS = ('contents crash servers', 'engines crash under items')
+# Callers of hosts without ways to servers have to be served at least this
+# share as often as others, apart from a few.
+MIN_SHARE_AT_CUT = 2 / 3
+MAX_FAILED_AT_CUT = 10
 # Longest time without a run of an item that is neither completed nor ended.
 MAX_UNPLACED_S = 5.0
 REFUSAL_STATUSES = (408, 421, 429, 503)
@@ -49,6 +54,8 @@
         *_check_owed_items(site, callers),
         *check_leaving(site, callers),
         *check_limits(site, callers),
+        *check_streams(site, callers.stream_callers.streams),
+        *_check_cut_hosts(site, callers),
         *_check_failures(site),
     ]
     for job in callers.jobs:
@@ -291,6 +298,45 @@
     return violations
 
 
+def _check_cut_hosts(site: LoopbackSite, callers: Callers) -> list[str]:
+    """Check that callers of hosts without ways to servers are served."""
+    others = [p for p in site.fault_periods if p.kind != HOSTS_CUT]
+    cuts = [p for p in site.fault_periods if p.kind == HOSTS_CUT]
+    # While two cuts overlap, no host may have a way.
+    calm = [
+        cut
+        for cut in cuts
+        if not any(
+            p is not cut
+            and p.started_s <= cut.ended_s
+            and cut.started_s <= p.ended_s + CONTACT_S
+            for p in [*others, *cuts]
+        )
+    ]
+    violations = []
+    for cut in calm:
+        served: dict[bool, list[bool]] = {True: [], False: []}
+        for call in callers.calls:
+            if call.kind != 'safe' or not (
+                cut.started_s + CONTACT_S < call.sent_s < cut.ended_s
+            ):
+                continue
+            ip = call.daemon.rpartition(':')[0]
+            served[ip in cut.sources].append(call.status == 200)
+        lost = served[True].count(False)
+        if not served[True] or not served[False]:
+            continue
+        share = served[True].count(True) / len(served[True])
+        other_share = served[False].count(True) / len(served[False])
+        allowed = MAX_FAILED_AT_CUT + len(served[True]) / 50
+        if share < MIN_SHARE_AT_CUT * other_share and lost > allowed:
+            violations.append(
+                f'recover: {share:.2f} of {len(served[True])} requests were'
+                f' served at hosts that were cut, {other_share:.2f} elsewhere'
+            )
+    return violations
+
+
 def _check_failures(site: LoopbackSite) -> list[str]:
     """Check that items that fail at each run are given up in time."""
     failures: Counter[tuple[str, int]] = Counter()
--- a/anvilcove/soak/faults.py
+++ b/anvilcove/soak/faults.py
@@ -36,6 +36,12 @@
     ('contents crash servers', 'daemons killed'),
     ('servers answer twice', 'bytes split', 'daemon without processor'),
     (POWER_LOSS, 'daemon stopped as planned', POWER_LOSS),
+    ('servers of two versions', 'daemons killed', 'answers cut short'),
+    (
+        'hosts cut from all servers',
+        'daemon stopped as planned',
+        'hosts cut from all servers',
+    ),
 )
 
 
--- a/anvilcove/soak/proxy.py
+++ b/anvilcove/soak/proxy.py
@@ -35,6 +35,7 @@
         self.cut_sources: set[str] = set()
         self.closed_sources: set[str] = set()
         self._accepted: set[Any] = set()
+        self._source_by_task: dict[asyncio.Task[None], str] = {}
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -56,6 +57,12 @@
         self.closed_sources -= sources
         self._filter_sources()
 
+    def reset_sources(self, sources: set[str]) -> None:
+        """Reset the open connections of some addresses."""
+        for task, source in list(self._source_by_task.items()):
+            if source in sources:
+                task.cancel()
+
     def _filter_sources(self) -> None:
         if self._server is None:
             return
@@ -63,7 +70,11 @@
         for listening in self._server.sockets:
             set_drop_filter(listening, lost, prefix_bits=32)
         for accepted in list(self._accepted):
-            set_drop_filter(accepted, sorted(self.cut_sources), prefix_bits=32)
+            # A reset connection has no socket any more.
+            if accepted.fileno() >= 0:
+                set_drop_filter(
+                    accepted, sorted(self.cut_sources), prefix_bits=32
+                )
 
     async def stop(self) -> None:
         """Stop listening and reset every connection."""
@@ -85,9 +96,11 @@
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
+        self._source_by_task[task] = writer.get_extra_info('peername')[0]
         with contextlib.suppress(OSError, asyncio.CancelledError):
             await self._connect(reader, writer)
         self._tasks.discard(task)
+        del self._source_by_task[task]
         # An abort without unread data would look like an ordinary end.
         if self.mode == RESET or task.cancelling():
             reset_connection(writer.transport)
--- a/anvilcove/soak/run.py
+++ b/anvilcove/soak/run.py
@@ -23,6 +23,7 @@
     'anvilcove.soak.daemon_faults',
     'anvilcove.soak.server_faults',
     'anvilcove.soak.store_faults',
+    'anvilcove.soak.version_faults',
 )
 # Time after the last fault within which accepted jobs must be complete.
 COMPLETION_TIMEOUT_S = 15.0
--- a/anvilcove/soak/site.py
+++ b/anvilcove/soak/site.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 from aiohttp import ClientError, ClientSession, web
-from msgspec import Struct
+from msgspec import Struct, field
 
 from anvilcove.control.desired import JOB, SAFE, STREAM, UNSAFE
 from anvilcove.platform.standin import (
@@ -38,13 +38,14 @@
 
 HOST = 'h.example'
 MODEL = 'm'
-SHOP, ONCE, REWARDS, JOBS, EXTRA, STREAMS = (
+SHOP, ONCE, REWARDS, JOBS, EXTRA, STREAMS, RESUMABLE = (
     '/shop/',
     '/once/',
     '/reward/',
     '/job/',
     '/extra/',
     '/stream/',
+    '/resume/',
 )
 CALLERS_PORT, READY_PORT, LOOKUP_PORT, PEERS_PORT = 8101, 8102, 8103, 7720
 STORE_PORT, SERVER_PORT, PROXY_PORT = 8200, 8300, 8400
@@ -65,6 +66,7 @@
     RouteSpec('reward', REWARDS, SAFE, 'app', 500, MAX_REWARD_ATTEMPTS),
     RouteSpec('job', JOBS, JOB, 'llm', 400, MAX_ITEM_ATTEMPTS),
     RouteSpec('stream', STREAMS, STREAM, 'llm', 400, 2),
+    RouteSpec('resume', RESUMABLE, STREAM, 'llm', 400, 4, resumable=True),
 )
 
 
@@ -185,6 +187,8 @@
     kind: str
     started_s: float
     ended_s: float = math.inf
+    # Addresses of the hosts that it concerns, if it is not the whole site.
+    sources: set[str] = field(default_factory=set)
 
 
 class NamedLimit(Struct):
--- a/features/machine_faults.feature
+++ b/features/machine_faults.feature
@@ -58,3 +58,15 @@
     Guards against daemons that read without end, or fail other requests.
     Given a soak test of "servers send without end" with seed 11 and 2 faults in 4 s
     Then no guarantee was broken
+
+  Scenario: Streams and texts keep to the software version that began them
+    Guards against events of two software versions in one stream or text, within
+    an answer or over the tries of a caller at several daemons.
+    Given a soak test of "servers of two versions, daemons killed" with seed 1001 and 3 faults in 5 s
+    Then no guarantee was broken
+
+  Scenario: Callers of daemons that are cut from all servers are served
+    Guards against a daemon that refuses requests although its peers reach the
+    servers.
+    Given a soak test of "hosts cut from all servers" with seed 1000 and 1 faults in 6 s
+    Then no guarantee was broken
