--- a/anvilcove/node/gauges.py
+++ b/anvilcove/node/gauges.py
@@ -29,6 +29,12 @@
         {},
         float(components.lease.fence() is not None),
     )
+    gauge(
+        'cut_from_endpoints',
+        'Whether this host is cut from all endpoints.',
+        {},
+        float(components.ways.is_cut),
+    )
     gauge(
         'jobs_owned',
         'Jobs that run here.',
--- a/anvilcove/node/status.py
+++ b/anvilcove/node/status.py
@@ -44,6 +44,7 @@
             'data_centre': node.data_centre,
             'state': 'leaving' if node.leaving else state,
             'gives_orders': node.orders,
+            'cut_from_endpoints': node.cut,
             'desired_state': node.desired_state,
             'desired_state_age_s': node.desired_state_age_s,
         }
@@ -66,6 +67,7 @@
             'service': entry.service,
             'data_centre': entry.data_centre,
             'address': entry.address,
+            'software': entry.software,
             'draining': entry.draining,
             'leaving_by_answer': components.registry.left_by_answer(endpoint),
             'limit_per_s': state.rate_limit_per_s if state else None,
