--- a/anvilcove/node/status.py
+++ b/anvilcove/node/status.py
@@ -44,9 +44,9 @@
             'data_centre': node.data_centre,
             'state': 'leaving' if node.leaving else state,
             'gives_orders': node.orders,
-            'cut_from_endpoints': node.cut,
             'desired_state': node.desired_state,
             'desired_state_age_s': node.desired_state_age_s,
+            'cut_from_endpoints': node.cut,
         }
     return found
 
@@ -67,7 +67,6 @@
             'service': entry.service,
             'data_centre': entry.data_centre,
             'address': entry.address,
-            'software': entry.software,
             'draining': entry.draining,
             'leaving_by_answer': components.registry.left_by_answer(endpoint),
             'limit_per_s': state.rate_limit_per_s if state else None,
@@ -78,6 +77,7 @@
                 f'{model}={version}'
                 for model, version in sorted(entry.version_by_model.items())
             ),
+            'software': entry.software,
         }
     return found
 
