--- a/anvilcove/platform/standin.py
+++ b/anvilcove/platform/standin.py
@@ -63,6 +63,8 @@
 # Time in which a model server loads a version.
 LOAD_TIME_S = 0.5
 ENDLESS_BLOCK = b'x' * 65_536
+# Line of an event that names the software version of the server.
+SOFTWARE_FIELD = 'made-by'
 
 
 class StoreStandin:
@@ -182,8 +184,6 @@
         self.starts = 1
         # Version of its software, and that of its next start.
         self.software = self.next_software = 'v1'
-        # Software versions that made an event, by request and event number.
-        self.software_by_event: dict[tuple[str, int], set[str]] = {}
         self.model = model
         self.slots = slots
         self.version = 1
@@ -380,9 +380,7 @@
             self.versions_by_event.setdefault((attempt, number), set()).add(
                 sent_version
             )
-            self.software_by_event.setdefault((attempt, number), set()).add(
-                software
-            )
+            lines.append(f'{SOFTWARE_FIELD}: {software}')
             lines += [f'id: {number}', f'data: {subject}:{number}', '', '']
             await response.write('\n'.join(lines).encode())
         await response.write_eof()
--- a/anvilcove/platform/standin_wire.py
+++ b/anvilcove/platform/standin_wire.py
@@ -25,6 +25,7 @@
     VERSION_PREFIX,
 )
 from anvilcove.platform.settings import PATH_VARIABLE
+from anvilcove.platform.standin import SOFTWARE_FIELD
 from anvilcove.ports.store import RowId
 
 TIMEOUT_MS = 4000
@@ -78,6 +79,14 @@
     score: str = ''
 
 
+class StreamEvent(Struct):
+    """An event of a stream, with the software version that made it."""
+
+    number: int
+    data: str
+    software: str
+
+
 class JobResultsPage(Struct):
     """A results page of a job, decoded from a response."""
 
@@ -196,14 +205,18 @@
     return {RESUMES: first_request, LAST_EVENT_ID: str(last)}
 
 
-def read_stream_event(lines: list[bytes]) -> tuple[int, str] | None:
-    """Return number and data of an event, None for a comment."""
+def read_stream_event(lines: list[bytes]) -> StreamEvent | None:
+    """Return an event, None for a comment."""
     fields = dict(
         line.decode().strip().split(': ', 1) for line in lines if b': ' in line
     )
     if 'id' not in fields:
         return None
-    return int(fields['id']), fields.get('data', '')
+    return StreamEvent(
+        int(fields['id']),
+        fields.get('data', ''),
+        fields.get(SOFTWARE_FIELD, ''),
+    )
 
 
 def reporting_server(headers: Mapping[str, str]) -> tuple[str, str]:
--- a/anvilcove/soak/stream_checks.py
+++ b/anvilcove/soak/stream_checks.py
@@ -21,16 +21,19 @@
     for record in streams:
         if not record.events:
             continue
-        subject = record.events[0][2]
-        numbers = [number for number, _, _ in record.events]
+        subject = record.first_request
+        numbers = [event.number for event in record.events]
         if numbers != list(range(1, len(numbers) + 1)):
             violations.append(f'order: {subject} has the events {numbers}')
             continue
-        if any(d != f'{subject}:{n}' for n, d, _ in record.events):
+        if any(
+            event.data != f'{subject}:{event.number}'
+            for event in record.events
+        ):
             violations.append(f'order: {subject} has events of others')
         if record.complete and len(numbers) != event_count(subject):
             violations.append(f'order: {subject} is complete and short')
-        software = _software(site, record)
+        software = {event.software for event in record.events}
         if len(software) > 1:
             violations.append(
                 f'order: {subject} has events of {sorted(software)}'
@@ -38,15 +41,6 @@
     return [*violations, *_check_share(site, streams)]
 
 
-def _software(site: LoopbackSite, record: StreamRecord) -> set[str]:
-    """Return the software versions that made the events of a stream."""
-    found: set[str] = set()
-    for number, _, request_id in record.events:
-        for engine in site.engines:
-            found |= engine.software_by_event.get((request_id, number), set())
-    return found
-
-
 def _check_share(site: LoopbackSite, streams: list[StreamRecord]) -> list[str]:
     """Check that resumed streams go on about as often as new ones begin."""
     others = [p for p in site.fault_periods if p.kind != TWO_VERSIONS]
--- a/anvilcove/soak/streams.py
+++ b/anvilcove/soak/streams.py
@@ -8,6 +8,7 @@
 from msgspec import Struct, field
 
 from anvilcove.platform.standin_wire import (
+    StreamEvent,
     read_stream_event,
     request_headers,
     resumption_headers,
@@ -43,12 +44,12 @@
 class StreamRecord(Struct):
     """Tries of one stream and what they brought.
 
-    `events` holds the number and the data of each event, and the request that
-    brought it.
+    `first_request` brought the first event.
     """
 
     tries: list[StreamTry] = field(default_factory=list)
-    events: list[tuple[int, str, str]] = field(default_factory=list)
+    first_request: str = ''
+    events: list[StreamEvent] = field(default_factory=list)
     complete: bool = False
 
 
@@ -89,9 +90,9 @@
         request_id = f'stream-{next(self._ids)}'
         headers = request_headers(HOST, request_id, left_s)
         if record.events:
-            last, _, first_request = record.events[-1]
-            first_request = record.events[0][2]
-            headers |= resumption_headers(first_request, last)
+            headers |= resumption_headers(
+                record.first_request, record.events[-1].number
+            )
         attempt = StreamTry(
             request_id,
             daemon.name,
@@ -127,7 +128,8 @@
             lines = []
             if event is None:
                 continue
-            record.events.append((*event, attempt.request_id))
+            record.first_request = record.first_request or attempt.request_id
+            record.events.append(event)
             attempt.events += 1
             if self._rng.random() < ABANDONED_SHARE:
                 response.close()
