--- a/anvilcove/soak/closing.py
+++ b/anvilcove/soak/closing.py
@@ -23,6 +23,9 @@
 # Allowance for a loopback exchange on a busy machine.
 SLACK_S = 1.0
 OBSERVATION_S = 3.0
+# Time within which contents stop crashing servers.
+SERVERS_TIMEOUT_S = 60.0
+POLL_S = 0.1
 # Servers announce changes within this time.
 ANNOUNCE_TIMEOUT_S = 1.0
 SERVICE_TIME_S = 0.6
@@ -32,7 +35,8 @@
 
 async def final_violations(site: LoopbackSite) -> list[str]:
     """Return a line for each violated guarantee."""
-    await asyncio.sleep(OBSERVATION_S)
+    await site.wait_until_ready()
+    await _wait_for_servers(site)
     async with ClientSession() as session:
         return [
             *await _check_desired_state(site, session),
@@ -41,6 +45,20 @@
         ]
 
 
+async def _wait_for_servers(site: LoopbackSite) -> None:
+    """Wait until no server has been down for OBSERVATION_S.
+
+    Calls that are owed may crash servers after the last fault has ended.
+    """
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(SERVERS_TIMEOUT_S):
+        quiet_since_s = loop.time()
+        while loop.time() - quiet_since_s < OBSERVATION_S:
+            await asyncio.sleep(POLL_S)
+            if site.crashed:
+                quiet_since_s = loop.time()
+
+
 async def _check_desired_state(
     site: LoopbackSite, session: ClientSession
 ) -> list[str]:
