--- a/features/steps/explaining_steps.py
+++ b/features/steps/explaining_steps.py
@@ -36,6 +36,8 @@
 
     async def start():
         site = LoopbackSite(context.folder, count, engines=2, servers=2)
+        # `after_scenario` stops the site, also if it is never ready.
+        context.site = site
         await site.start()
         end_s = context.loop.time() + READY_TIMEOUT_S
         while context.loop.time() < end_s:
@@ -47,8 +49,6 @@
         raise AssertionError('no request was answered')
 
     context.loopback = context.finish(start())
-    # `after_scenario` stops the site on the loop of the scenario.
-    context.site = context.loopback
 
 
 def explain(context, subject):
