--- a/anvilcove/control/relay_peers.py
+++ b/anvilcove/control/relay_peers.py
@@ -75,7 +75,7 @@
 
     def may_relay(self, address: str) -> bool:
         """Tell whether this host sends calls of peers to an endpoint."""
-        if self._ways.is_cut:
+        if self._ways.may_be_cut:
             return False
         return any(
             entry.address == address and not entry.draining
--- a/anvilcove/decisions/reachability.py
+++ b/anvilcove/decisions/reachability.py
@@ -52,10 +52,15 @@
             for address in [a for a in known if a not in addresses]:
                 del known[address]
 
+    def has_failed(self, address: str) -> bool:
+        """Tell whether an endpoint has failed since anything was heard."""
+        at_s = self._failed_at_s.get(address)
+        return at_s is not None and at_s > self.heard_at_s
+
     def is_cut(self) -> bool:
         """Tell whether the host probably reaches no endpoint."""
         failed = sum(
-            at_s >= self.heard_at_s for at_s in self._failed_at_s.values()
+            at_s > self.heard_at_s for at_s in self._failed_at_s.values()
         )
         return failed >= MIN_FAILED
 
@@ -67,12 +72,12 @@
         silent = {
             address
             for address, since_s in self._unanswered_since_s.items()
-            if now - since_s >= SILENT_AFTER_S and since_s >= self.heard_at_s
+            if now - since_s >= SILENT_AFTER_S and since_s > self.heard_at_s
         }
         failed = {
             address
             for address, at_s in self._failed_at_s.items()
-            if at_s >= self.heard_at_s
+            if at_s > self.heard_at_s
         }
         return len(silent | failed) >= MIN_FAILED
 
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -66,8 +66,6 @@
 # The same for heartbeats: it bounds the time until a lost daemon is noticed.
 HEARTBEATS_LONG_POLL_S = 0.3
 ORDERS_LEASE = 'versions'
-# A host that has heard an endpoint within this time is not cut off.
-MAX_SILENCE_S = 1.0
 
 
 class Dependencies(Struct):
@@ -127,7 +125,7 @@
         self.nodes = NodeDirectory(
             settings, self.crashes, dependencies.clock, nonce
         )
-        self.nodes.on_cut = self._check_ways
+        self.nodes.on_cut = self.ways.check
         self.relay_peers = RelayPeers(
             settings.host,
             self.ways,
@@ -438,11 +436,6 @@
         """Tell whether orders reach engines from here, or from nowhere."""
         return not self.ways.is_cut or not self.nodes.endpoints_reached()
 
-    def _check_ways(self) -> None:
-        """Find out whether a cut of another host has hit this one, too."""
-        if self.ways.silent_s() > MAX_SILENCE_S:
-            self.ways.check()
-
     async def _expire_endpoints(self) -> None:
         while True:
             await self._clock.sleep(EXPIRY_PERIOD_S)
--- a/anvilcove/platform/endpoint_relay.py
+++ b/anvilcove/platform/endpoint_relay.py
@@ -34,8 +34,10 @@
 
 RELAY_PATH = '/endpoint-call'
 CONNECT_TIMEOUT_S = 0.3
-# Peers that one call tries.
+# Peers that one call tries, and that it tries while it is not certain that
+# this host is cut off.
 MAX_PEERS = 6
+MAX_PEERS_IN_DOUBT = 3
 # Header of a peer's response, and its values.
 OUTCOME = 'Relay-Outcome'
 ANSWERED = 'answered'
@@ -86,7 +88,8 @@
                 call.repeatable,
             )
         )
-        for peer in self._peers.addresses()[:MAX_PEERS]:
+        count = MAX_PEERS if self._peers.needed() else MAX_PEERS_IN_DOUBT
+        for peer in self._peers.addresses()[:count]:
             response = await self._ask(peer, call, message)
             if response is None:
                 self._peers.avoid(peer)
@@ -208,7 +211,11 @@
             await passed_on.write_eof()
             return passed_on
     except (ClientConnectorError, ConnectionTimeoutError):
-        return _outcome(BROKEN if record.broken else NOT_SENT)
+        if record.broken:
+            return _outcome(BROKEN)
+        # This host may be cut off, too, and another peer not.
+        doubtful = peers.needed_after_failure(relayed.address)
+        return _outcome(DECLINED if doubtful else NOT_SENT)
     except (ClientError, HttpProcessingError, OSError, ValueError) as error:
         logger.bind(
             request=call.attempt_id,
--- a/features/cut_host_duties.feature
+++ b/features/cut_host_duties.feature
@@ -37,7 +37,7 @@
     And 1 s go by
     Then every daemon names b and c to callers
     When all daemons are cut from all endpoints
-    And 1 s go by
+    And 3 s go by
     Then every daemon names a, b and c to callers
 
   Scenario: Other hosts check their ways when one says that it is cut off
@@ -54,6 +54,7 @@
     host broke.
     Given a platform with 4 engines and daemons a, b and c
     When daemon a is cut from all endpoints
+    And 1 s go by
     And the connections of content x break at daemon a at all services, which refuse it new ones
     And 1 s go by
     Then no daemon suspects content x
@@ -64,3 +65,10 @@
     When the ways of daemon a to 2 services fail and the others accept connections
     And 1 s go by
     Then daemon a does not take itself to be cut off
+
+  Scenario: Endpoints that crash again and again do not make a host flap
+    Guards against calls that are ended, and rows that are written, at each crash.
+    Given a platform with 4 engines and daemons a, b and c
+    When the ways of daemon a to 2 services fail 50 times within 5 s
+    Then daemon a has not taken itself to be cut off
+    And it has tried at most 18 endpoints
--- a/features/steps/cut_duty_steps.py
+++ b/features/steps/cut_duty_steps.py
@@ -152,3 +152,35 @@
     """Check the counts of crashes that daemons share."""
     for daemon in context.memory.daemons.values():
         assert not daemon.crashes.digests(), daemon.crashes.digests()
+
+
+@when(
+    'the ways of daemon {name} to {count:d} services fail {times:d} times '
+    'within {seconds:g} s'
+)
+def fail_often(context, name, count, times, seconds):
+    """Report failures again and again; the others accept connections."""
+    site = context.memory
+    ways = site.daemons[name].ways
+    site.crashes.down.update(site.server_addresses[:count])
+    context.cuts = []
+    ways.on_cut = lambda: context.cuts.append(site.loop.time())
+    probed = len(site.crashes.probed)
+    for _ in range(times):
+        for address in site.server_addresses[:count]:
+            ways.failed(address, 'lost by the test')
+        site.pass_time(seconds / times)
+    context.probes = len(site.crashes.probed) - probed
+
+
+@then('daemon {name} has not taken itself to be cut off')
+def check_never_cut(context, name):
+    """Check that the daemon never changed its mind."""
+    assert not context.cuts, context.cuts
+    assert not context.memory.daemons[name].ways.is_cut
+
+
+@then('it has tried at most {count:d} endpoints')
+def check_probes(context, count):
+    """Check the number of connections that only try endpoints."""
+    assert 0 < context.probes <= count, context.probes
