--- a/anvilcove/soak/proxy.py
+++ b/anvilcove/soak/proxy.py
@@ -117,7 +117,7 @@
         )
         accepted = writer.get_extra_info('socket')
         self._accepted.add(accepted)
-        self._filter_sources()
+        set_drop_filter(accepted, sorted(self.cut_sources), prefix_bits=32)
         source = writer.get_extra_info('peername')[0]
         forwarders = [
             asyncio.create_task(
--- a/anvilcove/soak/version_faults.py
+++ b/anvilcove/soak/version_faults.py
@@ -11,6 +11,7 @@
 # Time after a cut from which callers of the hosts have to be served.
 CONTACT_S = 3.0
 RELEASE_PAUSE_S = (0.2, 0.8)
+CUT_FACTOR = 3.0
 
 
 @fault(TWO_VERSIONS)
@@ -45,6 +46,7 @@
         proxy.cut(sources, keep_open)
         if resets:
             proxy.reset_sources(sources)
-    await asyncio.sleep(CONTACT_S + for_s)
+    # Long enough for the requests that the check needs.
+    await asyncio.sleep(CONTACT_S + CUT_FACTOR * for_s)
     for proxy in site.server_proxies.values():
         proxy.heal(sources)
