--- a/anvilcove/platform/endpoint_relay.py
+++ b/anvilcove/platform/endpoint_relay.py
@@ -192,24 +192,8 @@
         direct=True,
     )
     record = SendRecord()
-    passed_on: web.StreamResponse | None = None
     try:
-        async with connections.open(call, record) as answer:
-            assert record.use is not None
-            if not connections.identity.belongs_to(
-                call.attempt_id, answer, record.use
-            ):
-                record.use.discard()
-                return _outcome(BROKEN)
-            passed_on = _response_like(answer)
-            if passed_on is None:
-                record.use.discard()
-                return _outcome(BROKEN)
-            await passed_on.prepare(request)
-            async for data in answer.content.iter_any():
-                await passed_on.write(data)
-            await passed_on.write_eof()
-            return passed_on
+        return await _pass_on(connections, call, record, request)
     except (ClientConnectorError, ConnectionTimeoutError):
         if record.broken:
             return _outcome(BROKEN)
@@ -222,10 +206,39 @@
             address=call.address,
             reason=repr(error)[:160],
         ).info('relayed call broke off')
+        return _outcome(BROKEN)
+
+
+async def _pass_on(
+    connections: ServerConnections,
+    call: ServerCall,
+    record: SendRecord,
+    request: web.BaseRequest,
+) -> web.StreamResponse:
+    """Send a call and pass the answer on to the peer as it arrives.
+
+    If the answer breaks off, so does the connection to the peer.
+    """
+    async with connections.open(call, record) as answer:
+        assert record.use is not None
+        identity = connections.identity
+        passed_on = None
+        if identity.belongs_to(call.attempt_id, answer, record.use):
+            passed_on = _response_like(answer)
         if passed_on is None:
+            record.use.discard()
             return _outcome(BROKEN)
-        if request.transport is not None:
-            request.transport.abort()
+        await passed_on.prepare(request)
+        try:
+            async for data in answer.content.iter_any():
+                await passed_on.write(data)
+            await passed_on.write_eof()
+        except (ClientError, HttpProcessingError, OSError) as error:
+            logger.bind(
+                request=call.attempt_id, reason=repr(error)[:160]
+            ).info('relayed answer broke off')
+            if request.transport is not None:
+                request.transport.abort()
         return passed_on
 
 
