--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,9 +9,9 @@
 sys.path.insert(0, str(FOLDER.parent / 'tools'))
 
 from standins import (  # noqa: E402
+    HOST,
     TROUBLE,
     Channel,
-    HOST,
     Server,
     model_service,
     route,
@@ -106,7 +106,9 @@
     else:
         pieces = body.count(b'id: ')
         tail = body[body.rfind(b'\n\n') + 2 :].decode('latin-1')
-        verdict.add('BROKEN', attempt, f'events:{pieces}/{EVENTS} tail:{tail!r}')
+        verdict.add(
+            'BROKEN', attempt, f'events:{pieces}/{EVENTS} tail:{tail!r}'
+        )
 
 
 async def requester(site, number, until_s, verdict):
--- a/review/tools/standins.py
+++ b/review/tools/standins.py
@@ -24,6 +24,9 @@
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 HOST = 'ficu95.example'
 ZONES = ('casa-ain', 'casa-maarif', 'casa-sidi')
+CONTRACTS = (
+    'base drain config cost recover samples stream engine batch platform'
+).split()
 BEAT_S = 1.2
 HISTORY_S = 20.0
 LOAD_S = 0.9
@@ -172,9 +175,7 @@
             body = await read_body(reader, headers)
             status, data = await self._answer(method, target, headers, body)
             writer.write(
-                response(
-                    status, [('Content-Type', 'application/json')], data
-                )
+                response(status, [('Content-Type', 'application/json')], data)
             )
             await writer.drain()
 
@@ -259,9 +260,7 @@
             and (not end or k[2] < end)
         )
         rows = [self._row(k, *self.rows[k]) for k in keys[:limit]]
-        return self._json(
-            200, rows=rows, **{'has-more': len(keys) > limit}
-        )
+        return self._json(200, rows=rows, **{'has-more': len(keys) > limit})
 
     async def _feed(self, args):
         after, table = int(args['after']), args['table']
@@ -543,7 +542,7 @@
 discovery = "platform"
 entry = "registry"
 heartbeat-ms = 1200
-contracts = ["base","drain","config","cost","recover","samples","stream","engine","batch","platform"]
+contracts = {json.dumps(CONTRACTS)}
 [zones]
 {zones}
 [listen]
@@ -620,6 +619,16 @@
         return (self.site.folder / f'{self.name}.log').read_text()
 
 
+def _is_free(address):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(address)
+        except OSError:
+            return False
+        return True
+
+
 class Site:
     """Store, servers and daemons of one run."""
 
@@ -654,10 +663,6 @@
             'thaw-ms': 300,
             'ttl_max_s': 5,
         } | dict(bounds)
-        chosen = random.SystemRandom()
-        self.subnet = (
-            f'127.{chosen.randint(20, 250)}.{chosen.randint(1, 250)}'
-        )
         self.ports = {
             'frontend': 8161,
             'ready': 8167,
@@ -665,6 +670,7 @@
             'registry': 8164,
             'internal': 7720,
         }
+        self.subnet = self._free_subnet(daemons)
         self.store_address = f'{self.subnet}.2:8169'
         self.store = Store(self.record)
         self.servers = []
@@ -672,6 +678,19 @@
         for number in range(daemons):
             self.daemons.append(Daemon(self, number))
 
+    def _free_subnet(self, daemons):
+        """Return a loopback subnet in which all ports are free."""
+        chosen = random.SystemRandom()
+        ports = [*self.ports.values(), self.ports['internal'] + 1]
+        for _ in range(100):
+            subnet = f'127.{chosen.randint(20, 250)}.{chosen.randint(1, 250)}'
+            used = [(f'{subnet}.2', 8169)]
+            for number in range(daemons):
+                used += [(f'{subnet}.{10 + number}', port) for port in ports]
+            if all(_is_free(address) for address in used):
+                return subnet
+        raise OSError('no subnet with free ports')
+
     def server_address(self):
         """Return a free address for one more server."""
         ip = f'{self.subnet}.{100 + len(self.servers)}'
@@ -821,9 +840,7 @@
     async with asyncio.timeout(timeout_s):
         await channel.open()
         try:
-            await channel.send(
-                method, target, {'Host': HOST, **headers}, body
-            )
+            await channel.send(method, target, {'Host': HOST, **headers}, body)
             return await channel.receive()
         finally:
             channel.close()
