Restart, count and show background tasks that end

Cause: a loop that must last as long as the process (watches, leases, heartbeats, takeover of jobs, sizes, usage) was run once. An exception that nobody foresaw ended it for good; one log line told, while readiness, status and metrics did not.

Ruled out: that such loops protect themselves.

Change: BackgroundTasks keeps the tasks of both daemons. TableWatch passes the rows of an answer one by one when its reader fails, skips the one at fault, logs and counts it in rows_skipped_total. Components return functions instead of coroutines, as a coroutine runs only once.

--- a/anvilcove/commands/control/apply.py
+++ b/anvilcove/commands/control/apply.py
@@ -1,7 +1,6 @@
 """Read, write and distribute class declarations."""
 
 import uuid
-from collections.abc import Coroutine
 from typing import Any
 
 from aiohttp import web
@@ -29,6 +28,7 @@
     StoreUnavailable,
 )
 from anvilcove.settings.classes import declaration_errors
+from anvilcove.state.background_tasks import Work
 
 # Polling reads only the small `config` row; the document is read when the
 # revision rises. One transaction writes both.
@@ -66,9 +66,9 @@
             web.put('/v1/classes', self._put_classes),
         ]
 
-    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+    def tasks(self) -> list[Work]:
         """Return the polling loop."""
-        return [self._poll()]
+        return [self._poll]
 
     async def refresh(self) -> None:
         """Read the configuration row once and apply a newer revision."""
--- a/anvilcove/commands/control/gossip.py
+++ b/anvilcove/commands/control/gossip.py
@@ -1,8 +1,6 @@
 """Exchange state digests with random peers by gossip."""
 
 import asyncio
-from collections.abc import Coroutine
-from typing import Any
 
 from aiohttp import web
 from loguru import logger
@@ -15,6 +13,7 @@
 from anvilcove.messages.operators import ClassesShown
 from anvilcove.messages.peers import DRAINING, JOINED, Gossip, HostDigest
 from anvilcove.settings.classes import declaration_errors
+from anvilcove.state.background_tasks import Work
 from anvilcove.state.peers import NEVER, PeerState
 
 # Suspected contents in one message; the newest come first.
@@ -41,9 +40,9 @@
             web.get('/peer/config', self._get_config),
         ]
 
-    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+    def tasks(self) -> list[Work]:
         """Return the gossip loop."""
-        return [self._loop()]
+        return [self._loop]
 
     def digest(self, received: Gossip | None = None) -> Gossip:
         """Return the digest of this daemon.
--- a/anvilcove/commands/control/leases.py
+++ b/anvilcove/commands/control/leases.py
@@ -1,8 +1,6 @@
 """Acquire and renew leases on work that one daemon does at a time."""
 
 import asyncio
-from collections.abc import Coroutine
-from typing import Any
 
 from loguru import logger
 from msgspec import convert, structs
@@ -14,6 +12,7 @@
 from anvilcove.messages.steps import encode_row_value
 from anvilcove.messages.table import Check, Put, Row, Transaction
 from anvilcove.ports.errors import PlatformError, StoreAnswerLost
+from anvilcove.state.background_tasks import Work
 from anvilcove.state.leases import LeaseWatch
 
 RENEWALS_PER_LEASE = 3
@@ -55,9 +54,9 @@
         self.released = False
         self._by_name: dict[str, _Lease] = {}
 
-    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+    def tasks(self) -> list[Work]:
         """Return the loop that renews and acquires leases."""
-        return [self._loop()]
+        return [self._loop]
 
     def want(self, name: str) -> None:
         """Try from now on to acquire a lease and to keep it."""
--- a/anvilcove/commands/control/membership.py
+++ b/anvilcove/commands/control/membership.py
@@ -1,8 +1,5 @@
 """Poll the membership list of the platform."""
 
-from collections.abc import Coroutine
-from typing import Any
-
 from loguru import logger
 
 from anvilcove.commands.control.announce import AnnounceComponent
@@ -10,6 +7,7 @@
 from anvilcove.daemon.parts import register_component
 from anvilcove.messages.peers import Announce
 from anvilcove.ports.errors import PlatformError
+from anvilcove.state.background_tasks import Work
 
 
 @register_component
@@ -18,9 +16,9 @@
 
     control = True
 
-    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+    def tasks(self) -> list[Work]:
         """Return the polling loop."""
-        return [self._poll()]
+        return [self._poll]
 
     async def _poll(self) -> None:
         period_s = self.context.settings.timing.membership_period_ms / 1000
--- a/anvilcove/commands/control/prune.py
+++ b/anvilcove/commands/control/prune.py
@@ -1,8 +1,7 @@
 """Delete claims that are too old for their request to be sent again."""
 
 import time
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable
 
 from loguru import logger
 
@@ -11,6 +10,7 @@
 from anvilcove.daemon.parts import register_component
 from anvilcove.messages.table import Check, Row, Transaction
 from anvilcove.ports.errors import PlatformError
+from anvilcove.state.background_tasks import Work
 
 PRUNE_LEASE = 'claims'
 CLAIM_PREFIX = 'claim/'
@@ -37,9 +37,9 @@
         self.leases: LeaseKeeper = context.component(LeaseKeeper)
         self._wall_time = wall_time
 
-    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+    def tasks(self) -> list[Work]:
         """Return the pruning loop."""
-        return [self._loop()]
+        return [self._loop]
 
     async def _loop(self) -> None:
         self.leases.want(PRUNE_LEASE)
--- a/anvilcove/commands/control/reports.py
+++ b/anvilcove/commands/control/reports.py
@@ -1,6 +1,5 @@
 """Poll load reports and cache events at a bounded rate."""
 
-from collections.abc import Coroutine
 from typing import Any
 
 from loguru import logger
@@ -11,6 +10,7 @@
 from anvilcove.messages.membership import ENGINE
 from anvilcove.messages.peers import ReportDigest
 from anvilcove.ports.errors import EndpointError
+from anvilcove.state.background_tasks import Work
 from anvilcove.state.endpoints import EndpointState, EndpointView
 from anvilcove.state.peers import NEVER
 
@@ -38,9 +38,9 @@
         self._sequence_by_address: dict[str, int] = {}
         self._active_until_s_by_address: dict[str, float] = {}
 
-    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+    def tasks(self) -> list[Work]:
         """Return the polling loop."""
-        return [self._loop()]
+        return [self._loop]
 
     async def _loop(self) -> None:
         period_s = self.context.settings.timing.report_period_ms / 1000
--- a/anvilcove/commands/control/rollout.py
+++ b/anvilcove/commands/control/rollout.py
@@ -1,8 +1,6 @@
 """Roll out the newest weight version to all engines of a model."""
 
 import asyncio
-from collections.abc import Coroutine
-from typing import Any
 
 from loguru import logger
 
@@ -22,6 +20,7 @@
 from anvilcove.decisions.types import DecisionRecord
 from anvilcove.messages.engines import EngineOrder, EngineState
 from anvilcove.ports.errors import EndpointError
+from anvilcove.state.background_tasks import Work
 from anvilcove.state.endpoints import EndpointState
 
 IDLE_PERIOD_S = 0.5
@@ -86,9 +85,9 @@
         self._wake = asyncio.Event()
         self.weights.changes.subscribe(lambda _: self._wake.set())
 
-    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+    def tasks(self) -> list[Work]:
         """Return the loop that rolls out the versions of all models."""
-        return [self._loop()]
+        return [self._loop]
 
     async def _loop(self) -> None:
         while True:
--- a/anvilcove/commands/control/weights.py
+++ b/anvilcove/commands/control/weights.py
@@ -1,8 +1,6 @@
 """Publish weight versions and track the newest one of each model."""
 
 import asyncio
-from collections.abc import Coroutine
-from typing import Any
 
 from aiohttp import web
 from loguru import logger
@@ -25,6 +23,7 @@
 from anvilcove.messages.trainers import PublishWeights, WeightsPublished
 from anvilcove.ports.errors import PlatformError, StoreAnswerLost
 from anvilcove.settings.classes import TrainerClass
+from anvilcove.state.background_tasks import Work
 
 POLL_PERIOD_S = 1.0
 PUBLISH_TIMEOUT_S = 3.0
@@ -55,9 +54,9 @@
         """Return the route of the trainer API."""
         return [web.post('/v1/weights', self._publish)]
 
-    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+    def tasks(self) -> list[Work]:
         """Return the polling loop."""
-        return [self._poll()]
+        return [self._poll]
 
     def newest(self, model: str) -> int:
         """Return the newest known version, 0 if there is none."""
--- a/anvilcove/commands/requests/claim.py
+++ b/anvilcove/commands/requests/claim.py
@@ -3,8 +3,6 @@
 import asyncio
 import time
 import uuid
-from collections.abc import Coroutine
-from typing import Any
 
 from aiohttp import web
 from loguru import logger
@@ -27,6 +25,7 @@
 from anvilcove.messages.table import Row
 from anvilcove.ports.errors import PlatformError
 from anvilcove.queries.attach import AttachComponent
+from anvilcove.state.background_tasks import Work
 from anvilcove.state.claims import (
     ABANDONED,
     ACTIVE,
@@ -79,9 +78,9 @@
         """Return the route for peers."""
         return [web.get('/peer/claims/{nonce}', self._claim_state)]
 
-    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+    def tasks(self) -> list[Work]:
         """Return the loop that writes rows."""
-        return [self.writer.run()]
+        return [self.writer.run]
 
     async def _claim_state(self, request: web.Request) -> web.Response:
         nonce = request.match_info['nonce']
--- a/anvilcove/commands/requests/dispatch.py
+++ b/anvilcove/commands/requests/dispatch.py
@@ -1,8 +1,6 @@
 """Queue requests for endpoints with free capacity; track attempts."""
 
 import asyncio
-from collections.abc import Coroutine
-from typing import Any
 
 from msgspec.structs import replace
 from reactivex.abc import DisposableBase
@@ -28,6 +26,7 @@
     Route,
     RouteRequest,
 )
+from anvilcove.state.background_tasks import Work
 from anvilcove.state.endpoints import EndpointState
 
 # The end of an ejection raises no event, so the queues are served with this
@@ -97,9 +96,9 @@
         self._capacity = Capacity(context.endpoints)
         self.shares = WorkspaceShares(context)
 
-    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+    def tasks(self) -> list[Work]:
         """Return the loop that serves the queues after ejections end."""
-        return [self._serve_periodically()]
+        return [self._serve_periodically]
 
     async def _serve_periodically(self) -> None:
         while True:
--- a/anvilcove/commands/rollouts/steps.py
+++ b/anvilcove/commands/rollouts/steps.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import re
-from collections.abc import Coroutine
-from typing import Any
 from uuid import uuid4
 
 from aiohttp import web
@@ -46,6 +44,7 @@
     StoreAnswerLost,
 )
 from anvilcove.settings.classes import TrainerClass
+from anvilcove.state.background_tasks import Work
 from anvilcove.state.leases import LeaseWatch
 from anvilcove.state.steps import StepRegistry, StepRun
 
@@ -99,9 +98,9 @@
         """Return the route that submits a step."""
         return [web.post('/v1/steps', self._submit)]
 
-    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+    def tasks(self) -> list[Work]:
         """Return the loop that renews the leases."""
-        return [self._renew_loop()]
+        return [self._renew_loop]
 
     async def _submit(self, request: web.Request) -> web.Response:
         message = await read_message(request, SubmitStep)
--- a/anvilcove/commands/rollouts/stragglers.py
+++ b/anvilcove/commands/rollouts/stragglers.py
@@ -1,7 +1,5 @@
 """Start second attempts of slow samples on engines that finish sooner."""
 
-from collections.abc import Coroutine
-from typing import Any
 from urllib.parse import quote
 
 from loguru import logger
@@ -15,6 +13,7 @@
 from anvilcove.decisions.groups import Move, Rerun, StragglerView, Wait
 from anvilcove.decisions.types import CANCELLED, DecisionRecord
 from anvilcove.ports.errors import EndpointError
+from anvilcove.state.background_tasks import Work
 from anvilcove.state.steps import Attempt, SampleRun, StepRun
 
 CHECK_PERIOD_S = 0.1
@@ -37,9 +36,9 @@
         super().__init__(context)
         self.runner: SampleRunner = context.component(SampleRunner)
 
-    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+    def tasks(self) -> list[Work]:
         """Return the loop that checks for stragglers."""
-        return [self._check_loop()]
+        return [self._check_loop]
 
     async def _check_loop(self) -> None:
         while True:
--- a/anvilcove/control/duty_board.py
+++ b/anvilcove/control/duty_board.py
@@ -1,12 +1,14 @@
 """The duties of a daemon, and the registry of their work."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
+from functools import partial
 from importlib import import_module
-from typing import Any, TypeVar
+from typing import TypeVar
 
 from anvilcove.control.duties import Duty
 from anvilcove.control.duty_context import DutyContext, DutyWork
+from anvilcove.state.background_tasks import Work
 
 # Share of the permitted rate that is used; the interface may count its
 # seconds differently.
@@ -68,15 +70,14 @@
         """Return the names of the duties whose calls fail here."""
         return [duty.name for duty in self.all() if duty.is_unable()]
 
-    def loops(self) -> list[Coroutine[Any, Any, None]]:
-        """Return the background coroutines."""
-        return [
-            *(duty.lease.run() for duty in self.all()),
-            *(
-                duty.run_work(self._work_by_name[duty.name])
-                for duty in self.all()
-            ),
-        ]
+    def loops(self) -> dict[str, Work]:
+        """Return what runs in the background, by name."""
+        loops: dict[str, Work] = {}
+        for duty in self.all():
+            loops[f'lease of {duty.name}'] = duty.lease.run
+            work = self._work_by_name[duty.name]
+            loops[f'duty {duty.name}'] = partial(duty.run_work, work)
+        return loops
 
     async def release(self) -> None:
         """Release the leases before this daemon leaves."""
--- a/anvilcove/control/watch.py
+++ b/anvilcove/control/watch.py
@@ -66,6 +66,7 @@
         '_rng',
         '_on_rows',
         '_on_gap',
+        'on_skipped',
         '_unread_partitions',
         '_task_by_partition',
         '_full_read_period_s',
@@ -103,6 +104,8 @@
         self._rng = rng
         self._on_rows = on_rows
         self._on_gap = on_gap
+        # Called with the number of rows that the callback could not apply.
+        self.on_skipped: Callable[[int], None] = lambda count: None
         # Partitions that the store did not answer for in the last full read.
         self._unread_partitions: set[str] = set()
         self._task_by_partition: dict[str, asyncio.Task[None]] = {}
@@ -207,7 +210,33 @@
         self._full_read_period_s = max(
             FULL_READ_PERIOD_S, size / FULL_READ_BYTES_PER_S
         )
-        self._on_rows(rows, not self._unread_partitions)
+        self._deliver(rows, not self._unread_partitions)
+
+    def _deliver(self, rows: list[StoredRow], full_read: bool) -> None:
+        """Pass rows on; if one cannot be applied, skip it and apply the rest.
+
+        After a failed full read the rows are passed as changes, so that rows
+        which are gone stay until the next full read.
+        """
+        try:
+            self._on_rows(rows, full_read)
+            return
+        except Exception:
+            logger.bind(
+                table=self.table, rows=len(rows), full_read=full_read
+            ).exception('rows not applied at once')
+        skipped = 0
+        for row in rows:
+            try:
+                self._on_rows([row], False)
+            except Exception as error:
+                skipped += 1
+                logger.bind(
+                    table=self.table,
+                    row=row.id.key[:200],
+                    reason=repr(error)[:300],
+                ).warning('row skipped')
+        self.on_skipped(skipped)
 
     def _start_reading_unread(self) -> None:
         """Try the partitions again that a full read could not read.
@@ -228,7 +257,7 @@
             self._log_unread(partition, str(error))
             return
         self._unread_partitions.discard(partition)
-        self._on_rows(page.rows, False)
+        self._deliver(page.rows, False)
 
     def _log_unread(self, partition: str, reason: str) -> None:
         logger.bind(table=self.table, partition=partition, reason=reason).info(
@@ -242,7 +271,7 @@
         )
         self._record_answer(sent_at_s)
         if page.rows:
-            self._on_rows(page.rows, False)
+            self._deliver(page.rows, False)
         self.version = max(page.version, self.version)
 
     def _record_answer(self, sent_at_s: float) -> None:
--- a/anvilcove/daemon/app.py
+++ b/anvilcove/daemon/app.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import signal
-from collections.abc import Coroutine
 from importlib import import_module
-from typing import Any
 
 from aiohttp import ClientSession, ClientTimeout, TCPConnector, web
 from loguru import logger
@@ -117,7 +115,6 @@
         self.settings = settings
         self._logs = logs
         self.context: Context | None = None
-        self._tasks: list[asyncio.Task[None]] = []
         self._listener: Listener | None = None
 
     async def start(self) -> Context:
@@ -153,9 +150,8 @@
             logger.warning('requests were in flight at the drain limit')
         for component_type in COMPONENTS:
             await self._drain(context.component(component_type), deadline_at_s)
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        context.tasks.cancel()
+        await context.tasks.join()
         await self._listener.cleanup()
         await context.control_session.close()
         await context.session.close()
@@ -173,11 +169,8 @@
     def _run_tasks(self, component: Component) -> None:
         assert self.context is not None
         for work in component.tasks():
-            logged = _log_failure(work)
-            if component.control:
-                self._tasks.append(self.context.control_task(logged))
-            else:
-                self._tasks.append(asyncio.create_task(logged))
+            name = f'{type(component).__name__}.{work.__name__}'
+            self.context.keep(name, work, component.control)
 
     async def _drain(self, component: Component, deadline_at_s: float) -> None:
         assert self.context is not None
@@ -189,13 +182,5 @@
             logger.exception('drain of {} failed', type(component).__name__)
 
 
-async def _log_failure(work: Coroutine[Any, Any, None]) -> None:
-    """Run a background task and log the exception that ends it."""
-    try:
-        await work
-    except Exception:
-        logger.exception('background task failed')
-
-
 async def _healthz(request: web.Request) -> web.Response:
     return web.json_response({'alive': True})
--- a/anvilcove/daemon/context.py
+++ b/anvilcove/daemon/context.py
@@ -17,6 +17,7 @@
 from anvilcove.decisions.registry import policy_class
 from anvilcove.ports.registry import adapter_class
 from anvilcove.settings.daemon import DaemonSettings
+from anvilcove.state.background_tasks import BackgroundTasks, Work
 from anvilcove.state.clock import Clock, seconds_until_tick
 from anvilcove.state.config import ConfigState
 from anvilcove.state.confirmation import Confirmation
@@ -48,6 +49,7 @@
         'in_flight',
         'newest_versions',
         'recorder',
+        'tasks',
         '_endpoint_ports',
     )
 
@@ -84,6 +86,7 @@
             self.peers,
             clock.now(),
         )
+        self.tasks = BackgroundTasks(clock, self.metrics.background_task_ended)
         self.draining = False
         # Number of requests that the listener is serving, without control
         # calls of peers.
@@ -184,9 +187,20 @@
     def control_task(
         self, work: Coroutine[Any, Any, None]
     ) -> 'asyncio.Task[None]':
-        """Start a task of the control loops and count its CPU time."""
+        """Start a short task of a control loop and count its CPU time."""
         return asyncio.create_task(run_metered(work, self.metrics))
 
+    def keep(self, name: str, work: Work, control: bool) -> None:
+        """Run a task until the daemon stops.
+
+        With `control`, it counts as a control loop and its CPU time is
+        measured.
+        """
+        if control:
+            self.tasks.keep(name, lambda: run_metered(work(), self.metrics))
+        else:
+            self.tasks.keep(name, work)
+
 
 class Component:
     """Base class of the components of a daemon.
@@ -206,8 +220,8 @@
         """Return the routes that this component serves."""
         return []
 
-    def tasks(self) -> list[Coroutine[Any, Any, None]]:
-        """Return the coroutines that run until the daemon stops."""
+    def tasks(self) -> list[Work]:
+        """Return the functions whose coroutines run until the daemon stops."""
         return []
 
     async def drain(self) -> None:
--- a/anvilcove/daemon/metrics.py
+++ b/anvilcove/daemon/metrics.py
@@ -73,6 +73,10 @@
             registry=self.registry,
             buckets=STALENESS_BUCKETS,
         )
+        self._task_ends = self._counter(
+            'background_task_ends_total',
+            'Ends of tasks that should last as long as the process.',
+        )
         self._gauges: dict[str, Gauge] = {}
         # Registered on first use, as sites without workspaces lack it.
         self._by_workspace: Counter | None = None
@@ -83,6 +87,10 @@
         self._traffic: dict[str, list[int]] = {}
         self._control_cpu_s = 0.0
 
+    def background_task_ended(self, task: str) -> None:
+        """Count a background task that ended and is started again."""
+        self._task_ends.inc({'task': task})
+
     def request_finished(
         self, class_name: str, outcome: str, latency_s: float, on_time: bool
     ) -> None:
--- a/anvilcove/node/app.py
+++ b/anvilcove/node/app.py
@@ -4,7 +4,7 @@
 import random
 import secrets
 import signal
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from contextlib import suppress
 from functools import partial
 from typing import Any
@@ -37,6 +37,7 @@
 from anvilcove.node.status import STATUS_PATH, build_status
 from anvilcove.settings.errors import SettingsError
 from anvilcove.settings.node import NodeSettings, adopt_changes
+from anvilcove.state.background_tasks import Work, spawn_logged
 from anvilcove.state.clock import SuspendAwareClock, SystemClock
 from anvilcove.telemetry.library_logs import take_library_logs
 from anvilcove.telemetry.logs import LogWriter
@@ -79,7 +80,6 @@
         self._clock = SystemClock(settings.clock)
         self._rng = random.Random()
         self._nonce = secrets.token_hex(6)
-        self._tasks: list[asyncio.Task[None]] = []
         self._stop = asyncio.Event()
         self._delay = LoopDelay(self._clock)
         self._dropped_lines = 0
@@ -182,13 +182,13 @@
         return json_response(build_status(self.components, self._clock.now()))
 
     def _start_loops(self, logs: LogWriter) -> None:
-        loops = [
-            *self.components.loops(),
-            self._housekeeping(logs),
-            self._watch_settings(),
-        ]
-        for loop in loops:
-            self._tasks.append(asyncio.create_task(_run_logged(loop)))
+        loops: dict[str, Work] = {
+            **self.components.loops(),
+            'housekeeping': partial(self._housekeeping, logs),
+            'watch settings': self._watch_settings,
+        }
+        for name, work in loops.items():
+            self.components.tasks.keep(name, work)
 
     async def _housekeeping(self, logs: LogWriter) -> None:
         while True:
@@ -257,9 +257,7 @@
         )
         self.components.state.stopping = True
         logger.bind(in_flight=listeners.in_flight()).info('stop requested')
-        handing_over = asyncio.create_task(
-            _run_logged(self.components.hand_over())
-        )
+        handing_over = spawn_logged(self.components.hand_over(), 'hand over')
         await asyncio.wait(
             [handing_over], timeout=max(deadline_at_s - self._clock.now(), 0.0)
         )
@@ -277,8 +275,7 @@
             in_flight=listeners.in_flight(),
             after_s=round(self._clock.now() - started_at_s, 2),
         ).info('stop')
-        for task in self._tasks:
-            task.cancel()
+        self.components.tasks.cancel()
         await listeners.close()
         await self._peer_listener.cleanup()
         # Tasks that go on now delay the exit of the process.
@@ -300,11 +297,3 @@
         asyncio.get_running_loop(),
         client_max_size=MAX_PEER_MESSAGE_BYTES,
     )
-
-
-async def _run_logged(work: Coroutine[Any, Any, None]) -> None:
-    """Await a coroutine and log an exception that ends it."""
-    try:
-        await work
-    except Exception:
-        logger.exception('background task failed')
--- a/anvilcove/node/parts.py
+++ b/anvilcove/node/parts.py
@@ -3,9 +3,9 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
+from functools import partial
 from math import isfinite
-from typing import Any
 
 from msgspec import Struct
 from msgspec.structs import replace
@@ -67,6 +67,7 @@
 from anvilcove.proxy.pools import EndpointPools
 from anvilcove.proxy.streams import StreamForwarder
 from anvilcove.settings.node import USAGE, NodeSettings
+from anvilcove.state.background_tasks import BackgroundTasks, Work
 from anvilcove.state.clock import Clock
 from anvilcove.state.true_time import TrueTime
 from anvilcove.telemetry.metrics import NodeMetrics
@@ -130,6 +131,9 @@
         self._clock = dependencies.clock
         self._keep_missing_until_s = 0.0
         self.metrics = NodeMetrics()
+        self.tasks = BackgroundTasks(
+            dependencies.clock, self.metrics.background_task_ended
+        )
         self.state = NodeState()
         self.desired = DesiredStateView()
         self.registry = EndpointRegistry()
@@ -210,34 +214,34 @@
         self.service.held = self.held
         self.service.body_room = self.body_room
 
-    def loops(self) -> list[Coroutine[Any, Any, None]]:
-        """Return the background coroutines of the daemon."""
-        return [
-            *(
-                watch.run()
+    def loops(self) -> dict[str, Work]:
+        """Return what runs in the background, by name."""
+        return {
+            **{
+                f'watch {table}': watch.run
                 for table, watch in self.watches.items()
                 if table != 'shares'
-            ),
-            self._watch_shares(),
-            self.announcer.run(),
-            self.lease.run(),
-            self.version_updater.run(),
-            self.slots.run(),
-            self.owner.run(),
-            self.sweeper.run(),
-            self.detector.run(),
-            self.node_sweeper.run(),
-            self.crashes.run(),
-            self.ways.run(),
-            self._expire_endpoints(),
-            *self.duties.loops(),
-            *self._usage_loops(),
-        ]
-
-    def _usage_loops(self) -> list[Coroutine[Any, Any, None]]:
+            },
+            'watch shares': self._watch_shares,
+            'announcer': self.announcer.run,
+            'orders lease': self.lease.run,
+            'version updater': self.version_updater.run,
+            'engine slots': self.slots.run,
+            'job owner': self.owner.run,
+            'job sweeper': self.sweeper.run,
+            'failure detector': self.detector.run,
+            'node sweeper': self.node_sweeper.run,
+            'content crashes': self.crashes.run,
+            'endpoint ways': self.ways.run,
+            'endpoint expiry': self._expire_endpoints,
+            **self.duties.loops(),
+            **self._usage_loops(),
+        }
+
+    def _usage_loops(self) -> dict[str, Work]:
         if not self.settings.duty_calls.has(USAGE):
-            return []
-        return [self.meter.run()]
+            return {}
+        return {'usage meter': self.meter.run}
 
     async def hand_over(self) -> None:
         """Announce the departure; release the lease and hand over jobs."""
@@ -257,7 +261,7 @@
             on_rows: OnRows,
             on_gap: OnGap = None,
         ) -> TableWatch:
-            return TableWatch(
+            built = TableWatch(
                 table,
                 partitions,
                 dependencies.store,
@@ -266,6 +270,8 @@
                 on_rows,
                 on_gap,
             )
+            built.on_skipped = partial(self.metrics.rows_skipped, table)
+            return built
 
         return {
             'operator': watch(
--- a/anvilcove/node/status.py
+++ b/anvilcove/node/status.py
@@ -38,6 +38,8 @@
             duty.name: duty.status() for duty in components.duties.all()
         },
         'workspaces': _workspaces(components),
+        # Those that have ended; sound ones are left out.
+        'background_tasks': components.tasks.status(),
     }
 
 
--- a/anvilcove/queries/status.py
+++ b/anvilcove/queries/status.py
@@ -42,13 +42,16 @@
         """Return the current status of this daemon."""
         context = self.context
         reason = context.refusal_reason()
+        restarting = context.tasks.restarting()
+        if not reason and restarting:
+            reason = f'restarting {", ".join(restarting)}'
         state = 'draining' if context.draining else reason or 'ready'
         report = StatusReport(
             host=context.settings.host,
             data_centre=context.settings.data_centre,
             state=state,
             revision=context.config.revision,
-            confirmed=not reason,
+            confirmed=not context.refusal_reason(),
             hosts=self._hosts(),
             endpoints=self._endpoints(),
             classes={
--- a/anvilcove/telemetry/metrics.py
+++ b/anvilcove/telemetry/metrics.py
@@ -62,6 +62,23 @@
             on_time - share
         )
 
+    def background_task_ended(self, task: str) -> None:
+        """Count a background task that ended and is started again."""
+        self._count(
+            'background_task_ends_total',
+            'Ends of tasks that should last as long as the process.',
+            {'task': task},
+        )
+
+    def rows_skipped(self, table: str, count: int) -> None:
+        """Count rows of a table that could not be applied."""
+        self._count(
+            'rows_skipped_total',
+            'Rows that could not be applied, by table.',
+            {'table': table},
+            count,
+        )
+
     def request_refused(self, route: str, reason: str) -> None:
         """Count a request that was refused without having run."""
         self._count(
--- a/features/steps/memory_site.py
+++ b/features/steps/memory_site.py
@@ -260,7 +260,7 @@
         self.permits_by_peer[f'{name}:2'] = daemon.permits
         self.origins_by_peer[f'{name}:2'] = daemon.origins
         self.tasks[name] = [
-            self.loop.create_task(work) for work in daemon.loops()
+            self.loop.create_task(work()) for work in daemon.loops().values()
         ]
         return daemon
 
