Skip endpoint rows whose values fail in a conversion

Cause: str.isdigit() accepts characters that int() rejects. The ValueError of _checked_address is no RowError, so it left decode_endpoint and ended the watch of the endpoints, at the change and again at the first full read of each start.

Evidence: the traceback in the log of each daemon, and `refusal: no endpoint, endpoints: 0` from the restart on. Ruled out: that calls to the entry fill the daemons (it is never listed nor tried), and that the store fails after the restart (leases and the desired state, 210 ms old, were read in the same second).

Change: parse_decimal is the only conversion of other writers' digits (ports, deadlines, waits, hints, event ids, weight versions, row keys); malformed_as turns whatever a decoder raises into its own error, for entries, desired states, named versions, reports and submissions, which had three different lists; integers of entries are bounded, addresses are an IPv4 address and a port. Callers that sent such digits in Deadline-Ms or Wait-Ms got 500 or 404; the header is ignored now.

Why it works: nothing that decodes an entry can raise anything else than RowError, which skips this row alone.

--- a/anvilcove/control/peer_calls.py
+++ b/anvilcove/control/peer_calls.py
@@ -11,7 +11,7 @@
 from loguru import logger
 from msgspec import Struct, json
 
-from anvilcove.control.row_values import DECODE_ERRORS
+from anvilcove.messages.base import DECODE_ERRORS
 from anvilcove.ports.peers import PeerUnreachable
 
 M = TypeVar('M', bound=Struct)
--- a/anvilcove/control/relay.py
+++ b/anvilcove/control/relay.py
@@ -11,7 +11,7 @@
 from msgspec import Struct, msgpack
 
 from anvilcove.control.peer_calls import log_rejected
-from anvilcove.control.row_values import DECODE_ERRORS
+from anvilcove.messages.base import DECODE_ERRORS
 from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
 from anvilcove.ports.transport import StoreCall, StoreReply, StoreTransport
 from anvilcove.state.clock import Clock
--- a/anvilcove/control/row_values.py
+++ b/anvilcove/control/row_values.py
@@ -3,16 +3,13 @@
 from typing import TypeVar
 
 from loguru import logger
-from msgspec import DecodeError, ValidationError, msgpack
+from msgspec import msgpack
 
+from anvilcove.messages.base import DECODE_ERRORS
 from anvilcove.ports.store import StoredRow
 
 T = TypeVar('T')
 
-# What decoders raise for bytes of another writer; values that are nested
-# deeply raise RecursionError even in fields that are not read.
-DECODE_ERRORS = (DecodeError, ValidationError, RecursionError)
-
 
 def decode_value(row: StoredRow, value_type: type[T]) -> T | None:
     """Decode a row; return None if absent or, with a log line, invalid."""
--- a/anvilcove/control/usage_rows.py
+++ b/anvilcove/control/usage_rows.py
@@ -9,6 +9,7 @@
 from xxhash import xxh32_intdigest
 
 from anvilcove.control.row_values import decode_value
+from anvilcove.messages.numbers import parse_decimal
 from anvilcove.ports.store import RowId, RowWrite, StoredRow
 
 COUNTS_TABLE = 'usage_counts'
@@ -129,7 +130,7 @@
 def window_of_counts_key(key: str) -> int | None:
     """Return the window that a row of counts is for, None if several."""
     found = key.split('/')
-    return int(found[2]) if len(found) > 2 and found[2].isdecimal() else None
+    return parse_decimal(found[2]) if len(found) > 2 else None
 
 
 def report_rows(report: UsageReport, row_bytes: int) -> list[RowWrite]:
@@ -159,8 +160,7 @@
 
 def window_of_key(key: str) -> int | None:
     """Return the window that a key of a report names, None if none."""
-    number = key.partition('/')[0]
-    return int(number) if number.isdecimal() else None
+    return parse_decimal(key.partition('/')[0])
 
 
 def read_reports(rows: Iterable[StoredRow]) -> list[UsageReport]:
--- a/anvilcove/jobs/records.py
+++ b/anvilcove/jobs/records.py
@@ -8,7 +8,7 @@
 from msgspec.structs import astuple, replace
 from xxhash import xxh32_intdigest
 
-from anvilcove.control.row_values import DECODE_ERRORS, decode_value
+from anvilcove.control.row_values import decode_value
 from anvilcove.jobs.types import (
     Commit,
     ItemFailures,
@@ -18,6 +18,8 @@
     TextPart,
     VersionedJob,
 )
+from anvilcove.messages.base import DECODE_ERRORS
+from anvilcove.messages.numbers import parse_decimal
 from anvilcove.ports.errors import ObjectNotFound, StoreUnavailable
 from anvilcove.ports.store import (
     ObjectExists,
@@ -267,12 +269,11 @@
         )
         found: list[ItemResult] = []
         for row in page.rows:
-            position_text = row.id.key.rpartition('/')[2]
-            if not position_text.isdecimal():
+            start = parse_decimal(row.id.key.rpartition('/')[2])
+            if start is None:
                 logger.bind(row=row.id.key).warning('unknown row skipped')
                 continue
             segment = decode_value(row, list[ItemResult])
-            start = int(position_text)
             if segment is None or start != position + len(found):
                 break
             found += segment
--- a/anvilcove/messages/base.py
+++ b/anvilcove/messages/base.py
@@ -10,6 +10,16 @@
     """Base class of all messages; decoding rejects unknown fields."""
 
 
+# What decoders raise for the bytes of another writer. Values that are nested
+# deeply raise RecursionError even in fields that are not read.
+DECODE_ERRORS = (
+    msgspec.MsgspecError,
+    UnicodeDecodeError,
+    OverflowError,
+    RecursionError,
+)
+
+
 class MessageError(Exception):
     """Raised when bytes are not a valid message of the expected type."""
 
@@ -47,5 +57,5 @@
     """Decode JSON into a message of the given type, or raise MessageError."""
     try:
         return msgspec.json.decode(data, type=message_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise MessageError(str(error)) from error
--- a/anvilcove/platform/endpoint_relay.py
+++ b/anvilcove/platform/endpoint_relay.py
@@ -22,7 +22,7 @@
 from multidict import CIMultiDict
 
 from anvilcove.control.peer_calls import log_rejected
-from anvilcove.control.row_values import DECODE_ERRORS
+from anvilcove.messages.base import DECODE_ERRORS
 from anvilcove.platform.client_protocol import ConnectionUse
 from anvilcove.platform.connections import (
     CallNotSent,
--- a/anvilcove/platform/engines.py
+++ b/anvilcove/platform/engines.py
@@ -5,8 +5,9 @@
 from aiohttp import ClientResponse
 from msgspec import json
 
+from anvilcove.messages.numbers import parse_decimal
 from anvilcove.platform.access import without_access_headers, workspace_headers
-from anvilcove.platform.bodies import BodyError, decode_object
+from anvilcove.platform.bodies import BodyError, decode_object, malformed_as
 from anvilcove.platform.client_protocol import (
     MAX_EVENT_BYTES,
     MAX_EVENT_LINES,
@@ -30,7 +31,7 @@
     URGENCY,
     WEIGHT_VERSIONS,
 )
-from anvilcove.platform.rows import RowError, decode_models
+from anvilcove.platform.rows import decode_models
 from anvilcove.ports.engines import (
     ACCEPTED,
     ALREADY_LOADED,
@@ -57,6 +58,7 @@
 MODE_KEEP_RUNNING = 'continue'
 MODE_FINISH_FIRST = 'block'
 ORDER_OUTCOME_BY_STATUS = {202: ACCEPTED, 200: ALREADY_LOADED, 409: BUSY}
+MAX_EVENT_DIGITS = 9
 JSON_HEADERS = {'Content-Type': 'application/json'}
 
 
@@ -156,21 +158,14 @@
         async with exchange(self._connections, call) as response:
             if response.status != 200:
                 raise EndpointFailed(f'report: status {response.status}')
-            try:
-                data = decode_object(await response.read())
+            body = await response.read()
+            with malformed_as(AnswerMismatch, 'report'):
+                data = decode_object(body)
                 return EngineReport(
                     version_by_model=decode_models(data['models']),
                     order_busy=bool(data['busy']),
                     order_count=int(data['sequence']),
                 )
-            except (
-                BodyError,
-                RowError,
-                KeyError,
-                TypeError,
-                ValueError,
-            ) as error:
-                raise AnswerMismatch(f'report: {error}') from error
 
 
 def _is_report(body: bytes) -> bool:
@@ -204,12 +199,12 @@
 
 
 def _version(text: str) -> int:
-    try:
-        return int(text)
-    except ValueError as error:
+    version = parse_decimal(text.strip())
+    if version is None:
         raise AnswerMismatch(
             f'weight version is not an integer: {text[:40]!r}'
-        ) from error
+        )
+    return version
 
 
 async def read_events(
@@ -287,9 +282,10 @@
 
 
 def _event_number(text: str) -> int:
-    if not (text.isascii() and text.isdigit()) or len(text) > 9:
+    number = parse_decimal(text, MAX_EVENT_DIGITS)
+    if number is None:
         raise AnswerMismatch(f'event id is not a number: {text[:40]!r}')
-    return int(text)
+    return number
 
 
 def generation_headers(
--- a/anvilcove/platform/job_paths.py
+++ b/anvilcove/platform/job_paths.py
@@ -11,6 +11,7 @@
 
 from anvilcove.decisions.access import Denied
 from anvilcove.jobs.reader import JobNotFound, ReadUnavailable
+from anvilcove.messages.numbers import parse_decimal
 from anvilcove.node.service import NodeService
 from anvilcove.platform.access import bearer_key
 from anvilcove.platform.jobs import checked_id, encode_page
@@ -97,15 +98,15 @@
         workspace: str | None,
     ) -> StreamResponse:
         after_text = query_value(query, 'after') or '0'
-        if not after_text.isdigit():
+        after = parse_decimal(after_text)
+        if after is None:
             return Response(status=400)
-        wait_text = request.headers.get(WAIT_MS, '0')
-        wait_s = int(wait_text) / 1000 if wait_text.isdigit() else 0.0
+        wait_ms = parse_decimal(request.headers.get(WAIT_MS, '')) or 0
         page = await self._service.jobs.page(
-            job_id, int(after_text), min(wait_s, MAX_RESULTS_WAIT_S), workspace
+            job_id, after, min(wait_ms / 1000, MAX_RESULTS_WAIT_S), workspace
         )
         return Response(
-            body=encode_page(page, int(after_text)),
+            body=encode_page(page, after),
             content_type='application/json',
         )
 
--- a/anvilcove/platform/jobs.py
+++ b/anvilcove/platform/jobs.py
@@ -7,14 +7,16 @@
 
 from anvilcove.jobs.reader import ResultPage
 from anvilcove.jobs.types import Item, JobSpec, RewardCall
+from anvilcove.messages.numbers import parse_decimal
 from anvilcove.platform.access import without_access_headers
-from anvilcove.platform.bodies import BodyError, decode_object
+from anvilcove.platform.bodies import decode_object, malformed_as
 from anvilcove.platform.names import ATTEMPT_ID
 
 COMPLETED = 'completed'
 ERRORED = 'errored'
 LENGTH_HINT = 'Length-Hint'
 MODEL = 'Model'
+MAX_HINT_DIGITS = 8
 # Identifiers become parts of row keys and object names in the store.
 MAX_ID_LENGTH = 120
 
@@ -36,11 +38,8 @@
     None where there are no workspaces, so that headers of items stay as they
     are.
     """
-    try:
+    with malformed_as(JobFormatError, 'submission'):
         data = decode_object(body)
-    except BodyError as error:
-        raise JobFormatError(str(error)) from error
-    try:
         items = [
             _decode_item(item, workspace is not None)
             for item in data['requests']
@@ -56,14 +55,6 @@
             items=items,
             workspace=workspace or '',
         )
-    except (
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-        OverflowError,
-    ) as error:
-        raise JobFormatError(f'a field is wrong: {error!r}') from error
     if len({item.item_id for item in items}) != len(items):
         raise JobFormatError('an item is listed twice')
     return spec
@@ -146,5 +137,4 @@
 
 
 def _length_hint(headers: dict[str, str]) -> int:
-    text = headers.get(LENGTH_HINT, '')
-    return int(text) if text.isdigit() and len(text) < 9 else 0
+    return parse_decimal(headers.get(LENGTH_HINT, ''), MAX_HINT_DIGITS) or 0
--- a/anvilcove/platform/listeners.py
+++ b/anvilcove/platform/listeners.py
@@ -13,6 +13,7 @@
 from msgspec import json
 
 from anvilcove.control.desired import JOB, STREAM, Route
+from anvilcove.messages.numbers import parse_decimal
 from anvilcove.node.http_listener import HttpListener
 from anvilcove.node.service import NodeService
 from anvilcove.platform.admitted_calls import (
@@ -52,6 +53,7 @@
 LOOKUP_TTL_S = 2
 # Deadline of requests without a valid Deadline-Ms header.
 DEFAULT_DEADLINE_S = 30.0
+MAX_DEADLINE_DIGITS = 9
 # Callers close idle connections after at most four fifths of the operator's
 # idle timeout. This value exceeds any idle timeout in use, so the listener
 # never closes a connection on which a request may be arriving.
@@ -273,6 +275,5 @@
 
 def _deadline_s(request: BaseRequest) -> float:
     text = request.headers.get(DEADLINE_MS, '')
-    if text.isdigit() and len(text) < 10:
-        return int(text) / 1000
-    return DEFAULT_DEADLINE_S
+    deadline_ms = parse_decimal(text, MAX_DEADLINE_DIGITS)
+    return DEFAULT_DEADLINE_S if deadline_ms is None else deadline_ms / 1000
--- a/anvilcove/platform/load_header.py
+++ b/anvilcove/platform/load_header.py
@@ -2,6 +2,7 @@
 
 from functools import lru_cache
 
+from anvilcove.messages.numbers import parse_decimal
 from anvilcove.ports.engines import UNKNOWN_LOAD, EngineLoad
 
 # Figures of the header: running, waiting, slots, and in deployments whose
@@ -55,7 +56,4 @@
 
 def _figure(text: str) -> int | None:
     """Return a decimal number, None for anything else."""
-    digits = text.strip()
-    if len(digits) > MAX_FIGURE_CHARACTERS:
-        return None
-    return int(digits) if digits.isascii() and digits.isdigit() else None
+    return parse_decimal(text.strip(), MAX_FIGURE_CHARACTERS)
--- a/anvilcove/platform/rows.py
+++ b/anvilcove/platform/rows.py
@@ -1,5 +1,6 @@
 """Decode the rows that the operator, the trainers and the endpoints write."""
 
+from ipaddress import AddressValueError, IPv4Address
 from typing import Any
 
 from loguru import logger
@@ -21,7 +22,8 @@
     Target,
 )
 from anvilcove.control.endpoints import EndpointEntry
-from anvilcove.platform.bodies import BodyError, decode_object
+from anvilcove.messages.numbers import parse_decimal
+from anvilcove.platform.bodies import decode_object, malformed_as
 from anvilcove.platform.scaling import decode_size_bounds
 from anvilcove.ports.store import StoredRow
 from anvilcove.state.workspaces import (
@@ -46,6 +48,11 @@
 READY_STATE = 'ready'
 DRAINING_STATE = 'draining'
 
+# Integers beyond these are malformed.
+MAX_INTEGER = 2**53
+MAX_SLOTS = 1_000_000
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
 # Longer times until an endpoint leaves, and those that are no numbers, are
 # invalid.
 MAX_LEAVES_MS = 3_600_000
@@ -63,8 +70,8 @@
 
 def decode_desired_state(value: bytes) -> DesiredState:
     """Decode a desired state of the operator, or raise RowError."""
-    data = _decode_value(value)
-    try:
+    with malformed_as(RowError, 'desired state'):
+        data = decode_object(value)
         return DesiredState(
             version=int(data['version']),
             routes=tuple(
@@ -77,24 +84,14 @@
             limits=_decode_limits(data.get('limits', {})),
             workspaces=_decode_workspaces(data.get('tenants')),
         )
-    except (
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-        OverflowError,
-    ) as error:
-        raise RowError(f'desired state: {error!r}') from error
 
 
 def decode_named_version(value: bytes) -> tuple[str, int]:
     """Decode a model and the version that its trainer selected for use."""
-    data = _decode_value(value)
-    model, version = data.get('model'), data.get('version')
-    if not isinstance(model, str) or not _is_integer(version):
-        raise RowError('named version: model or version is invalid')
-    assert isinstance(version, int)
-    return model, version
+    with malformed_as(RowError, 'named version'):
+        data = decode_object(value)
+        version = _bounded_integer(data, 'version')
+        return _required_string(data, 'model'), version
 
 
 def decode_endpoint(row: StoredRow) -> EndpointEntry | None:
@@ -102,7 +99,8 @@
     if row.value is None:
         return None
     try:
-        return _decode_entry(row.id.key, _decode_value(row.value))
+        with malformed_as(RowError, 'entry'):
+            return _decode_entry(row.id.key, decode_object(row.value))
     except RowError as error:
         logger.bind(row=row.id.key, reason=str(error)).warning(
             'endpoint entry skipped'
@@ -113,22 +111,18 @@
 def _decode_entry(key: str, data: dict[str, Any]) -> EndpointEntry:
     state = data.get('state')
     if state not in (READY_STATE, DRAINING_STATE):
-        raise RowError(f'state {str(state)[:40]!r} is unknown')
-    # `born` is the start time of the endpoint in milliseconds.
-    started = data.get('born', 0)
-    slots = data.get('batch-size', 1)
+        raise RowError('state is unknown')
     # `sequence` is not read: here it counts announcements, whereas in reports
     # it counts orders.
-    if not (_is_integer(started) and _is_integer(slots)):
-        raise RowError('born or batch-size is not an integer')
     return EndpointEntry(
         instance=key,
-        started_ms=started,
+        # The start time of the endpoint in milliseconds.
+        started_ms=_bounded_integer(data, 'born', 0),
         service=_required_string(data, 'service'),
         address=_checked_address(_required_string(data, 'address')),
         data_centre=_required_string(data, 'zone'),
         draining=state == DRAINING_STATE or data.get('draining') is True,
-        slots=max(slots, 1),
+        slots=max(_bounded_integer(data, 'batch-size', 1, MAX_SLOTS), 1),
         version_by_model=decode_models(data.get('models', [])),
         software=_decode_software(data.get('version')),
         reclaimable=data.get('preemptible') is True,
@@ -151,28 +145,21 @@
 
 
 def decode_models(models: Any) -> dict[str, int]:
-    """Decode the loaded version of each model, or raise RowError."""
+    """Decode the loaded version of each model.
+
+    Raises RowError for malformed values.
+    """
     if not isinstance(models, list):
         raise RowError('models is not a list')
     versions: dict[str, int] = {}
     for model in models:
         if not isinstance(model, dict):
             raise RowError('an entry of models is not an object')
-        version = model.get('version')
-        if not _is_integer(version):
-            raise RowError('the version of a model is not an integer')
-        assert isinstance(version, int)
+        version = _bounded_integer(model, 'version')
         versions[_required_string(model, 'name')] = version
     return versions
 
 
-def _decode_value(value: bytes) -> dict[str, Any]:
-    try:
-        return decode_object(value)
-    except BodyError as error:
-        raise RowError(str(error)) from error
-
-
 def _is_integer(value: object) -> bool:
     return isinstance(value, int) and not isinstance(value, bool)
 
@@ -184,10 +171,34 @@
     return value
 
 
+def _bounded_integer(
+    data: dict[str, Any],
+    name: str,
+    default: int | None = None,
+    most: int = MAX_INTEGER,
+) -> int:
+    """Return an integer from -`most` to `most`, or raise RowError.
+
+    Larger ones do not fit the messages and the rows of the daemons.
+    """
+    value = data.get(name, default)
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise RowError(f'{name} is not an integer')
+    if not -most <= value <= most:
+        raise RowError(f'{name} is out of range')
+    return value
+
+
 def _checked_address(address: str) -> str:
-    ip, _, port = address.rpartition(':')
-    if not ip or not port.isdigit() or not 0 < int(port) < 65_536:
-        raise RowError(f'address {address[:60]!r} is not ip:port')
+    """Return an address that a connection can be opened to."""
+    ip, _, port_text = address.rpartition(':')
+    port = parse_decimal(port_text, MAX_PORT_DIGITS)
+    if port is None or not 0 < port <= MAX_PORT:
+        raise RowError(f'address {address[:60]!r} has no valid port')
+    try:
+        IPv4Address(ip)
+    except AddressValueError as error:
+        raise RowError(f'address {address[:60]!r} is not ip:port') from error
     return address
 
 
--- a/anvilcove/platform/scaling.py
+++ b/anvilcove/platform/scaling.py
@@ -69,4 +69,8 @@
 def _number(value: Any) -> float | None:
     if isinstance(value, bool) or not isinstance(value, int | float):
         return None
-    return float(value) if isfinite(value) else None
+    try:
+        number = float(value)
+    except OverflowError:
+        return None
+    return number if isfinite(number) else None
--- a/anvilcove/platform/servers.py
+++ b/anvilcove/platform/servers.py
@@ -6,6 +6,7 @@
 from aiohttp import ClientPayloadError, ClientResponse
 from multidict import CIMultiDict
 
+from anvilcove.messages.numbers import parse_decimal
 from anvilcove.platform.access import workspace_headers
 from anvilcove.platform.client_protocol import (
     MAX_EVENT_BYTES,
@@ -158,8 +159,7 @@
         pending_lines.append(line)
         text = line.strip()
         if text.startswith(b'id:'):
-            digits = text[3:].strip()
-            event_id = int(digits) if digits.isdigit() else None
+            event_id = parse_decimal(text[3:].strip())
         if not text:
             if event_id is not None:
                 lines_left = MAX_EVENT_LINES
--- a/anvilcove/proxy/streams.py
+++ b/anvilcove/proxy/streams.py
@@ -20,6 +20,7 @@
     OVERLOADED,
     RouteRequest,
 )
+from anvilcove.messages.numbers import parse_decimal
 from anvilcove.messages.streams import StreamOrigin
 from anvilcove.ports.errors import (
     EndpointError,
@@ -319,8 +320,7 @@
         if origin is None or outcome != 'resumed':
             return None
         progress.software = origin.software
-        if request.resumed_after.isdecimal():
-            progress.last_event_id = int(request.resumed_after)
+        progress.last_event_id = parse_decimal(request.resumed_after)
         return origin.service
 
     async def _start(
--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -40,3 +40,48 @@
     Given a desired state of 10000 routes of 500 hosts, in random order
     Then each host has 20 routes, of which the longest matching prefix is used
     And a host or path that no route has is not found
+
+  Scenario Outline: An endpoint row with <oddity> does not affect other rows
+    Guards against values that pass the checks of a decoder and fail in a
+    conversion after it: they ended the watch of endpoints on all hosts.
+    Given an endpoint row with <oddity> next to a valid row
+    Then only the valid endpoint is registered
+
+    Examples:
+      | oddity                             |
+      | a superscript digit in its port    |
+      | Arabic digits in its port          |
+      | a port of 5000 digits              |
+      | port 0                             |
+      | port 65536                         |
+      | a host name instead of an address  |
+      | a line end in its address          |
+      | a start time of 4299 digits        |
+      | a slot count of 400 digits         |
+      | a version of 40 digits             |
+      | a state nested 900 deep            |
+      | a service nested 900 deep          |
+      | models nested 900 deep             |
+      | an unknown field nested 100000 deep|
+
+  Scenario: A row that its reader cannot apply is skipped and counted
+    Guards against a watch that ends, or loses the other rows of an answer,
+    as one row raises an error that nobody foresaw.
+    Given a watch whose reader fails at the row bad
+    When the rows a, bad and b are there before it starts
+    And the rows c, bad and d change after that
+    Then the rows a, b, c and d were applied
+    And at least 2 rows were counted as skipped
+    And the watch goes on
+
+  Scenario Outline: A number that is not ASCII in <header> is ignored
+    Guards against digits that pass a check of characters and fail in the
+    conversion to a number: a caller got 404 for a job that exists.
+    When a caller sends <header> with the value 1²
+    Then it is served as without the header
+
+    Examples:
+      | header      |
+      | Deadline-Ms |
+      | Wait-Ms     |
+      | Length-Hint |
