Keep answers that are no success out of resumed streams

Cause: StreamForwarder wrote the pieces of any answer, and what may reach a caller was checked in three places: framing and stamp for requests, framing and status for items, framing alone for streams.

Evidence: `stream sent ... after: 8` to i-06, the 500 of i-06 with the id of this attempt 50 ms later, and the foreign bytes at the caller 1 ms after it. Ruled out: a crossed answer (i-06 ran this attempt with Last-Event-Id 8) and a text that the server put into a stream (its record says status 500, no end of a stream).

Change: check_answer judges framing and stamp of requests, streams and items. An answer to a stream that is no success is read whole, counts as a failed run and is tried elsewhere where the route allows it; only if nothing was sent, the last one is passed on, whole. A resumption needs the first status and ids above the last one; an end inside an event is a break. CALL_ERRORS is the one list of what a call over HTTP raises: the engine client of the own interface let errors of invalid UTF-8 through, and a store answer without rows was taken for an empty table.

Why it works: only pieces of a success with the first status and rising ids reach the writer.

--- a/anvilcove/client/entries.py
+++ b/anvilcove/client/entries.py
@@ -4,11 +4,12 @@
 import random
 from collections.abc import Callable
 
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientSession, ClientTimeout
 
 from anvilcove.client.settings import ClientSettings
 from anvilcove.messages.base import MessageError, decode
 from anvilcove.messages.callers import Entry, EntryList
+from anvilcove.messages.http_errors import CALL_ERRORS
 
 # A host that failed is avoided for this time.
 AVOID_S = 2.0
@@ -131,7 +132,7 @@
                 if response.status != 200:
                     return None
                 return decode(await response.read(), EntryList)
-        except (ClientError, OSError, TimeoutError, MessageError):
+        except (*CALL_ERRORS, MessageError):
             return None
 
 
--- a/anvilcove/client/exchange.py
+++ b/anvilcove/client/exchange.py
@@ -5,7 +5,6 @@
 
 from aiohttp import (
     ClientConnectorError,
-    ClientError,
     ClientResponse,
     ClientSession,
     ClientTimeout,
@@ -28,6 +27,7 @@
     SubmitRequest,
 )
 from anvilcove.messages.engines import TokenEvent
+from anvilcove.messages.http_errors import CALL_ERRORS
 
 INVALID_STATUSES = (400, 404, 405, 408, 411, 413, 414, 415, 431)
 UNAUTHORIZED_STATUS = 401
@@ -68,7 +68,7 @@
             yield response
     except (ClientConnectorError, ConnectionTimeoutError) as error:
         raise EntryUnreachable(str(error)) from error
-    except (ClientError, OSError, TimeoutError, MessageError) as error:
+    except (*CALL_ERRORS, MessageError) as error:
         raise ConnectionBroken(repr(error)) from error
 
 
@@ -147,7 +147,7 @@
     async for line in response.content:
         text = line.strip()
         if text.startswith(b'event:'):
-            event_name = text[6:].strip().decode()
+            event_name = text[6:].strip().decode(errors='replace')
         elif text.startswith(b'data:') and event_name == 'token':
             yield decode(text[5:].strip(), TokenEvent)
         elif text.startswith(b'data:') and event_name in ('done', 'error'):
--- a/anvilcove/client/trainer.py
+++ b/anvilcove/client/trainer.py
@@ -7,7 +7,7 @@
 from collections.abc import AsyncIterator, Callable
 from types import TracebackType
 
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientSession, ClientTimeout
 from msgspec import Struct, field
 from xxhash import xxh3_128_hexdigest
 
@@ -16,6 +16,7 @@
 from anvilcove.client.settings import ClientSettings
 from anvilcove.messages.base import MessageError, decode, encode
 from anvilcove.messages.callers import Entry
+from anvilcove.messages.http_errors import CALL_ERRORS
 from anvilcove.messages.trainers import (
     AckBatch,
     Batch,
@@ -274,7 +275,7 @@
             entry = await self._choose_entry()
             try:
                 response = await self._call_once(method, entry, path, message)
-            except (ClientError, OSError, TimeoutError) as error:
+            except CALL_ERRORS as error:
                 reason = f'{entry}: {error!r}'
             else:
                 if response.status not in RETRIED_STATUSES:
--- a/anvilcove/control/peer_calls.py
+++ b/anvilcove/control/peer_calls.py
@@ -1,10 +1,9 @@
 """Calls with JSON messages between daemons over HTTP."""
 
-import asyncio
 from collections.abc import Awaitable, Callable, Mapping
 from typing import TypeVar
 
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientSession, ClientTimeout
 from aiohttp.web_exceptions import HTTPBadRequest
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse
@@ -12,6 +11,7 @@
 from msgspec import Struct, json
 
 from anvilcove.messages.base import DECODE_ERRORS
+from anvilcove.messages.http_errors import CALL_ERRORS
 from anvilcove.ports.peers import PeerUnreachable
 
 M = TypeVar('M', bound=Struct)
@@ -35,12 +35,7 @@
             if response.status != 200:
                 raise PeerUnreachable(f'status {response.status}')
             return json.decode(await response.read(), type=reply_type)
-    except (
-        ClientError,
-        OSError,
-        asyncio.TimeoutError,
-        *DECODE_ERRORS,
-    ) as error:
+    except (*CALL_ERRORS, *DECODE_ERRORS) as error:
         raise PeerUnreachable(repr(error)) from error
 
 
--- a/anvilcove/control/relay.py
+++ b/anvilcove/control/relay.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable
 
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientSession, ClientTimeout
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response
 from loguru import logger
@@ -12,6 +12,7 @@
 
 from anvilcove.control.peer_calls import log_rejected
 from anvilcove.messages.base import DECODE_ERRORS
+from anvilcove.messages.http_errors import CALL_ERRORS
 from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
 from anvilcove.ports.transport import StoreCall, StoreReply, StoreTransport
 from anvilcove.state.clock import Clock
@@ -278,7 +279,7 @@
                 raise StoreAnswerLost(f'peer {peer}: outcome unknown')
         except DECODE_ERRORS as error:
             raise StoreAnswerLost(f'peer {peer}: {error}') from error
-        except (ClientError, TimeoutError, OSError) as error:
+        except CALL_ERRORS as error:
             if call.write:
                 raise StoreAnswerLost(f'peer {peer}: {error!r}') from error
             raise StoreUnavailable(f'peer {peer}: {error!r}') from error
--- a/anvilcove/daemon/peer_client.py
+++ b/anvilcove/daemon/peer_client.py
@@ -2,11 +2,12 @@
 
 from typing import TypeVar
 
-from aiohttp import ClientError, ClientTimeout
+from aiohttp import ClientTimeout
 
 from anvilcove.daemon.context import Context
 from anvilcove.daemon.metrics import is_control_path
 from anvilcove.messages.base import MessageError, decode, encode
+from anvilcove.messages.http_errors import CALL_ERRORS
 from anvilcove.state.peers import PeerState
 
 PEER_TIMEOUT_S = 1.0
@@ -51,5 +52,5 @@
                     f'{peer.host}: status {response.status}', response.status
                 )
             return decode(data, message_type)
-    except (ClientError, OSError, TimeoutError, MessageError) as error:
+    except (*CALL_ERRORS, MessageError) as error:
         raise PeerError(f'{peer.host}: {error!r}') from error
--- a/anvilcove/native/engines.py
+++ b/anvilcove/native/engines.py
@@ -134,7 +134,7 @@
     async for line in response.content:
         text = line.strip()
         if text.startswith(b'event:'):
-            event_name = text[6:].strip().decode()
+            event_name = text[6:].strip().decode(errors='replace')
         elif text.startswith(b'data:') and event_name in EVENT_TYPES:
             try:
                 yield decode(text[5:].strip(), EVENT_TYPES[event_name])
--- a/anvilcove/native/http.py
+++ b/anvilcove/native/http.py
@@ -7,7 +7,6 @@
 
 from aiohttp import (
     ClientConnectorError,
-    ClientError,
     ClientResponse,
     ClientSession,
     ClientTimeout,
@@ -16,6 +15,7 @@
 )
 
 from anvilcove.messages.base import MessageError, decode, encode
+from anvilcove.messages.http_errors import CALL_ERRORS
 from anvilcove.messages.services import EndpointRefusal
 from anvilcove.ports.errors import (
     AnswerMismatch,
@@ -64,7 +64,7 @@
             yield response
     except (ClientConnectorError, ConnectionTimeoutError) as error:
         raise StoreUnavailable(f'{url}: {error}') from error
-    except (ClientError, TimeoutError, OSError) as error:
+    except CALL_ERRORS as error:
         raise StoreAnswerLost(f'{url}: {error!r}') from error
 
 
@@ -112,7 +112,7 @@
         raise EndpointCrashed(f'{url}: {error!r}') from error
     except TimeoutError as error:
         raise EndpointFailed(f'{url}: no answer in time') from error
-    except (ClientError, OSError) as error:
+    except CALL_ERRORS as error:
         raise EndpointCrashed(f'{url}: {error!r}') from error
 
 
--- a/anvilcove/platform/duties.py
+++ b/anvilcove/platform/duties.py
@@ -10,7 +10,6 @@
 from aiohttp import (
     AddrInfoType,
     ClientConnectorError,
-    ClientError,
     ClientSession,
     ClientTimeout,
     ConnectionTimeoutError,
@@ -19,6 +18,7 @@
 from aiohttp.client_proto import ResponseHandler
 from msgspec import json
 
+from anvilcove.messages.http_errors import CALL_ERRORS
 from anvilcove.platform.connections import CONNECT_TIMEOUT_S
 from anvilcove.platform.names import DUTY_HOLDER, FENCING_TOKEN
 from anvilcove.ports.duties import (
@@ -136,7 +136,7 @@
                 status = response.status
         except (ClientConnectorError, ConnectionTimeoutError) as error:
             raise DutyUnanswered(f'{path}: {error}', sent=False) from error
-        except (ClientError, OSError) as error:
+        except CALL_ERRORS as error:
             raise DutyUnanswered(f'{path}: {error!r}') from error
         if status == STATUS_THROTTLED:
             raise DutyThrottled(f'{path}: status {status}')
--- a/anvilcove/platform/endpoint_relay.py
+++ b/anvilcove/platform/endpoint_relay.py
@@ -8,13 +8,11 @@
 
 from aiohttp import (
     ClientConnectorError,
-    ClientError,
     ClientResponse,
     ClientSession,
     ClientTimeout,
     ConnectionTimeoutError,
 )
-from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse
 from loguru import logger
@@ -23,6 +21,7 @@
 
 from anvilcove.control.peer_calls import log_rejected
 from anvilcove.messages.base import DECODE_ERRORS
+from anvilcove.messages.http_errors import CALL_ERRORS
 from anvilcove.platform.client_protocol import ConnectionUse
 from anvilcove.platform.connections import (
     CallNotSent,
@@ -128,7 +127,7 @@
             response.release()
         except (ClientConnectorError, ConnectionTimeoutError) as error:
             reason = repr(error)
-        except (ClientError, HttpProcessingError, OSError) as error:
+        except CALL_ERRORS as error:
             raise RelayBroken(f'peer {peer}: {error!r}'[:300]) from error
         logger.bind(
             peer=peer, request=call.attempt_id, reason=reason[:160]
@@ -204,7 +203,7 @@
         # This host may be cut off, too, and another peer not.
         doubtful = peers.needed_after_failure(relayed.address)
         return _outcome(DECLINED if doubtful else NOT_SENT)
-    except (ClientError, HttpProcessingError, OSError, ValueError) as error:
+    except CALL_ERRORS as error:
         logger.bind(
             request=call.attempt_id,
             address=call.address,
@@ -237,7 +236,7 @@
             async for data in answer.content.iter_any():
                 await passed_on.write(data)
             await passed_on.write_eof()
-        except (ClientError, HttpProcessingError, OSError) as error:
+        except CALL_ERRORS as error:
             logger.bind(
                 request=call.attempt_id, reason=repr(error)[:160]
             ).info('relayed answer broke off')
--- a/anvilcove/platform/engines.py
+++ b/anvilcove/platform/engines.py
@@ -19,7 +19,7 @@
 )
 from anvilcove.platform.endpoint_reports import read_report
 from anvilcove.platform.exchange import (
-    check_framing,
+    check_answer,
     exchange,
     server_load,
 )
@@ -184,7 +184,7 @@
         raise ItemRejected(f'status {status}')
     if status != 200:
         raise EndpointFailed(f'status {status}')
-    check_framing(response)
+    check_answer(response)
 
 
 def _first_version(response: ClientResponse, after: int) -> int:
--- a/anvilcove/platform/exchange.py
+++ b/anvilcove/platform/exchange.py
@@ -5,13 +5,13 @@
 
 from aiohttp import (
     ClientConnectorError,
-    ClientError,
+    ClientPayloadError,
     ClientResponse,
     ConnectionTimeoutError,
     ServerDisconnectedError,
 )
-from aiohttp.http_exceptions import HttpProcessingError
 
+from anvilcove.messages.http_errors import CALL_ERRORS
 from anvilcove.platform.answer_identity import (
     STATUS_MISDIRECTED,
     is_refusal,
@@ -28,6 +28,7 @@
 from anvilcove.platform.names import (
     ATTEMPT_ID,
     SERVER_LOAD,
+    SERVER_STAMP,
 )
 from anvilcove.ports.engines import EngineLoad, ItemFailed, ItemRejected
 from anvilcove.ports.errors import (
@@ -94,7 +95,7 @@
         raise EndpointFailed(
             f'{address}: no answer in time', sends=record.broken + 1
         ) from error
-    except (ClientError, HttpProcessingError, OSError, ValueError) as error:
+    except CALL_ERRORS as error:
         raise EndpointCrashed(
             f'{address}: {error!r}'[:300], sends=record.broken + 1
         ) from error
@@ -167,6 +168,25 @@
     return load
 
 
+def check_answer(response: ClientResponse) -> None:
+    """Raise AnswerMismatch for an answer that must not reach a caller.
+
+    A success needs the server's stamp.
+    """
+    check_framing(response)
+    success = 200 <= response.status < 300
+    if success and not response.headers.get(SERVER_STAMP):
+        raise AnswerMismatch('successful answer has no Server-Stamp')
+
+
+async def read_whole(response: ClientResponse) -> bytes:
+    """Return the body of an answer, or raise AnswerMismatch if it is cut."""
+    try:
+        return await response.read()
+    except ClientPayloadError as error:
+        raise AnswerMismatch(f'{error}') from error
+
+
 def check_framing(response: ClientResponse) -> None:
     """Raise AnswerMismatch if a truncated body could not be detected.
 
--- a/anvilcove/platform/servers.py
+++ b/anvilcove/platform/servers.py
@@ -3,7 +3,7 @@
 from collections.abc import AsyncIterable, AsyncIterator
 from contextlib import asynccontextmanager
 
-from aiohttp import ClientPayloadError, ClientResponse
+from aiohttp import ClientResponse
 from multidict import CIMultiDict
 
 from anvilcove.messages.numbers import parse_decimal
@@ -20,8 +20,9 @@
 )
 from anvilcove.platform.endpoint_reports import read_report
 from anvilcove.platform.exchange import (
-    check_framing,
+    check_answer,
     exchange,
+    read_whole,
     server_load,
 )
 from anvilcove.platform.names import (
@@ -31,7 +32,7 @@
     LAST_EVENT_ID,
     SERVER_STAMP,
 )
-from anvilcove.ports.errors import AnswerMismatch
+from anvilcove.ports.errors import AnswerMismatch, EndpointCrashed
 from anvilcove.ports.servers import CallerRequest, Headers, ServerAnswer
 from anvilcove.ports.streams import StreamAnswer, StreamPiece
 
@@ -63,19 +64,12 @@
         call = _server_call(address, request, headers, repeatable)
         record = SendRecord()
         async with exchange(self._connections, call, record) as response:
-            check_framing(response)
-            try:
-                body = await response.read()
-            except ClientPayloadError as error:
-                raise AnswerMismatch(f'{address}: {error}') from error
-            stamp = response.headers.get(SERVER_STAMP, '')
-            if 200 <= response.status < 300 and not stamp:
-                raise AnswerMismatch(f'{address}: answer has no Server-Stamp')
+            check_answer(response)
             return ServerAnswer(
                 status=response.status,
                 headers=end_to_end_headers(response),
-                body=body,
-                stamp=stamp,
+                body=await read_whole(response),
+                stamp=response.headers.get(SERVER_STAMP, ''),
                 load=server_load(response),
                 sends=record.broken + 1,
                 run_failed=response.status == STATUS_RUN_FAILED,
@@ -113,14 +107,19 @@
         call = _server_call(address, request, headers, repeatable)
         record = SendRecord()
         async with exchange(self._connections, call, record) as response:
-            check_framing(response)
+            check_answer(response)
             assert record.use is not None
-            yield StreamAnswer(
+            answer = StreamAnswer(
                 response.status,
                 end_to_end_headers(response),
-                _pieces(response.content, record.use),
+                _pieces(response.content, record.use, after),
                 read_report(response),
+                sends=record.broken + 1,
             )
+            if not answer.is_stream:
+                # It is no part of a stream, so it is not passed on as one.
+                answer.body = await read_whole(response)
+            yield answer
 
 
 def _server_call(
@@ -141,15 +140,17 @@
 
 
 async def _pieces(
-    lines: AsyncIterable[bytes], use: ConnectionUse
+    lines: AsyncIterable[bytes], use: ConnectionUse, after: int | None
 ) -> AsyncIterator[StreamPiece]:
     """Yield each server-sent event as raw bytes, with its numeric id.
 
-    Lines after the last complete event are yielded as one piece if the
-    stream ends normally, and discarded if it breaks off.
+    Raises AnswerMismatch for an id that is not above the one before, first
+    `after`, and EndpointCrashed if the stream ends inside an event. A body
+    without any event is yielded as one piece, unless it resumes a stream.
     """
     pending_lines: list[bytes] = []
     event_id: int | None = None
+    last_id = after
     lines_left = MAX_EVENT_LINES
     use.allow_bytes(MAX_EVENT_BYTES)
     async for line in lines:
@@ -162,11 +163,18 @@
             event_id = parse_decimal(text[3:].strip())
         if not text:
             if event_id is not None:
+                if last_id is not None and event_id <= last_id:
+                    raise AnswerMismatch(
+                        f'event {event_id} follows event {last_id}'
+                    )
+                last_id = event_id
                 lines_left = MAX_EVENT_LINES
                 use.allow_bytes(MAX_EVENT_BYTES)
             yield StreamPiece(b''.join(pending_lines), event_id)
             pending_lines, event_id = [], None
     if pending_lines:
+        if last_id is not None:
+            raise EndpointCrashed('stream ended inside an event')
         yield StreamPiece(b''.join(pending_lines))
 
 
--- a/anvilcove/platform/store.py
+++ b/anvilcove/platform/store.py
@@ -221,6 +221,9 @@
 
 
 def _decode_page(data: dict[str, Any]) -> RowPage:
+    if 'rows' not in data:
+        # It must not be taken for a table without rows.
+        raise StoreAnswerLost('malformed answer of the store: no rows')
     return RowPage(
         rows=_decode_rows(data),
         version=_integer(data, 'row-version'),
--- a/anvilcove/platform/transport.py
+++ b/anvilcove/platform/transport.py
@@ -1,11 +1,12 @@
 """Transport that calls the platform's store directly."""
 
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientSession, ClientTimeout
 from aiohttp.client_exceptions import (
     ClientConnectorError,
     ConnectionTimeoutError,
 )
 
+from anvilcove.messages.http_errors import CALL_ERRORS
 from anvilcove.ports.errors import StoreAnswerLost, StoreUnavailable
 from anvilcove.ports.transport import StoreCall, StoreReply
 from anvilcove.state.answer_timeout import AnswerTimeout
@@ -50,7 +51,7 @@
                     status = response.status
         except (ClientConnectorError, ConnectionTimeoutError) as error:
             raise StoreUnavailable(f'{call.path}: {error}') from error
-        except (ClientError, TimeoutError, OSError) as error:
+        except CALL_ERRORS as error:
             raise StoreAnswerLost(f'{call.path}: {error!r}') from error
         if status in NOT_APPLIED_STATUSES:
             raise StoreUnavailable(f'{call.path}: status {status}')
--- a/anvilcove/ports/streams.py
+++ b/anvilcove/ports/streams.py
@@ -18,12 +18,23 @@
 
 
 class StreamAnswer(Struct):
-    """Status and headers of an answer, and its body as events."""
+    """Status and headers of an answer, and its body as events.
+
+    An answer that is no success has its whole body in `body` and no events.
+    `sends` counts the sends of the request that may have run.
+    """
 
     status: int
     headers: Headers
     pieces: AsyncIterator[StreamPiece]
     report: EndpointReport = NO_REPORT
+    body: bytes = b''
+    sends: int = 1
+
+    @property
+    def is_stream(self) -> bool:
+        """Tell whether the body is a stream of events."""
+        return 200 <= self.status < 300
 
 
 class StreamClient(Protocol):
--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -36,6 +36,7 @@
 from anvilcove.proxy.outcomes import (
     bad_gateway,
     crash_refusal,
+    is_server_failure,
     refusal,
     timed_out,
 )
@@ -271,7 +272,8 @@
         answer = attempt.task.result()
         self._record_report(progress, attempt, answer.report)
         # A failing server may answer 500 to a content that it did not run.
-        if answer.status < 500:
+        success = not is_server_failure(answer.status)
+        if success:
             self._crashes.finished(
                 progress.content,
                 progress.request.request_id,
@@ -280,7 +282,6 @@
         progress.executions += answer.sends
         progress.may_have_run = True
         self._count_run(progress, attempt)
-        success = answer.status < 500
         load = answer.load
         if load and load.names_slowness and not self.uses_slowness:
             load = None
--- a/anvilcove/proxy/outcomes.py
+++ b/anvilcove/proxy/outcomes.py
@@ -59,6 +59,11 @@
     return CallerAnswer(status=401)
 
 
+def is_server_failure(status: int) -> bool:
+    """Tell whether a server failed, so that another one may do better."""
+    return status >= 500
+
+
 def bad_gateway() -> CallerAnswer:
     """Return a 502 for a failed request that a server may have run."""
     return CallerAnswer(status=502)
--- a/anvilcove/proxy/streams.py
+++ b/anvilcove/proxy/streams.py
@@ -15,6 +15,7 @@
 from anvilcove.decisions.types import (
     CANCELLED,
     CRASH,
+    ERROR,
     INTERACTIVE,
     OK,
     OVERLOADED,
@@ -23,6 +24,7 @@
 from anvilcove.messages.numbers import parse_decimal
 from anvilcove.messages.streams import StreamOrigin
 from anvilcove.ports.errors import (
+    AnswerMismatch,
     EndpointError,
     EndpointFailed,
     EndpointNotRun,
@@ -42,7 +44,12 @@
 )
 from anvilcove.ports.usage import NoUsage, UsageCounter
 from anvilcove.proxy.forwarder import choose_service
-from anvilcove.proxy.outcomes import bad_gateway, crash_refusal, refusal
+from anvilcove.proxy.outcomes import (
+    bad_gateway,
+    crash_refusal,
+    is_server_failure,
+    refusal,
+)
 from anvilcove.proxy.pools import EndpointPools
 from anvilcove.proxy.progress import MAX_NOT_RUN_SENDS
 from anvilcove.state.clock import Clock
@@ -62,6 +69,16 @@
 STALL_OBJECTIVES = 8.0
 
 
+class StreamFailed(EndpointFailed):
+    """Raised for an answer of an endpoint that is no part of a stream."""
+
+    def __init__(self, answer: StreamAnswer) -> None:
+        """Keep the answer, whose body was read whole."""
+        super().__init__(f'status {answer.status}', sends=answer.sends)
+        self.answer = answer
+        self.report = answer.report
+
+
 class StreamBroken(Exception):
     """Raised when a stream fails after its first part or its caller left."""
 
@@ -92,6 +109,8 @@
         'content',
         'received_pieces',
         'counted',
+        'status',
+        'error_answer',
     )
 
     def __init__(self, request: CallerRequest) -> None:
@@ -112,6 +131,23 @@
         # before it. What two versions write does not fit together.
         self.software: str | None = None
         self.tried: set[str] = set()
+        # Status that was sent to the caller, 0 before its head.
+        self.status = 0
+        # Last answer of an endpoint that is no stream.
+        self.error_answer: StreamAnswer | None = None
+
+    @property
+    def is_answered(self) -> bool:
+        """Tell whether an endpoint rejected the request, before any event.
+
+        Other endpoints would answer the same.
+        """
+        answer = self.error_answer
+        return (
+            not self.started
+            and answer is not None
+            and not is_server_failure(answer.status)
+        )
 
 
 class StreamForwarder:
@@ -208,6 +244,9 @@
                 progress.may_have_run = True
                 refused = isinstance(error, EndpointRefused)
                 outcome = OVERLOADED if refused else CRASH
+                if isinstance(error, StreamFailed):
+                    progress.error_answer = error.answer
+                    outcome = OK if progress.is_answered else ERROR
                 if not progress.received_pieces:
                     self._crashes.on_failure(
                         request.request_id,
@@ -260,25 +299,46 @@
             self._record_report(request, state, answer.report)
             progress.may_have_run = True
             self._count_run(request, progress, started_at_s)
-            pieces = self._without_stall(answer.pieces, route)
-            async with aclosing(pieces):
-                async for piece in pieces:
-                    if not progress.received_pieces:
-                        progress.received_pieces = True
-                        self._crashes.finished(
-                            progress.content,
-                            request.request_id,
-                            state.endpoint,
-                        )
-                    # Until its first part the stream may begin anew at any
-                    # endpoint, whose head the caller then gets.
-                    await self._start(
-                        request, route, sink, answer, state, progress
+            if answer.is_stream:
+                await self._pass_on(
+                    request, route, sink, answer, state, progress
+                )
+        if not answer.is_stream:
+            raise StreamFailed(answer)
+
+    async def _pass_on(
+        self,
+        request: CallerRequest,
+        route: Route,
+        sink: StreamSink,
+        answer: StreamAnswer,
+        state: EndpointState,
+        progress: StreamProgress,
+    ) -> None:
+        """Write the events of an answer to the caller."""
+        if progress.started and answer.status != progress.status:
+            raise AnswerMismatch(
+                f'status {answer.status} follows {progress.status}'
+            )
+        pieces = self._without_stall(answer.pieces, route)
+        async with aclosing(pieces):
+            async for piece in pieces:
+                if not progress.received_pieces:
+                    progress.received_pieces = True
+                    self._crashes.finished(
+                        progress.content,
+                        request.request_id,
+                        state.endpoint,
                     )
-                    await _to_caller(sink.write(piece.data))
-                    if piece.event_id is not None:
-                        progress.last_event_id = piece.event_id
-            await self._start(request, route, sink, answer, state, progress)
+                # Until its first part the stream may begin anew at any
+                # endpoint, whose head the caller then gets.
+                await self._start(
+                    request, route, sink, answer, state, progress
+                )
+                await _to_caller(sink.write(piece.data))
+                if piece.event_id is not None:
+                    progress.last_event_id = piece.event_id
+        await self._start(request, route, sink, answer, state, progress)
 
     def _count_run(
         self, request: CallerRequest, progress: StreamProgress, at_s: float
@@ -336,6 +396,7 @@
         if progress.started:
             return
         progress.started = True
+        progress.status = answer.status
         progress.software = state.software
         if route.resumable and not request.resumes:
             await self._origins.begin(
@@ -414,7 +475,7 @@
             return False
         if progress.not_run_count >= MAX_NOT_RUN_SENDS:
             return False
-        if progress.attempts >= route.max_attempts:
+        if progress.attempts >= route.max_attempts or progress.is_answered:
             return False
         return route.resumable or not progress.may_have_run
 
@@ -427,6 +488,9 @@
     ) -> CallerAnswer:
         if progress.started:
             raise StreamBroken(f'after event {progress.last_event_id}')
+        answer = progress.error_answer
+        if answer is not None:
+            return CallerAnswer(answer.status, answer.headers, answer.body)
         if progress.may_have_run:
             return bad_gateway()
         if self._crashes.is_rejected(progress.content):
