Refuse requests that a planned stop would cut

Cause: a stopping daemon served everything until its close and then cut everything; nothing compared a request with the time that is left.

Evidence: `stop` at 6.80 s with 8 in flight, `closed` at 7.41 s, requests of 2.7 s that arrive from 4.8 s on. Ruled out: the margin before grace-s (requests from 5.4 s on last until after 8 s whatever it is), and an end by servers or callers (all five connections end within 10 ms).

Change: AnswerTimes keeps the times of the last answers of each route. During a stop a request, submission, read or end of a job that would not end before the close gets 503 with Retry-After 0 before it is passed on; a route without answers counts with its timeout. Relayed calls of peers count as in flight, and new ones are declined, so that the peer asks another host. SIGHUP no longer ends a process that has no handler yet. The rule for the longest answer of a route (time_limits) serves the decision, the wait for body room and submissions, which are answered at the timeout of their route although a store call goes on.

Before, on: both examples of "Requests on kept connections through a stop are answered" fail (2 of 20 lose their answers).

--- a/anvilcove/cli/node.py
+++ b/anvilcove/cli/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import signal
 import sys
 
 from anvilcove.cli.registry import program
@@ -17,6 +18,8 @@
     if arguments:
         print('usage: anvilcove node', file=sys.stderr)
         return 2
+    # Its default is to end the process, which handles it only once it runs.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         path = settings_path()
         settings = load_node_settings(path)
--- a/anvilcove/node/adapters.py
+++ b/anvilcove/node/adapters.py
@@ -39,6 +39,12 @@
     ) -> dict[str, Callable[[BaseRequest], Awaitable[StreamResponse]]]:
         """Return the handlers, by path, of calls that peers relay here."""
 
+    def stop_relaying(self) -> None:
+        """Decline further calls of peers; those in flight go on."""
+
+    def relayed_calls(self) -> int:
+        """Return the number of calls of peers in flight."""
+
 
 class EndpointClients(Struct):
     """Clients for requests, streams, engine calls and checks."""
--- a/anvilcove/node/app.py
+++ b/anvilcove/node/app.py
@@ -137,6 +137,7 @@
             control, self.components.ways, self.components.relay_peers
         )
         self.components.ways.on_cut = clients.connections.abandon_silent
+        self._connections = clients.connections
         self._peer_handlers = clients.connections.relay_handlers()
         self.relay.list_peers = self.components.nodes.relay_addresses
         self.relay.count_call = self.components.metrics.store_call
@@ -255,8 +256,13 @@
         deadline_at_s = (
             started_at_s + self.settings.bounds.grace_s - CLOSE_MARGIN_S
         )
-        self.components.state.stopping = True
-        logger.bind(in_flight=listeners.in_flight()).info('stop requested')
+        state = self.components.state
+        state.stopping, state.closes_at_s = True, deadline_at_s
+        self._connections.stop_relaying()
+        logger.bind(
+            in_flight=listeners.in_flight(),
+            relayed=self._connections.relayed_calls(),
+        ).info('stop requested')
         handing_over = spawn_logged(self.components.hand_over(), 'hand over')
         await asyncio.wait(
             [handing_over], timeout=max(deadline_at_s - self._clock.now(), 0.0)
@@ -266,13 +272,16 @@
         ):
             await self._clock.sleep(POLL_PERIOD_S)
         await listeners.stop_accepting()
-        while listeners.in_flight() and self._clock.now() < deadline_at_s:
+        while (
+            listeners.in_flight() or self._connections.relayed_calls()
+        ) and self._clock.now() < deadline_at_s:
             await self._clock.sleep(POLL_PERIOD_S)
         with suppress(TimeoutError):
             async with asyncio.timeout(FLUSH_TIMEOUT_S):
                 await self.components.meter.flush()
         logger.bind(
             in_flight=listeners.in_flight(),
+            relayed=self._connections.relayed_calls(),
             after_s=round(self._clock.now() - started_at_s, 2),
         ).info('stop')
         self.components.tasks.cancel()
--- a/anvilcove/node/service.py
+++ b/anvilcove/node/service.py
@@ -1,7 +1,9 @@
 """Operations that a daemon offers to callers and trainers."""
 
+import asyncio
 import random
 from collections.abc import Callable
+from math import inf
 
 from loguru import logger
 from msgspec import Struct
@@ -9,6 +11,7 @@
 from anvilcove.control.desired import JOB, DesiredStateView, Route
 from anvilcove.control.nodes import NodeDirectory
 from anvilcove.decisions.access import Admitted, Denied, decide_access
+from anvilcove.decisions.completion import AnswerTimes
 from anvilcove.jobs.intake import JobIntake, JobNotAccepted
 from anvilcove.jobs.reader import JobReader
 from anvilcove.jobs.records import OtherWorkspace
@@ -20,21 +23,25 @@
 from anvilcove.proxy.held_answers import HeldAnswers
 from anvilcove.proxy.outcomes import bad_gateway, not_found, refusal
 from anvilcove.proxy.streams import StreamForwarder
+from anvilcove.proxy.time_limits import answer_limit_s
+from anvilcove.state.background_tasks import spawn_logged
 from anvilcove.state.clock import Clock
 from anvilcove.telemetry.logs import DECISION
 from anvilcove.telemetry.metrics import NodeMetrics
 
-# A job submission is answered within this multiple of its route's objective if
-# the store calls end in time; after it the trainer tries another daemon.
-ACCEPT_TIMEOUT_FACTOR = 2.5
 # Name in logs and metrics for reads and ends of jobs, which have no route.
 JOBS_ROUTE = 'jobs'
 
 
 class NodeState(Struct):
-    """Lifecycle state of the daemon."""
+    """Lifecycle state of the daemon.
+
+    While it stops, `closes_at_s` is the time on its clock at which it closes
+    the connections of requests that are not answered by then.
+    """
 
     stopping: bool = False
+    closes_at_s: float = inf
 
 
 class NodeService:
@@ -50,6 +57,7 @@
         '_forwarder',
         '_streams',
         '_intake',
+        'answer_times',
         '_is_cut',
         '_expects_workspaces',
         '_metrics',
@@ -80,6 +88,8 @@
         # Bound the memory for slow readers; None: not bounded.
         self.held: HeldAnswers | None = None
         self.body_room: BodyRoom | None = None
+        # Decides which requests are still taken during a planned stop.
+        self.answer_times = AnswerTimes()
         self._is_cut = is_cut
         self._expects_workspaces = expects_workspaces
         self._metrics = metrics
@@ -148,6 +158,28 @@
             self._metrics.access_denied(route, decision.reason)
         return decision
 
+    def can_complete(self, route: str, limit_s: float, subject: str) -> bool:
+        """Tell whether a request that takes up to `limit_s` can be answered.
+
+        During a planned stop, one that would be cut is better sent to another
+        daemon. Refusals are logged and counted.
+        """
+        if not self.state.stopping:
+            return True
+        left_s = self.state.closes_at_s - self._clock.now()
+        if self.answer_times.can_complete(route, limit_s, left_s):
+            return True
+        logger.bind(
+            request=subject[:120],
+            route=route,
+            left_ms=round(left_s * 1000),
+            expected_ms=round(
+                self.answer_times.expected_s(route, limit_s) * 1000
+            ),
+        ).log(DECISION, 'request refused: the daemon stops before its end')
+        self._metrics.request_refused(route, 'stopping')
+        return False
+
     def configuration(self) -> int:
         """Return the version of the desired state in force, 0 for none."""
         return self._desired.current.version if self._desired.current else 0
@@ -195,13 +227,22 @@
         """Submit a batch job; answer with status 202 if it is accepted."""
         if route.kind != JOB:
             return not_found()
-        deadline_at_s = (
-            self._clock.now() + route.objective_s * ACCEPT_TIMEOUT_FACTOR
+        deadline_at_s = self._clock.now() + answer_limit_s(route)
+        accepting = spawn_logged(
+            self._intake.accept(spec, deadline_at_s, self.has_workspaces()),
+            f'acceptance of {spec.job_id}',
+            (OtherWorkspace, JobNotAccepted),
         )
-        try:
-            await self._intake.accept(
-                spec, deadline_at_s, self.has_workspaces()
+        # A store call that is not answered lasts longer than the deadline. It
+        # goes on, as the write may take effect.
+        await asyncio.wait([accepting], timeout=route.timeout_s)
+        if not accepting.done():
+            logger.bind(job=spec.job_id).warning(
+                'submission not decided at the timeout of its route'
             )
+            return bad_gateway()
+        try:
+            accepting.result()
         except OtherWorkspace:
             # The answer does not tell that the job exists.
             logger.bind(job=spec.job_id, workspace=spec.workspace).log(
--- a/anvilcove/platform/admitted_calls.py
+++ b/anvilcove/platform/admitted_calls.py
@@ -54,11 +54,11 @@
     host: str,
     path: str,
     route: Route,
-    deadline_s: float,
+    limit_s: float,
 ) -> AdmittedCall | None:
     """Read the body of a call; return None if its key does not admit it.
 
-    Raises NoBodyRoom if a large body did not fit before the deadline.
+    Raises NoBodyRoom if a large body did not fit within `limit_s`.
 
     The key is checked before the body, so that the refusal does not wait for
     it, and again if the configuration has changed until the body is here.
@@ -70,7 +70,7 @@
     admission = service.admit(route, key, request_id)
     if isinstance(admission, Denied):
         return None
-    body = await read_counted(service, request, deadline_s)
+    body = await read_counted(service, request, limit_s)
     if configuration != service.configuration():
         has_workspaces |= service.has_workspaces()
         if has_workspaces:
@@ -107,9 +107,9 @@
 
 
 async def read_counted(
-    service: NodeService, request: BaseRequest, deadline_s: float
+    service: NodeService, request: BaseRequest, limit_s: float
 ) -> bytes:
-    """Read a body, a large one only when there is room for it.
+    """Read a body, a large one once there is room, for up to `limit_s`.
 
     A caller that sends slowly must not keep the room for ever.
     """
@@ -129,13 +129,13 @@
     # Longer bodies are refused once so much of them has arrived.
     size = min(size, service.max_body_bytes() or size)
     if size > SMALL_BODY_BYTES:
-        connection.reserved_bytes = await room.reserve(size, deadline_s)
+        connection.reserved_bytes = await room.reserve(size, limit_s)
     if known_size is not None:
         _send_continue(request)
     if size <= SMALL_BODY_BYTES:
         return await _read_rest(request, start, service.max_body_bytes())
     try:
-        async with asyncio.timeout(max(deadline_s, MIN_BODY_WAIT_S)):
+        async with asyncio.timeout(max(limit_s, MIN_BODY_WAIT_S)):
             body = await _read_rest(request, start, service.max_body_bytes())
     except TimeoutError as error:
         raise NoBodyRoom(f'body of {size} B not sent in time') from error
--- a/anvilcove/platform/endpoint_relay.py
+++ b/anvilcove/platform/endpoint_relay.py
@@ -138,11 +138,13 @@
 class RelayedConnections:
     """Connections to servers, direct ones and through peers."""
 
-    __slots__ = ('_connections',)
+    __slots__ = ('_connections', '_stopping', '_in_flight')
 
     def __init__(self, connections: ServerConnections) -> None:
         """Relay nothing before `attach`."""
         self._connections = connections
+        self._stopping = False
+        self._in_flight = 0
 
     def attach(
         self, session: ClientSession, observer: WayObserver, peers: RelayPort
@@ -162,11 +164,28 @@
         """Return the handlers, by path, of calls that peers relay here."""
 
         async def handle(request: BaseRequest) -> StreamResponse:
+            if self._stopping:
+                # Another peer may take the call, which was not sent.
+                return _outcome(DECLINED)
             connections = self._connections
-            return await serve_call(connections, connections.peers, request)
+            self._in_flight += 1
+            try:
+                return await serve_call(
+                    connections, connections.peers, request
+                )
+            finally:
+                self._in_flight -= 1
 
         return {RELAY_PATH: handle}
 
+    def stop_relaying(self) -> None:
+        """Decline further calls of peers; those in flight go on."""
+        self._stopping = True
+
+    def relayed_calls(self) -> int:
+        """Return the number of calls of peers in flight."""
+        return self._in_flight
+
 
 async def serve_call(
     connections: ServerConnections,
--- a/anvilcove/platform/listeners.py
+++ b/anvilcove/platform/listeners.py
@@ -15,7 +15,7 @@
 from anvilcove.control.desired import JOB, STREAM, Route
 from anvilcove.messages.numbers import parse_decimal
 from anvilcove.node.http_listener import HttpListener
-from anvilcove.node.service import NodeService
+from anvilcove.node.service import JOBS_ROUTE, NodeService
 from anvilcove.platform.admitted_calls import (
     AdmittedCall,
     admit_call,
@@ -42,8 +42,14 @@
 from anvilcove.ports.servers import CallerRequest
 from anvilcove.proxy.body_room import NoBodyRoom
 from anvilcove.proxy.held_answers import HeldAnswers
-from anvilcove.proxy.outcomes import not_found, refusal, unauthorized
+from anvilcove.proxy.outcomes import (
+    not_found,
+    refusal,
+    stop_refusal,
+    unauthorized,
+)
 from anvilcove.proxy.streams import StreamBroken
+from anvilcove.proxy.time_limits import answer_limit_s
 from anvilcove.telemetry.logs import DECISION
 
 LOOKUP_PATH = '/-/lookup'
@@ -59,6 +65,8 @@
 # never closes a connection on which a request may be arriving.
 KEEPALIVE_TIMEOUT_S = 75.0
 MAX_HEADER_BYTES = 65_536
+# Longest time of a read or an end of a job; reads wait up to 1 s for results.
+JOB_CALL_LIMIT_S = 2.0
 # Time that open connections get to finish when a listener closes.
 SHUTDOWN_TIMEOUT_S = 0.3
 
@@ -103,7 +111,9 @@
         received_s = self._service.now()
         path, _, query = request.raw_path.partition('?')
         if path.startswith('/-/'):
-            return await self._job_paths.respond(request, path, query)
+            return await self._respond_to_job_call(
+                request, path, query, received_s
+            )
         if not self._service.has_desired_state():
             return to_response(request, refusal(0.5, self._rng))
         host = request.headers.get('Host', '').lower()
@@ -115,9 +125,54 @@
             ).info('no route matches the request')
             return to_response(request, not_found())
         deadline_s = _deadline_s(request)
+        if not self._service.can_complete(
+            route.name,
+            min(deadline_s, answer_limit_s(route)),
+            request.headers.get(ATTEMPT_ID, ''),
+        ):
+            await discard_body(request, self._service.max_body_bytes())
+            return to_response(request, stop_refusal())
+        response = await self._serve(
+            request, host, path, route, received_s, deadline_s
+        )
+        if response.status < 400:
+            self._service.answer_times.add(
+                route.name, self._service.now() - received_s
+            )
+        return response
+
+    async def _respond_to_job_call(
+        self, request: BaseRequest, path: str, query: str, received_s: float
+    ) -> StreamResponse:
+        """Respond to a read or the end of a job."""
+        if not self._service.can_complete(
+            JOBS_ROUTE, JOB_CALL_LIMIT_S, path.rpartition('/')[2]
+        ):
+            return to_response(request, stop_refusal())
+        response = await self._job_paths.respond(request, path, query)
+        self._service.answer_times.add(
+            JOBS_ROUTE, self._service.now() - received_s
+        )
+        return response
+
+    async def _serve(
+        self,
+        request: BaseRequest,
+        host: str,
+        path: str,
+        route: Route,
+        received_s: float,
+        deadline_s: float,
+    ) -> StreamResponse:
+        """Serve a request on its route."""
         try:
             call = await admit_call(
-                self._service, request, host, path, route, deadline_s
+                self._service,
+                request,
+                host,
+                path,
+                route,
+                min(deadline_s, answer_limit_s(route)),
             )
         except NoBodyRoom as error:
             logger.bind(
--- a/anvilcove/proxy/outcomes.py
+++ b/anvilcove/proxy/outcomes.py
@@ -32,6 +32,11 @@
     )
 
 
+def stop_refusal() -> CallerAnswer:
+    """Return a 503 for a request that another daemon can serve at once."""
+    return CallerAnswer(status=503, retry_after_s=0.0)
+
+
 def crash_refusal(rng: random.Random) -> CallerAnswer:
     """Return a 503 for a request that crashes servers and was not sent."""
     return CallerAnswer(
--- a/anvilcove/state/background_tasks.py
+++ b/anvilcove/state/background_tasks.py
@@ -107,17 +107,19 @@
 
 
 def spawn_logged(
-    work: Coroutine[Any, Any, None], name: str
+    work: Coroutine[Any, Any, None],
+    name: str,
+    expected: tuple[type[Exception], ...] = (),
 ) -> asyncio.Task[None]:
-    """Start a task that runs once and log the error that ends it, if any."""
-    task = asyncio.create_task(work, name=name)
-    task.add_done_callback(_log_failure)
-    return task
+    """Start a task that runs once and log an error that is not `expected`."""
 
+    def log_failure(task: asyncio.Task[None]) -> None:
+        error = None if task.cancelled() else task.exception()
+        if error is not None and not isinstance(error, expected):
+            logger.bind(task=name).opt(exception=error).error(
+                'background task failed'
+            )
 
-def _log_failure(task: asyncio.Task[None]) -> None:
-    if task.cancelled() or task.exception() is None:
-        return
-    logger.bind(task=task.get_name()).opt(exception=task.exception()).error(
-        'background task failed'
-    )
+    task = asyncio.create_task(work, name=name)
+    task.add_done_callback(log_failure)
+    return task
