End streams at the timeout of their route

Cause: the limit of a request was worked out in Forwarder; the path of streams used the deadline only, before a send, and had no bound for the head of an answer.

Evidence: `stream sent` within 2 ms of the arrival and no line after it. Ruled out: a timeout that is applied late (no answer is logged or sent) and time lost before the send.

Change: answer_limit_at_s is the rule that requests and streams share; it covers the search for an origin, the wait for a slot, the head and the events. A stream that has not begun ends with 504, or 503 if it was never sent; one that has begun ends without its last chunk. Endpoints that sent nothing count as failing. A resumable stream without a head goes on elsewhere after the time that an event may take. Line and counter tell of each stream that ends so. Tasks that run once log what ends them.

Four scenarios had streams of 4 to 24 s on a route with a timeout of 2 s. They guard against other faults and keep their checks; their route has a timeout of 60 s.

--- a/anvilcove/control/crashes.py
+++ b/anvilcove/control/crashes.py
@@ -15,6 +15,7 @@
 from anvilcove.ports.errors import EndpointCrashed, EndpointError
 from anvilcove.ports.probes import EndpointProbe
 from anvilcove.settings.node import NodeSettings
+from anvilcove.state.background_tasks import spawn_logged
 from anvilcove.state.clock import Clock
 from anvilcove.telemetry.logs import DECISION
 from anvilcove.telemetry.metrics import NodeMetrics
@@ -249,8 +250,8 @@
         self._probed_at_s_by_endpoint[endpoint] = now
         if len(self._probed_at_s_by_endpoint) > MAX_REMEMBERED_ENDPOINTS:
             self._probed_at_s_by_endpoint.popitem(last=False)
-        self._probe_by_endpoint[endpoint] = asyncio.create_task(
-            self._probe_endpoint(entry)
+        self._probe_by_endpoint[endpoint] = spawn_logged(
+            self._probe_endpoint(entry), 'probe of an endpoint'
         )
 
     async def _probe_endpoint(self, entry: EndpointEntry) -> None:
--- a/anvilcove/control/permits.py
+++ b/anvilcove/control/permits.py
@@ -14,6 +14,7 @@
 from anvilcove.ports.peers import PeerUnreachable
 from anvilcove.ports.permits import PermitPort
 from anvilcove.settings.node import NodeSettings
+from anvilcove.state.background_tasks import spawn_logged
 from anvilcove.state.clock import Clock
 from anvilcove.state.endpoints import EndpointState
 
@@ -123,8 +124,8 @@
             return
         if retry_at_s > self._clock.now():
             return
-        self._asking_by_endpoint[endpoint] = asyncio.create_task(
-            self._obtain(state, count)
+        self._asking_by_endpoint[endpoint] = spawn_logged(
+            self._obtain(state, count), 'request for permits'
         )
 
     def _order_key(self, state: EndpointState) -> tuple[float, int]:
--- a/anvilcove/jobs/owner.py
+++ b/anvilcove/jobs/owner.py
@@ -36,6 +36,7 @@
     StoreUnavailable,
 )
 from anvilcove.settings.node import NodeSettings
+from anvilcove.state.background_tasks import spawn_logged
 from anvilcove.state.clock import Clock
 from anvilcove.telemetry.logs import DECISION
 from anvilcove.telemetry.metrics import NodeMetrics
@@ -282,7 +283,7 @@
         self.spawn(self._run(run))
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
+        task = spawn_logged(work, 'job owner')
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
--- a/anvilcove/proxy/forwarder.py
+++ b/anvilcove/proxy/forwarder.py
@@ -42,6 +42,7 @@
 )
 from anvilcove.proxy.pools import EndpointPools
 from anvilcove.proxy.progress import Attempt, RequestProgress
+from anvilcove.proxy.time_limits import answer_limit_at_s
 from anvilcove.settings.host import HostSettings
 from anvilcove.state.clock import Clock
 from anvilcove.telemetry.logs import DECISION
@@ -125,7 +126,7 @@
             request, route, service, owed, request.workspace or charged_to
         )
         deadline_at_s = min(
-            request.deadline_at_s, request.received_s + route.timeout_s
+            request.deadline_at_s, answer_limit_at_s(request, route)
         )
         answered = False
         try:
--- a/anvilcove/proxy/streams.py
+++ b/anvilcove/proxy/streams.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import AsyncGenerator, AsyncIterator, Awaitable
-from contextlib import aclosing
+from contextlib import AsyncExitStack, aclosing
 
 from loguru import logger
 from msgspec.structs import replace
@@ -47,13 +47,14 @@
 from anvilcove.proxy.outcomes import (
     bad_gateway,
     crash_refusal,
-    is_server_failure,
     refusal,
+    timed_out,
 )
 from anvilcove.proxy.pools import EndpointPools
 from anvilcove.proxy.progress import MAX_NOT_RUN_SENDS
+from anvilcove.proxy.stream_progress import StreamFailed, StreamProgress
+from anvilcove.proxy.time_limits import answer_limit_at_s
 from anvilcove.state.clock import Clock
-from anvilcove.state.content import request_content_hash
 from anvilcove.state.endpoints import EndpointState
 from anvilcove.telemetry.logs import DECISION
 from anvilcove.telemetry.metrics import NodeMetrics
@@ -69,20 +70,15 @@
 STALL_OBJECTIVES = 8.0
 
 
-class StreamFailed(EndpointFailed):
-    """Raised for an answer of an endpoint that is no part of a stream."""
-
-    def __init__(self, answer: StreamAnswer) -> None:
-        """Keep the answer, whose body was read whole."""
-        super().__init__(f'status {answer.status}', sends=answer.sends)
-        self.answer = answer
-        self.report = answer.report
-
-
 class StreamBroken(Exception):
     """Raised when a stream fails after its first part or its caller left."""
 
 
+def _stall_limit_s(route: Route) -> float:
+    """Return the seconds without an event after which a stream has stalled."""
+    return max(MIN_STALL_S, STALL_OBJECTIVES * route.objective_s)
+
+
 async def _to_caller(sending: Awaitable[None]) -> None:
     """Await a send to the caller; an error is not one of the endpoint."""
     try:
@@ -91,65 +87,6 @@
         raise StreamBroken(f'caller disconnected: {error}') from error
 
 
-class StreamProgress:
-    """Attempts of one stream and how much of it was sent to the caller.
-
-    `attempts` counts the sends that broke off and that an endpoint may have
-    run.
-    """
-
-    __slots__ = (
-        'started',
-        'attempts',
-        'not_run_count',
-        'may_have_run',
-        'last_event_id',
-        'software',
-        'tried',
-        'content',
-        'received_pieces',
-        'counted',
-        'status',
-        'error_answer',
-    )
-
-    def __init__(self, request: CallerRequest) -> None:
-        """Start without attempts."""
-        self.content = request_content_hash(
-            request.method, request.host, request.path, request.body
-        )
-        # Whether a server has sent a part of the body.
-        self.received_pieces = False
-        # Whether the request was counted for its workspace.
-        self.counted = False
-        self.started = False
-        self.attempts = 0
-        self.not_run_count = 0
-        self.may_have_run = False
-        self.last_event_id: int | None = None
-        # Software version of the endpoint that sent the first event, None
-        # before it. What two versions write does not fit together.
-        self.software: str | None = None
-        self.tried: set[str] = set()
-        # Status that was sent to the caller, 0 before its head.
-        self.status = 0
-        # Last answer of an endpoint that is no stream.
-        self.error_answer: StreamAnswer | None = None
-
-    @property
-    def is_answered(self) -> bool:
-        """Tell whether an endpoint rejected the request, before any event.
-
-        Other endpoints would answer the same.
-        """
-        answer = self.error_answer
-        return (
-            not self.started
-            and answer is not None
-            and not is_server_failure(answer.status)
-        )
-
-
 class StreamForwarder:
     """Forward streamed requests.
 
@@ -198,9 +135,31 @@
         """Write a whole stream to `sink` and return None.
 
         If no part was sent yet, a failure returns an error answer instead;
-        after that it raises StreamBroken.
+        after that it raises StreamBroken. So does the timeout of the route,
+        also while events arrive.
         """
         progress = StreamProgress(request)
+        limit_at_s = answer_limit_at_s(request, route)
+        limit = asyncio.timeout(max(limit_at_s - self._clock.now(), 0.0))
+        try:
+            async with limit:
+                return await self._forward(
+                    request, route, sink, progress, limit
+                )
+        except TimeoutError:
+            if not limit.expired():
+                raise
+        return self._late_answer(request, route, progress)
+
+    async def _forward(
+        self,
+        request: CallerRequest,
+        route: Route,
+        sink: StreamSink,
+        progress: StreamProgress,
+        limit: asyncio.Timeout,
+    ) -> CallerAnswer | None:
+        """Write a whole stream, in attempts until `limit` cancels it."""
         if route.resumable and (request.resumes or request.resumed_after):
             service = await self._find_origin(request, route, progress)
             if service is None:
@@ -224,57 +183,90 @@
                 software=state.software,
                 after=progress.last_event_id,
             ).info('stream sent')
-            outcome = CANCELLED
-            started_at_s = self._clock.now()
-            try:
-                await self._attempt(
-                    request, route, state, sink, progress, started_at_s
-                )
-                outcome = OK
+            if await self._run_attempt(
+                request, route, state, sink, progress, limit
+            ):
                 return None
-            except EndpointNotRun as error:
-                self._record_report(request, state, error.report)
-                progress.not_run_count += 1
-                outcome = OVERLOADED if error.overloaded else CRASH
-            except EndpointError as error:
-                self._record_report(request, state, error.report)
-                progress.attempts += (
-                    error.sends if isinstance(error, EndpointFailed) else 1
-                )
-                progress.may_have_run = True
-                refused = isinstance(error, EndpointRefused)
-                outcome = OVERLOADED if refused else CRASH
-                if isinstance(error, StreamFailed):
-                    progress.error_answer = error.answer
-                    outcome = OK if progress.is_answered else ERROR
-                if not progress.received_pieces:
-                    self._crashes.on_failure(
-                        request.request_id,
-                        progress.content,
-                        state.endpoint,
-                        error,
-                    )
-                logger.bind(
-                    request=request.request_id,
-                    endpoint=state.endpoint,
-                    last=progress.last_event_id,
-                    reason=str(error)[:160],
-                ).info('stream broke off')
-            finally:
-                if progress.may_have_run or outcome == CANCELLED:
-                    self._count_run(request, progress, started_at_s)
-                    self.usage.worked(
-                        request.workspace, self._clock.now() - started_at_s
-                    )
-                self._pools.finish(
-                    state,
-                    outcome,
-                    self._clock.now() - started_at_s,
-                    route.name,
-                    INTERACTIVE,
-                )
         return self._unsuccessful_answer(request, progress, route, service)
 
+    async def _run_attempt(
+        self,
+        request: CallerRequest,
+        route: Route,
+        state: EndpointState,
+        sink: StreamSink,
+        progress: StreamProgress,
+        limit: asyncio.Timeout,
+    ) -> bool:
+        """Stream from one endpoint; return whether the stream is whole.
+
+        Releases the slot and records what became of the attempt.
+        """
+        outcome = CANCELLED
+        started_at_s = self._clock.now()
+        progress.sent, progress.heard = True, False
+        try:
+            await self._attempt(
+                request, route, state, sink, progress, started_at_s
+            )
+            outcome = OK
+            return True
+        except EndpointNotRun as error:
+            self._record_report(request, state, error.report)
+            progress.not_run_count += 1
+            progress.sent = False
+            outcome = OVERLOADED if error.overloaded else CRASH
+        except EndpointError as error:
+            self._record_report(request, state, error.report)
+            outcome = self._record_failure(request, state, progress, error)
+        finally:
+            if limit.expired() and not progress.heard:
+                # An endpoint whose events still arrive is sound.
+                outcome = ERROR
+            if progress.may_have_run or outcome in (CANCELLED, ERROR):
+                self._count_run(request, progress, started_at_s)
+                self.usage.worked(
+                    request.workspace, self._clock.now() - started_at_s
+                )
+            self._pools.finish(
+                state,
+                outcome,
+                self._clock.now() - started_at_s,
+                route.name,
+                INTERACTIVE,
+            )
+        return False
+
+    def _record_failure(
+        self,
+        request: CallerRequest,
+        state: EndpointState,
+        progress: StreamProgress,
+        error: EndpointError,
+    ) -> str:
+        """Record a run that failed; return its outcome for the policies."""
+        progress.attempts += (
+            error.sends if isinstance(error, EndpointFailed) else 1
+        )
+        progress.may_have_run = True
+        outcome = CRASH
+        if isinstance(error, EndpointRefused):
+            outcome = OVERLOADED
+        elif isinstance(error, StreamFailed):
+            progress.error_answer = error.answer
+            outcome = OK if progress.is_answered else ERROR
+        if not progress.received_pieces:
+            self._crashes.on_failure(
+                request.request_id, progress.content, state.endpoint, error
+            )
+        logger.bind(
+            request=request.request_id,
+            endpoint=state.endpoint,
+            last=progress.last_event_id,
+            reason=str(error)[:160],
+        ).info('stream broke off')
+        return outcome
+
     async def _attempt(
         self,
         request: CallerRequest,
@@ -288,14 +280,18 @@
         if entry is None:
             raise EndpointNotRun('endpoint has left the pool')
         remaining_s = request.deadline_at_s - self._clock.now()
-        async with self._client.open(
+        opening = self._client.open(
             entry.address,
             entry.instance,
             request,
             remaining_s,
             route.resumable,
             progress.last_event_id,
-        ) as answer:
+        )
+        async with AsyncExitStack() as stack:
+            answer = await self._opened(
+                stack.enter_async_context(opening), route
+            )
             self._record_report(request, state, answer.report)
             progress.may_have_run = True
             self._count_run(request, progress, started_at_s)
@@ -306,6 +302,23 @@
         if not answer.is_stream:
             raise StreamFailed(answer)
 
+    async def _opened(
+        self, opening: Awaitable[StreamAnswer], route: Route
+    ) -> StreamAnswer:
+        """Wait for the head of an answer.
+
+        A stream that may go on elsewhere does not wait longer than for an
+        event.
+        """
+        if not route.resumable:
+            return await opening
+        limit_s = _stall_limit_s(route)
+        try:
+            async with asyncio.timeout(limit_s):
+                return await opening
+        except TimeoutError as error:
+            raise EndpointFailed(f'no answer for {limit_s} s') from error
+
     async def _pass_on(
         self,
         request: CallerRequest,
@@ -337,6 +350,7 @@
                 )
                 await _to_caller(sink.write(piece.data))
                 if piece.event_id is not None:
+                    progress.heard = True
                     progress.last_event_id = piece.event_id
         await self._start(request, route, sink, answer, state, progress)
 
@@ -421,7 +435,7 @@
         Only whole events count, not comments that keep a connection alive.
         The time that the caller takes to read does not count.
         """
-        limit_s = max(MIN_STALL_S, STALL_OBJECTIVES * route.objective_s)
+        limit_s = _stall_limit_s(route)
         patience_s = limit_s
         while True:
             waits_since_s = self._clock.now()
@@ -479,6 +493,28 @@
             return False
         return route.resumable or not progress.may_have_run
 
+    def _late_answer(
+        self, request: CallerRequest, route: Route, progress: StreamProgress
+    ) -> CallerAnswer:
+        """Return the answer to a request whose time is up.
+
+        After a part of the stream, raises StreamBroken.
+        """
+        log = logger.bind(
+            request=request.request_id,
+            route=route.name,
+            last=progress.last_event_id,
+            tried=sorted(progress.tried),
+            sent=progress.sent,
+        )
+        log.log(DECISION, 'stream ended at the timeout of its route')
+        self._metrics.stream_timed_out(route.name)
+        if progress.started:
+            raise StreamBroken('timeout of the route')
+        if progress.may_have_run or progress.sent:
+            return timed_out()
+        return refusal(route.objective_s, self._rng)
+
     def _unsuccessful_answer(
         self,
         request: CallerRequest,
--- a/anvilcove/standins/memory_engines.py
+++ b/anvilcove/standins/memory_engines.py
@@ -295,8 +295,14 @@
         self.made_by: dict[tuple[str, int], str] = {}
         # Number of events after which the first stream sends only comments.
         self.stall_first: int | None = None
+        # The same for all streams.
+        self.stall_all: int | None = None
         self.event_period_s = EVENT_PERIOD_S
         self.runs: list[tuple[str, int | None]] = []
+        # Services that run streams and send nothing, and the number of further
+        # streams that any service does not answer.
+        self.silent: set[str] = set()
+        self.silent_count = 0
         # What services say about themselves in each answer.
         self.report_by_address: dict[str, EndpointReport] = {}
 
@@ -317,6 +323,9 @@
             self.break_after[address] = self.break_first
             self.break_first = None
         await self.crashes.begin(address, request.body)
+        self.silent_count -= 1
+        if address in self.silent or self.silent_count >= 0:
+            await asyncio.sleep(HANG_S)
         yield StreamAnswer(
             200,
             [],
@@ -328,6 +337,8 @@
         self, address: str, after: int, request_id: str
     ) -> AsyncIterator[StreamPiece]:
         stall_after, self.stall_first = self.stall_first, None
+        if stall_after is None:
+            stall_after = self.stall_all
         breaks_at = self.break_after.get(address, self.events)
         if self.break_each is not None and (request_id, 1) not in self.made_by:
             breaks_at = min(breaks_at, self.break_each)
--- a/anvilcove/telemetry/metrics.py
+++ b/anvilcove/telemetry/metrics.py
@@ -70,6 +70,14 @@
             {'task': task},
         )
 
+    def stream_timed_out(self, route: str) -> None:
+        """Count a stream that was not whole at the timeout of its route."""
+        self._count(
+            'stream_timeouts_total',
+            'Streams ended at the timeout of their route.',
+            {'route': route},
+        )
+
     def rows_skipped(self, table: str, count: int) -> None:
         """Count rows of a table that could not be applied."""
         self._count(
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -26,6 +26,10 @@
     )
 
 
+# Timeout of the shop route where streams must not be ended by it.
+STREAM_TIMEOUT_S = 60.0
+
+
 async def send(context, name, number, timeout_s):
     """Send a request and keep its answer and duration."""
     site = context.memory
@@ -237,17 +241,27 @@
         self.data += piece
 
 
+def write_stream_route(context, resumable):
+    """Change the shop route to streams, with time for slow ones."""
+    context.memory.write_operator(
+        version=2,
+        shop_kind=STREAM,
+        resumable=resumable,
+        shop_timeout_s=STREAM_TIMEOUT_S,
+    )
+
+
 @given('the shop route serves streams that may be resumed')
 def use_resumable_streams(context):
     """Change the shop route to one of resumable streams."""
-    context.memory.write_operator(version=2, shop_kind=STREAM, resumable=True)
+    write_stream_route(context, resumable=True)
     context.memory.pass_time(1.0)
 
 
 @given('the shop route serves streams that may not be resumed')
 def use_plain_streams(context):
     """Change the shop route to one of streams that are not resumable."""
-    context.memory.write_operator(version=2, shop_kind=STREAM)
+    write_stream_route(context, resumable=False)
     context.memory.pass_time(1.0)
 
 
--- a/features/steps/memory_site.py
+++ b/features/steps/memory_site.py
@@ -294,6 +294,8 @@
         shop_kind=SAFE,
         resumable=False,
         with_jobs=True,
+        shop_timeout_s=2.0,
+        job_timeout_s=10.0,
         **changes,
     ):
         """Write a desired state; `changes` are fields of the job route."""
@@ -303,7 +305,14 @@
             **changes,
         }
         job_route = route(
-            'job', JOBS, JOB, 'llm', 0.4, 10.0, 3, JobSettings(**job)
+            'job',
+            JOBS,
+            JOB,
+            'llm',
+            0.4,
+            job_timeout_s,
+            3,
+            JobSettings(**job),
         )
         state = DesiredState(
             version=version,
@@ -314,7 +323,7 @@
                     shop_kind,
                     'app',
                     0.2,
-                    2.0,
+                    shop_timeout_s,
                     2,
                     None,
                     resumable,
