Report ages that are not known yet as null

Cause: the age of a table that was never read is infinite, and json.dumps wrote it as Infinity, which is no JSON.

Change: such an age is null, printed as "not read yet"; ended tasks have a table of their own.

--- a/anvilcove/cli/status.py
+++ b/anvilcove/cli/status.py
@@ -36,7 +36,7 @@
 def format_node_status(body: dict[str, Any]) -> str:
     """Format the status of a daemon on the users' platform as tables."""
     ages = ', '.join(
-        f'{table} {age_s:.2f} s'
+        f'{table} ' + ('not read yet' if age_s is None else f'{age_s:.2f} s')
         for table, age_s in body['age_by_table'].items()
     )
     newest = max(
@@ -56,6 +56,7 @@
         _table('job', body['jobs']),
         _table('duty', body.get('duties', {})),
         _table('workspace', body.get('workspaces', {})),
+        _table('ended task', body.get('background_tasks', {})),
     ]
     return '\n\n'.join(part for part in parts if part)
 
--- a/anvilcove/node/status.py
+++ b/anvilcove/node/status.py
@@ -1,6 +1,7 @@
 """Status report of a daemon for operators."""
 
 from collections import Counter
+from math import isfinite
 from typing import Any
 
 from anvilcove.node.parts import NodeComponents
@@ -25,7 +26,7 @@
         'state': 'stopping' if components.state.stopping else 'running',
         'desired_state': current.version if current else 0,
         'age_by_table': {
-            table: round(watch.age_s(), 3)
+            table: _finite(watch.age_s())
             for table, watch in components.watches.items()
             if watch.is_needed()
         },
@@ -43,6 +44,11 @@
     }
 
 
+def _finite(age_s: float) -> float | None:
+    """Return an age, None before the first answer: JSON has no infinity."""
+    return round(age_s, 3) if isfinite(age_s) else None
+
+
 def _hosts(components: NodeComponents) -> dict[str, dict[str, Any]]:
     alive = {node.host for node in components.nodes.alive()}
     found = {}
--- a/features/background_tasks.feature
+++ b/features/background_tasks.feature
@@ -35,3 +35,10 @@
     When the task usage meter of daemon d0 ends with an error
     Then the status of daemon d0 names the task usage meter and its cause
     And its metrics count 1 end of the task usage meter
+
+  Scenario: The status of a daemon without an answer of the store is valid JSON
+    Guards against a status that only lenient parsers read: the age of what was
+    never read is infinite.
+    Given a platform with 1 services and 1 daemons
+    When the store does not answer for endpoints and daemon new starts
+    Then the status of daemon new is valid JSON and prints as a table
--- a/features/steps/background_task_steps.py
+++ b/features/steps/background_task_steps.py
@@ -1,10 +1,12 @@
 """Steps with background tasks that end, on virtual time."""
 
 import asyncio
+import json
 
 from behave import given, then, when
 from loguru import logger
 
+from anvilcove.cli.status import format_node_status
 from anvilcove.node.status import build_status
 from anvilcove.standins.virtual_loop import LoopClock, VirtualLoop
 from anvilcove.state.background_tasks import BackgroundTasks
@@ -147,6 +149,16 @@
     }, shown
 
 
+@then('the status of daemon {name} is valid JSON and prints as a table')
+def check_status_json(context, name):
+    """Encode the status as the daemon does, and print it."""
+    site = context.memory
+    status = build_status(site.daemons[name], site.loop.time())
+    assert status['age_by_table']['endpoints'] is None, status['age_by_table']
+    json.dumps(status, allow_nan=False)
+    assert 'endpoints' in format_node_status(status)
+
+
 @then('its metrics count 1 end of the task {task}')
 def check_metrics(context, task):
     """Check the counter."""
