--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -41,6 +41,11 @@
       | nothing     | 10   | taken   |
       | 30 s        | 10   | taken   |
 
+  Scenario: Times are kept for a bounded number of routes
+    Guards against memory that grows with each route that operators replace.
+    Given the answers of 10000 routes were timed, with the route home in between
+    Then the times of at most 500 routes are kept, that of home among them
+
   Scenario: A stopping daemon declines calls of its peers and ends those in flight
     Guards against a call that a cut host sends through a peer which stops.
     Given a peer that relays a call of 0.5 s
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -198,6 +198,28 @@
     assert taken == (outcome == 'taken'), taken
 
 
+@given(
+    'the answers of {count:d} routes were timed, with the route {name} in '
+    'between'
+)
+def time_many(context, count, name):
+    """Add a time of each route, and of one route again and again."""
+    context.times, context.kept_route = AnswerTimes(), name
+    for number in range(count):
+        context.times.add(f'r{number}', 0.1)
+        context.times.add(name, 0.1)
+
+
+@then(
+    'the times of at most {count:d} routes are kept, that of home among them'
+)
+def check_bounded(context, count):
+    """Count the routes that are known."""
+    known = context.times._samples_by_route
+    assert len(known) <= count, len(known)
+    assert context.kept_route in known
+
+
 @given('a peer that relays a call of {seconds:g} s')
 def relay_call(context, seconds):
     """Start a host that is cut off, its peer and a server."""
