Count a stream as begun when its head is sent

Cause: StreamForwarder set `started` before the origin of the stream was told to the peers. A timeout in that wait ended the connection without an answer. Found in reading the diff.

Change: `started` is set right before the head is sent.

Before: "The timeout before the head of a stream is answered" (features/route_timeouts.feature, peers silent, timeout 0.1 s) ends with StreamBroken. After: 504; the features of streams pass (80 scenarios).

--- a/anvilcove/proxy/streams.py
+++ b/anvilcove/proxy/streams.py
@@ -409,14 +409,14 @@
         """Send the head to the caller, unless it was sent before."""
         if progress.started:
             return
-        progress.started = True
-        progress.status = answer.status
         progress.software = state.software
         if route.resumable and not request.resumes:
             await self._origins.begin(
                 StreamOrigin(request.request_id, state.pool, state.software),
                 ambiguous=len(route.targets) > 1,
             )
+        progress.started = True
+        progress.status = answer.status
         await _to_caller(sink.start(answer.status, answer.headers))
 
     def _record_report(
--- a/features/route_timeouts.feature
+++ b/features/route_timeouts.feature
@@ -63,6 +63,16 @@
     When 2 requests with a deadline of 8 s arrive at daemon a together
     Then each of them ends with status 503 after 0 s
 
+  Scenario: The timeout before the head of a stream is answered
+    Guards against a connection that ends without an answer, as the stream
+    counted as begun while its origin was told to silent peers.
+    Given a platform with 4 services and daemons a, b and c
+    And services 2 and 3 run software v2
+    And the shop route serves resumable stream requests with a timeout of 0.1 s
+    And no peer answers calls about origins
+    When 1 requests with a deadline of 8 s arrive at daemon a together
+    Then each of them ends with status 504 after 0.1 s
+
   Scenario: A submission is answered at the timeout of its route
     Guards against a trainer that waits for a store which does not answer.
     Given a platform with 1 services and daemons a, b and c
--- a/features/steps/route_timeout_steps.py
+++ b/features/steps/route_timeout_steps.py
@@ -58,6 +58,12 @@
     context.memory.streams.stall_all = count
 
 
+@given('no peer answers calls about origins')
+def silence_peers(context):
+    """Let calls about origins end at their time limit."""
+    context.memory.origins_by_peer.clear()
+
+
 async def request(context, name, number, deadline_s):
     """Send a request; keep what its caller gets, and after which time."""
     site = context.memory
