--- a/features/background_tasks.feature
+++ b/features/background_tasks.feature
@@ -25,6 +25,7 @@
     Then it was started at most 20 times
 
   Scenario: A stop ends the tasks for good
+    Guards against a daemon that starts tasks again while it ends.
     Given a background task that raises an error 0 times and then runs
     When the background tasks are cancelled
     Then it was started 1 times and has ended
