Read a membership list without its malformed entries

What happened: hosts of the own interface decoded the list as one typed message. One entry of another writer with a wrong type, an unknown field, a number too large or a value nested too deeply made the whole list unreadable for all of them, so that they kept the one before; entries with a port out of range or a line end in their address were listed.

Evidence: on decoding raises MessageError for six of nine odd entries and lists the other three. Ruled out: that the poller ends (it catches errors of ports and logs "membership list not available").

A list of which no entry is sound is unavailable, not empty.

--- a/anvilcove/platform/rows.py
+++ b/anvilcove/platform/rows.py
@@ -22,7 +22,7 @@
     Target,
 )
 from anvilcove.control.endpoints import EndpointEntry
-from anvilcove.messages.numbers import parse_decimal
+from anvilcove.messages.addresses import parse_address
 from anvilcove.platform.bodies import decode_object, malformed_as
 from anvilcove.platform.scaling import decode_size_bounds
 from anvilcove.ports.store import StoredRow
@@ -51,8 +51,6 @@
 # Integers beyond these are malformed.
 MAX_INTEGER = 2**53
 MAX_SLOTS = 1_000_000
-MAX_PORT = 65_535
-MAX_PORT_DIGITS = 5
 # Longer times until an endpoint leaves, and those that are no numbers, are
 # invalid.
 MAX_LEAVES_MS = 3_600_000
@@ -191,12 +189,11 @@
 
 def _checked_address(address: str) -> str:
     """Return an address that a connection can be opened to."""
-    ip, _, port_text = address.rpartition(':')
-    port = parse_decimal(port_text, MAX_PORT_DIGITS)
-    if port is None or not 0 < port <= MAX_PORT:
+    parsed = parse_address(address)
+    if parsed is None:
         raise RowError(f'address {address[:60]!r} has no valid port')
     try:
-        IPv4Address(ip)
+        IPv4Address(parsed[0])
     except AddressValueError as error:
         raise RowError(f'address {address[:60]!r} is not ip:port') from error
     return address
--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -85,3 +85,32 @@
       | Deadline-Ms |
       | Wait-Ms     |
       | Length-Hint |
+
+  Scenario Outline: An entry of the membership list with <oddity> hides no other
+    Guards against a list that no host of the own interface can read any more:
+    they kept the one before, without the endpoints that came later.
+    Given a membership list of a host, an endpoint and an entry with <oddity>
+    Then the host and the endpoint are read from it
+
+    Examples:
+      | oddity                            |
+      | a port out of range               |
+      | a superscript digit in its port   |
+      | a line end in its address         |
+      | no address                        |
+      | a number as its address           |
+      | an unknown field                  |
+      | a number of 5000 digits           |
+      | an unknown field nested 100000 deep |
+      | a string for an entry             |
+
+  Scenario Outline: A membership list <state> is not taken for an empty one
+    Guards against hosts that forget all others since nothing could be read.
+    Given a membership list <state>
+    Then it is reported as unavailable
+
+    Examples:
+      | state                      |
+      | without a sound entry      |
+      | that is cut                |
+      | nested 100000 deep         |
--- a/features/steps/odd_row_steps.py
+++ b/features/steps/odd_row_steps.py
@@ -13,11 +13,13 @@
 from anvilcove.control.watch import TableWatch
 from anvilcove.decisions.access import Admitted
 from anvilcove.jobs.reader import ResultPage
+from anvilcove.native.membership import decode_members
 from anvilcove.platform.family import PlatformRows
 from anvilcove.platform.job_paths import RESULTS_PREFIX, JobPaths
 from anvilcove.platform.jobs import LENGTH_HINT, _length_hint
 from anvilcove.platform.listeners import _deadline_s
 from anvilcove.platform.names import DEADLINE_MS
+from anvilcove.ports.errors import StoreUnavailable
 from anvilcove.ports.store import RowId, RowTransaction, RowWrite
 from anvilcove.standins.memory_store import MemoryStore
 from anvilcove.standins.virtual_loop import LoopClock, VirtualLoop
@@ -209,3 +211,74 @@
 def check_ignored(context):
     """Compare both outcomes."""
     assert context.with_header == context.without_header, context.with_header
+
+
+HOST_ENTRY = {'host': 'h1', 'address': '10.0.0.1:80', 'data_centre': 'dc'}
+ENDPOINT_ENTRY = {
+    'endpoint': 'e1',
+    'address': '10.0.0.2:80',
+    'data_centre': 'dc',
+    'pool': 'p',
+    'kind': 'service',
+}
+ODD_ENTRIES = {
+    'a port out of range': {'address': '10.0.0.3:99999'},
+    'a superscript digit in its port': {'address': '10.0.0.3:80²'},
+    'a line end in its address': {'address': '10.0.0.3\r\n:80'},
+    'a number as its address': {'address': 7},
+    'an unknown field': {'colour': 'red'},
+    'a number of 5000 digits': {'colour': '@number'},
+    'an unknown field nested 100000 deep': {'colour': '@nested'},
+}
+NESTED = '[' * 100_000 + ']' * 100_000
+
+
+def odd_member(oddity):
+    """Return the JSON of an odd entry of a list."""
+    if oddity == 'a string for an entry':
+        return '"e2"'
+    entry = {**ENDPOINT_ENTRY, 'endpoint': 'e2'}
+    if oddity == 'no address':
+        del entry['address']
+    text = json.dumps(entry | ODD_ENTRIES.get(oddity, {}))
+    text = text.replace('"@number"', LONG_NUMBER)
+    return text.replace('"@nested"', NESTED)
+
+
+@given('a membership list of a host, an endpoint and an entry with {oddity}')
+def write_members(context, oddity):
+    """Encode a list with the odd entry first."""
+    logger.remove()
+    hosts, sound = json.dumps([HOST_ENTRY]), json.dumps(ENDPOINT_ENTRY)
+    context.members = (
+        f'{{"hosts":{hosts},"endpoints":[{odd_member(oddity)},{sound}]}}'
+    ).encode()
+
+
+@then('the host and the endpoint are read from it')
+def check_members(context):
+    """Decode the list."""
+    members = decode_members(context.members)
+    assert [host.host for host in members.hosts] == ['h1']
+    assert [e.endpoint for e in members.endpoints] == ['e1']
+
+
+@given('a membership list {state}')
+def write_unreadable(context, state):
+    """Encode a list that has nothing to read."""
+    logger.remove()
+    context.members = {
+        'without a sound entry': b'{"hosts":[{"host":1}],"endpoints":["e"]}',
+        'that is cut': b'{"hosts":[',
+        'nested 100000 deep': NESTED.encode(),
+    }[state]
+
+
+@then('it is reported as unavailable')
+def check_unavailable(context):
+    """Check that the list before would be kept."""
+    try:
+        members = decode_members(context.members)
+    except StoreUnavailable:
+        return
+    raise AssertionError(members)
