--- a/features/steps/standin_steps.py
+++ b/features/steps/standin_steps.py
@@ -204,7 +204,7 @@
 @when('the membership list of the stand-in is set to host {host}')
 def set_member(context, host):
     """Replace the membership list by a list of one host."""
-    member = HostMember(host=host, address='', data_centre='')
+    member = HostMember(host=host, address='10.0.0.1:80', data_centre='dc')
     data = encode(Members(hosts=[member]))
     run(context, put_data(context, 'members', data))
 
