--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=target/deps python3 -c '
-import ast, pathlib, aiohttp
+import ast, pathlib, aiohttp, anvilcove.soak.proxy
 files = [pathlib.Path("review/tools2/site_standins.py")]
 files += [pathlib.Path(f"review/{n}/case.py") for n in range(6, 11)]
 for path in files:
--- a/review/tools2/site_standins.py
+++ b/review/tools2/site_standins.py
@@ -39,6 +39,18 @@
 MODEL = 'daka510000'
 # A case that has not ended by then could not run.
 LIMIT_S = 100.0
+CONTRACTS = [
+    'base',
+    'drain',
+    'config',
+    'cost',
+    'recover',
+    'samples',
+    'stream',
+    'engine',
+    'batch',
+    'platform',
+]
 # Exit statuses of a case.
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
@@ -534,10 +546,15 @@
         self.temporary = Path(tempfile.mkdtemp(prefix='review-case-'))
         net = random.randint(2, 250)
         self.server_ip = f'127.{net}.9.1'
-        self.ips = {f'edge-{n}': f'127.{net}.0.{n}' for n in range(1, hosts + 1)}
+        self.ips = {
+            f'edge-{n}': f'127.{net}.0.{n}' for n in range(1, hosts + 1)
+        }
         self.ports = self._common_ports()
         self._store_runner = None
         self.store_address = ''
+        # Whether daemons connect to servers from their own addresses, as
+        # machines do; on loopback they would all share one.
+        self.own_source = False
         self.client = None
 
     def free_port(self, ip):
@@ -610,6 +627,7 @@
 
     def settings(self, name):
         ip = self.ips[name]
+        source = f'source-ip = "{ip}"' if self.own_source else ''
         seeds = [f'{i}:{self.ports[2]}' for i in list(self.ips.values())[:3]]
         return f"""node-name = "{name}"
 role = "daemon"
@@ -622,10 +640,11 @@
 seed-nodes = {json.dumps(seeds)}
 bootstrap = true
 fault-counted = false
+{source}
 discovery = "platform"
 entry = "registry"
 heartbeat-ms = 1200
-contracts = ["base","drain","config","cost","recover","samples","stream","engine","batch","platform"]
+contracts = {json.dumps(CONTRACTS)}
 [zones]
 bodega = "quito"
 [listen]
@@ -908,12 +927,16 @@
     logging_off()
 
     async def run():
+        running = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        # The daemons end also if the case is stopped from outside.
+        loop.add_signal_handler(signal.SIGTERM, running.cancel)
         site = Site(folder, hosts)
         try:
             status = await asyncio.wait_for(case(site), LIMIT_S)
             site.record.write('verdict', exit=status)
             return status
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             site.record.write('not-run', reason=repr(error))
             print(f'the case could not run: {error!r}', file=sys.stderr)
             return NOT_RUN
