--- a/review/tools2/site_standins.py
+++ b/review/tools2/site_standins.py
@@ -508,7 +508,13 @@
                 status,
             )
         )
-        self.site.record.write('order', server=self.name, status=status)
+        self.site.record.write(
+            'order',
+            server=self.name,
+            holder=data.get('holder'),
+            fence=data.get('fencing-token'),
+            status=status,
+        )
         return web.Response(status=status)
 
     def _order_status(self, data):
