Take only the status of a final answer for one: status 000 reached callers

Callers got 000, 007, 099, 101, 600 and 999 as the answers of servers in trouble, with their headers and bodies; a request that may be repeated was not sent elsewhere. The own interface took the body of a 500 for rows of its table.

Cause: the parser takes any three digits, and whether a number is a status was left to it. The forwarder takes all below 500 for an answer.

Ruled out: a status that the daemon makes itself (its own are constants, and the server's stamp comes with 000), and interim answers that count as final ones (the client skips them, but for 101).

FinalResponse is the response of all sessions, which open_session opens: a status outside 200 to 599 raises InvalidStatus. Calls of the own interface to stores name the statuses that they expect. 204 and 304 need no length.

The stand-in's unsound answers have a module of their own.

--- a/anvilcove/cli/operator.py
+++ b/anvilcove/cli/operator.py
@@ -6,9 +6,10 @@
 from typing import Any
 
 from absl import flags
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientError, ClientTimeout
 
 from anvilcove.client.keys import ApiKey, read_key
+from anvilcove.http.sessions import open_session
 
 FLAGS = flags.FLAGS
 flags.DEFINE_string('address', '127.0.0.1:7400', 'Address of a host, ip:port.')
@@ -75,7 +76,7 @@
     scheme = 'https' if FLAGS.tls else 'http'
     try:
         async with (
-            ClientSession(
+            open_session(
                 timeout=ClientTimeout(total=CALL_TIMEOUT_S)
             ) as session,
             session.request(
--- a/anvilcove/client/caller.py
+++ b/anvilcove/client/caller.py
@@ -7,12 +7,13 @@
 from types import TracebackType
 from typing import Any
 
-from aiohttp import ClientSession, ClientTimeout, TCPConnector
+from aiohttp import ClientSession, ClientTimeout
 from msgspec import Struct
 
 from anvilcove.client.call import Call
 from anvilcove.client.entries import EntrySelector
 from anvilcove.client.settings import ClientSettings
+from anvilcove.http.sessions import open_session
 from anvilcove.messages.callers import Outcome, VersionRange
 from anvilcove.messages.engines import TokenEvent
 
@@ -42,9 +43,7 @@
 
     async def __aenter__(self) -> 'Client':
         """Open the connection pool."""
-        self._session = ClientSession(
-            connector=TCPConnector(limit=0), timeout=ClientTimeout(total=None)
-        )
+        self._session = open_session(timeout=ClientTimeout(total=None))
         now = asyncio.get_running_loop().time
         self._entries = EntrySelector(
             self.settings, self._session, now, self._rng
--- a/anvilcove/daemon/app.py
+++ b/anvilcove/daemon/app.py
@@ -4,7 +4,7 @@
 import signal
 from importlib import import_module
 
-from aiohttp import ClientSession, ClientTimeout, TCPConnector, web
+from aiohttp import ClientTimeout, TCPConnector, web
 from loguru import logger
 
 from anvilcove.commands.control.drain import start_draining
@@ -14,6 +14,7 @@
 from anvilcove.daemon.logs import LogSink
 from anvilcove.daemon.metrics import Metrics
 from anvilcove.daemon.parts import COMPONENTS
+from anvilcove.http.sessions import open_session
 from anvilcove.settings.daemon import DaemonSettings
 from anvilcove.state.clock import SuspendAwareClock, new_random_generator
 
@@ -93,9 +94,9 @@
         settings,
         SuspendAwareClock(),
         new_random_generator(settings.seed),
-        ClientSession(connector=connector, timeout=timeout),
-        control_session=ClientSession(
-            connector=connector,
+        open_session(connector, timeout=timeout),
+        control_session=open_session(
+            connector,
             connector_owner=False,
             timeout=timeout,
             skip_auto_headers=SKIPPED_HEADERS,
--- a/anvilcove/native/http.py
+++ b/anvilcove/native/http.py
@@ -14,6 +14,7 @@
     ServerDisconnectedError,
 )
 
+from anvilcove.http.answers import InvalidStatus
 from anvilcove.messages.base import MessageError, decode, encode
 from anvilcove.messages.http_errors import CALL_ERRORS
 from anvilcove.messages.services import EndpointRefusal
@@ -43,8 +44,9 @@
     message: object | None = None,
     data: bytes | None = None,
     headers: dict[str, str] | None = None,
+    expected: tuple[int, ...] = (200,),
 ) -> AsyncIterator[ClientResponse]:
-    """Call a store and yield the response.
+    """Call a store and yield the response, whose status is `expected`.
 
     Raises StoreUnavailable only if nothing was applied, StoreAnswerLost if
     the call may have been applied.
@@ -61,6 +63,8 @@
         ) as response:
             if response.status in REFUSED_STATUSES:
                 raise StoreUnavailable(f'{url}: status {response.status}')
+            if response.status not in expected:
+                raise StoreAnswerLost(f'{url}: status {response.status}')
             yield response
     except (ClientConnectorError, ConnectionTimeoutError) as error:
         raise StoreUnavailable(f'{url}: {error}') from error
@@ -110,6 +114,8 @@
         raise EndpointNotRun(f'{url}: {error}') from error
     except ServerDisconnectedError as error:
         raise EndpointCrashed(f'{url}: {error!r}') from error
+    except InvalidStatus as error:
+        raise AnswerMismatch(f'{url}: {error}') from error
     except TimeoutError as error:
         raise EndpointFailed(f'{url}: no answer in time') from error
     except CALL_ERRORS as error:
--- a/anvilcove/native/membership.py
+++ b/anvilcove/native/membership.py
@@ -100,6 +100,7 @@
             f'{self._base_url}/members',
             self._timeout_s,
             headers=condition,
+            expected=(200, 304),
         ) as response:
             if response.status == 304:
                 return self._members
--- a/anvilcove/native/objects.py
+++ b/anvilcove/native/objects.py
@@ -7,6 +7,8 @@
 from anvilcove.ports.registry import adapter
 from anvilcove.settings.daemon import AdapterSettings
 
+WRITTEN_STATUSES = (200, 201, 204)
+
 
 @adapter('objects', 'http_json')
 class HttpObjects:
@@ -30,15 +32,19 @@
             f'{self._base_url}/{name}',
             self._timeout_s,
             data=data,
-        ) as response:
-            response.raise_for_status()
+            expected=WRITTEN_STATUSES,
+        ):
+            pass
 
     async def get(self, name: str) -> bytes:
         """Read an object, or raise ObjectNotFound."""
         async with store_call(
-            self._session, 'GET', f'{self._base_url}/{name}', self._timeout_s
+            self._session,
+            'GET',
+            f'{self._base_url}/{name}',
+            self._timeout_s,
+            expected=(200, 404),
         ) as response:
             if response.status == 404:
                 raise ObjectNotFound(name)
-            response.raise_for_status()
             return await response.read()
--- a/anvilcove/node/app.py
+++ b/anvilcove/node/app.py
@@ -9,7 +9,7 @@
 from functools import partial
 from typing import Any
 
-from aiohttp import ClientSession, TCPConnector
+from aiohttp import ClientSession
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse, json_response
 from aiohttp.web_server import Server
@@ -28,6 +28,7 @@
     serve_permits,
 )
 from anvilcove.control.relay import RELAY_PATH, RelayedStore
+from anvilcove.http.sessions import open_session
 from anvilcove.node.adapters import Adapters, EndpointClients, Listeners
 from anvilcove.node.gauges import set_gauges
 from anvilcove.node.http_listener import HttpListener
@@ -99,9 +100,7 @@
             loop.add_signal_handler(signum, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._on_sighup)
         async with (
-            ClientSession(
-                connector=TCPConnector(limit=0), auto_decompress=False
-            ) as control,
+            open_session(auto_decompress=False) as control,
             self._adapters.endpoint_clients(self.settings) as clients,
         ):
             self._build(control, clients)
--- a/anvilcove/platform/connections.py
+++ b/anvilcove/platform/connections.py
@@ -23,6 +23,7 @@
 from msgspec import Struct
 from yarl import URL
 
+from anvilcove.http.sessions import open_session
 from anvilcove.platform.answer_identity import AnswerIdentity
 from anvilcove.platform.client_protocol import (
     CURRENT_USE,
@@ -297,8 +298,8 @@
 
 
 def _session(connector: TCPConnector) -> ClientSession:
-    session = ClientSession(
-        connector=connector, auto_decompress=False, request_class=ServerRequest
+    session = open_session(
+        connector, auto_decompress=False, request_class=ServerRequest
     )
     # By default aiohttp repeats a PUT or DELETE whose connection breaks, even
     # if the server has run it. There is no public option to turn this off.
--- a/anvilcove/platform/duties.py
+++ b/anvilcove/platform/duties.py
@@ -18,6 +18,7 @@
 from aiohttp.client_proto import ResponseHandler
 from msgspec import json
 
+from anvilcove.http.sessions import open_session
 from anvilcove.messages.http_errors import CALL_ERRORS
 from anvilcove.platform.connections import CONNECT_TIMEOUT_S
 from anvilcove.platform.names import DUTY_HOLDER, FENCING_TOKEN
@@ -84,8 +85,8 @@
 
     async def __aenter__(self) -> Self:
         """Open the session; it connects at the first call."""
-        self._session = ClientSession(
-            connector=_DutyConnector(self._source_ip), auto_decompress=False
+        self._session = open_session(
+            _DutyConnector(self._source_ip), auto_decompress=False
         )
         return self
 
--- a/anvilcove/platform/exchange.py
+++ b/anvilcove/platform/exchange.py
@@ -11,6 +11,7 @@
     ServerDisconnectedError,
 )
 
+from anvilcove.http.answers import InvalidStatus
 from anvilcove.messages.event_stream import EventCut, EventStreamError
 from anvilcove.messages.http_errors import CALL_ERRORS
 from anvilcove.platform.answer_identity import (
@@ -42,6 +43,7 @@
 )
 from anvilcove.ports.reports import EndpointReport
 
+STATUSES_WITHOUT_BODY = (204, 304)
 OVERLOADED_STATUSES = (429, 503)
 
 
@@ -92,6 +94,10 @@
         raise EndpointCrashed(
             f'{address}: {error!r}', sends=record.broken + 1
         ) from error
+    except InvalidStatus as error:
+        raise AnswerMismatch(
+            f'{address}: {error}', sends=record.broken + 1
+        ) from error
     except TimeoutError as error:
         raise EndpointFailed(
             f'{address}: no answer in time', sends=record.broken + 1
@@ -208,7 +214,8 @@
     Bodies with a Content-Encoding are rejected, too.
     """
     framed = (
-        'Content-Length' in response.headers
+        response.status in STATUSES_WITHOUT_BODY
+        or 'Content-Length' in response.headers
         or 'chunked' in response.headers.get('Transfer-Encoding', '').lower()
     )
     if not framed:
--- a/anvilcove/platform/standin.py
+++ b/anvilcove/platform/standin.py
@@ -28,6 +28,12 @@
     TENANT,
     WEIGHT_VERSIONS,
 )
+from anvilcove.platform.standin_answers import (
+    cut_head,
+    send_half,
+    send_odd_status,
+    send_without_end,
+)
 from anvilcove.platform.standin_faults import (
     CRASHING,
     EARLY_CRASH_COUNT,
@@ -69,7 +75,6 @@
 LOAD_TIME_S = 0.5
 # Body of the answer to a resumption that fails.
 FAILURE_TEXT = b'internal error'
-ENDLESS_BLOCK = b'x' * 65_536
 # Line of an event that names the software version of the server.
 SOFTWARE_FIELD = 'made-by'
 
@@ -278,9 +283,9 @@
             self.faults.silent_prefixes
         ):
             await asyncio.sleep(3600)
-        if self.faults.head_bytes:
-            answer = self._answer(attempt, digest)
-            return _cut_head(request, answer, self.faults.head_bytes)
+        spoiled = await self._spoiled_answer(request, attempt, digest)
+        if spoiled is not None:
+            return spoiled
         if self.model:
             return await self._generate(request, attempt)
         if self.faults.break_after_s:
@@ -289,12 +294,23 @@
         if self.faults.breaking:
             transport.abort()
         answer = self._answer(attempt, digest)
-        if self.faults.endless:
-            return await _send_without_end(request, answer)
         if self.faults.cutting:
-            return await _send_half(request, answer)
+            return await send_half(request, answer)
         return answer
 
+    async def _spoiled_answer(
+        self, request: web.BaseRequest, attempt: str, digest: str
+    ) -> web.Response | None:
+        """Send an answer that is not sound, if a fault asks for one."""
+        answer = self._answer(attempt, digest)
+        if self.faults.head_bytes:
+            return cut_head(request, answer, self.faults.head_bytes)
+        if self.faults.odd_status:
+            return send_odd_status(request, answer, self.faults.odd_status)
+        if self.faults.endless:
+            return await send_without_end(request, answer, self.faults.endless)
+        return None
+
     async def _run_harmful(
         self, marker: str, path: str, attempt: str
     ) -> web.Response:
@@ -488,46 +504,6 @@
     return web.Response(status=status, headers=headers)
 
 
-async def _send_without_end(
-    request: web.BaseRequest, answer: web.Response
-) -> web.StreamResponse:
-    """Send a body until the caller closes the connection."""
-    endless = web.StreamResponse(status=answer.status, headers=answer.headers)
-    endless.enable_chunked_encoding()
-    await endless.prepare(request)
-    while True:
-        await endless.write(ENDLESS_BLOCK)
-
-
-def _cut_head(
-    request: web.BaseRequest, answer: web.Response, count: int
-) -> web.Response:
-    """Send the first bytes of a head and close the connection."""
-    transport = request.transport
-    assert transport is not None
-    lines = ['HTTP/1.1 200 OK']
-    lines += [f'{name}: {text}' for name, text in answer.headers.items()]
-    head = '\r\n'.join([*lines, 'Content-Length: 0', '', '']).encode()
-    # The whole head would be an answer.
-    transport.write(head[: min(count, len(head) - 1)])
-    transport.close()
-    return answer
-
-
-async def _send_half(
-    request: web.BaseRequest, answer: web.Response
-) -> web.StreamResponse:
-    """Send the first half of a response and close the connection."""
-    body = answer.body
-    assert isinstance(body, bytes) and request.transport is not None
-    cut = web.StreamResponse(status=answer.status, headers=answer.headers)
-    cut.content_length = len(body)
-    await cut.prepare(request)
-    await cut.write(body[: len(body) // 2])
-    request.transport.close()
-    return cut
-
-
 def event_count(attempt: str) -> int:
     """Return the number of events of an item, derived from its id."""
     return 3 + hashlib.sha256(attempt.encode()).digest()[0] % 12
--- a/anvilcove/platform/standin_faults.py
+++ b/anvilcove/platform/standin_faults.py
@@ -74,8 +74,10 @@
         self.resumption_share = 0.0
         # Prefixes of paths whose requests run without an answer.
         self.silent_prefixes: tuple[str, ...] = ()
-        # Plain servers send a body without end.
-        self.endless = False
+        # Part of an answer that is sent without end, '' for none.
+        self.endless = ''
+        # Status of all answers to requests, three digits, '' for sound ones.
+        self.odd_status = ''
         # Id of a second response that follows each response, '' for none.
         self.late_id = ''
         # Connections are reset after the last byte of a response.
--- a/anvilcove/soak/answer_faults.py
+++ b/anvilcove/soak/answer_faults.py
@@ -9,7 +9,9 @@
 HEADS_CUT = 'answers break off in the head'
 FAILED_RESUMPTIONS = 'servers fail resumptions'
 STOPPED_EVENTS = 'answers stop inside an event'
+ODD_STATUSES = 'servers answer with odd statuses'
 SILENT_STREAMS = 'servers are silent behind streams'
+NO_FINAL_STATUSES = ('000', '007', '099', '101', '600', '999')
 # A failed run of an item counts; with fewer failures items are not given up.
 FAILING_SHARE = 0.5
 # Bytes of an event of the stand-in without its end, about.
@@ -46,6 +48,20 @@
         engine.faults.stop_after = None
 
 
+@fault(ODD_STATUSES)
+async def answer_with_odd_statuses(
+    site: LoopbackSite, rng: random.Random, for_s: float
+) -> None:
+    """Let some servers and engines answer with a status that is none."""
+    servers = [*site.servers, *site.engines]
+    chosen = rng.sample(servers, rng.randint(1, len(servers) - 1))
+    for server in chosen:
+        server.faults.odd_status = rng.choice(NO_FINAL_STATUSES)
+    await asyncio.sleep(for_s)
+    for server in chosen:
+        server.faults.odd_status = ''
+
+
 @fault(FAILED_RESUMPTIONS)
 async def fail_resumptions(
     site: LoopbackSite, rng: random.Random, for_s: float
--- a/anvilcove/soak/callers.py
+++ b/anvilcove/soak/callers.py
@@ -8,7 +8,13 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
+from aiohttp import (
+    ClientError,
+    ClientResponseError,
+    ClientSession,
+    ClientTimeout,
+    TCPConnector,
+)
 from msgspec import Struct, field
 
 from anvilcove.platform.standin_faults import EARLY_CRASHES, FAILING
@@ -86,6 +92,8 @@
     sent_s: float = 0.0
     # Whether the connection ended before the response.
     cut: bool = False
+    # Whether the response was not valid HTTP.
+    malformed: bool = False
     # Start of a server that said in the response that it leaves, and of one
     # that named a limit.
     leaving_server: str = ''
@@ -261,7 +269,7 @@
         """Send a request, record the call and return its status."""
         body = (content or request_id).encode() * 3
         digest = hashlib.sha256(body).hexdigest()[:8]
-        status, intact, cut = 0, True, False
+        status, intact, cut, malformed = 0, True, False, False
         leaving_server = limited_server = ''
         sent_s = asyncio.get_running_loop().time()
         start_number = self._start_number(address)
@@ -281,6 +289,7 @@
         except (ClientError, TimeoutError, OSError) as error:
             # Little is guaranteed without a response; status stays 0.
             cut = not isinstance(error, TimeoutError)
+            malformed = isinstance(error, ClientResponseError)
         at_s = asyncio.get_running_loop().time()
         if start_number != self._start_number(address):
             start_number = -1
@@ -295,6 +304,7 @@
                 intact,
                 sent_s,
                 cut,
+                malformed,
                 leaving_server,
                 limited_server,
             )
--- a/anvilcove/soak/checks.py
+++ b/anvilcove/soak/checks.py
@@ -3,6 +3,7 @@
 import math
 from collections import Counter
 
+from anvilcove.http.answers import FINAL_STATUSES
 from anvilcove.platform.standin import complete_text
 from anvilcove.platform.standin_wire import JobResult, reward_id
 from anvilcove.soak.access_checks import check_access
@@ -59,6 +60,7 @@
         *_check_planned_stops(site, callers),
         *_check_ended_jobs(site, callers),
         *_check_crashes(site),
+        *_check_statuses(callers),
         *check_owed_items(site, callers, room),
         *check_leaving(site, callers),
         *check_limits(site, callers),
@@ -84,6 +86,23 @@
     ]
 
 
+def _check_statuses(callers: Callers) -> list[str]:
+    """Check that each response has the status of a final one."""
+    seen = [
+        *((c.request_id, c.status, c.malformed) for c in callers.calls),
+        *(
+            (attempt.request_id, attempt.status, attempt.malformed)
+            for record in callers.stream_callers.streams
+            for attempt in record.tries
+        ),
+    ]
+    return [
+        f'mixed: {request_id} got status {status:03d}'
+        for request_id, status, malformed in seen
+        if malformed or (status and status not in FINAL_STATUSES)
+    ]
+
+
 def _check_refusals(site: LoopbackSite, callers: Callers) -> list[str]:
     """Check that requests refused as not run were never run."""
     ran = {run[0] for server in site.servers for run in server.runs}
--- a/anvilcove/soak/server_faults.py
+++ b/anvilcove/soak/server_faults.py
@@ -4,6 +4,7 @@
 import random
 
 from anvilcove.platform.standin import ServerStandin
+from anvilcove.platform.standin_answers import ENDLESS_PARTS
 from anvilcove.platform.standin_faults import (
     NO_ID,
     OTHER_ID,
@@ -112,7 +113,18 @@
 ) -> None:
     """Let plain servers send bodies without end."""
     chosen = rng.sample(site.servers, rng.randint(1, len(site.servers)))
-    await _set_server_fault(chosen, 'endless', True, False, for_s)
+    await _set_server_fault(chosen, 'endless', 'body', '', for_s)
+
+
+@fault('servers send a part without end')
+async def send_part_without_end(
+    site: LoopbackSite, rng: random.Random, for_s: float
+) -> None:
+    """Let servers and engines send one part of each answer without end."""
+    servers = [*site.servers, *site.engines]
+    chosen = rng.sample(servers, rng.randint(1, len(servers)))
+    part = rng.choice(list(ENDLESS_PARTS))
+    await _set_server_fault(chosen, 'endless', part, '', for_s)
 
 
 @fault('bytes split')
--- a/anvilcove/soak/streams.py
+++ b/anvilcove/soak/streams.py
@@ -4,7 +4,13 @@
 import itertools
 import random
 
-from aiohttp import ClientError, ClientResponse, ClientSession, ClientTimeout
+from aiohttp import (
+    ClientError,
+    ClientResponse,
+    ClientResponseError,
+    ClientSession,
+    ClientTimeout,
+)
 from msgspec import Struct, field
 
 from anvilcove.platform.standin_wire import (
@@ -38,6 +44,8 @@
     resumed: bool
     # Status of the response, 0 if there was none.
     status: int = 0
+    # Whether the response was not valid HTTP.
+    malformed: bool = False
     events: int = 0
     # Bytes behind the last event of a response that ended as complete.
     tail: bytes = b''
@@ -118,9 +126,9 @@
                 attempt.status = response.status
                 if response.status == 200:
                     await self._read_events(response, record, attempt)
-        except (ClientError, TimeoutError, OSError):
+        except (ClientError, TimeoutError, OSError) as error:
             # The stream is resumed, as callers do after a broken connection.
-            return
+            attempt.malformed = isinstance(error, ClientResponseError)
         finally:
             attempt.took_s = asyncio.get_running_loop().time() - attempt.sent_s
 
--- a/features/environment.py
+++ b/features/environment.py
@@ -5,8 +5,7 @@
 import tempfile
 from pathlib import Path
 
-from aiohttp import ClientSession
-
+from anvilcove.http.sessions import open_session
 from anvilcove.platform.connections import ServerConnections
 
 
@@ -16,10 +15,10 @@
     context.folder = Path(tempfile.mkdtemp(prefix='anvilcove-'))
     context.site = None
 
-    async def open_session():
-        return ClientSession()
+    async def open_product_session():
+        return open_session()
 
-    context.session = context.loop.run_until_complete(open_session())
+    context.session = context.loop.run_until_complete(open_product_session())
     context.connections = ServerConnections()
     context.loop.run_until_complete(context.connections.__aenter__())
 
--- a/features/machine_faults.feature
+++ b/features/machine_faults.feature
@@ -88,6 +88,12 @@
     Given a soak test of "answers stop inside an event" with seed 7201 and 3 faults in 6 s
     Then no guarantee was broken
 
+  Scenario: Callers get no status that is none
+    Guards against a status such as 000 of a server in trouble, which a caller
+    gets as an answer.
+    Given a soak test of "servers answer with odd statuses" with seed 7301 and 3 faults in 6 s
+    Then no guarantee was broken
+
   Scenario: Errors to resumptions stay out of streams
     Guards against the text of an error behind the events of a stream.
     Given a soak test of "servers fail resumptions" with seed 7103 and 2 faults in 4 s
