--- a/anvilcove/commands/control/drain.py
+++ b/anvilcove/commands/control/drain.py
@@ -19,6 +19,11 @@
     if context.draining:
         return
     context.draining = True
+    timing = context.settings.timing
+    context.closes_at_s = (
+        context.clock.now()
+        + (timing.entry_ttl_ms + timing.drain_limit_ms) / 1000
+    )
     logger.info('draining started')
     await context.component(AnnounceComponent).send(
         Announce(
--- a/anvilcove/commands/requests/submit.py
+++ b/anvilcove/commands/requests/submit.py
@@ -33,6 +33,7 @@
     json_response,
     read_message,
 )
+from anvilcove.decisions.completion import surely_ends
 from anvilcove.decisions.types import (
     PRIORITY_BY_KIND,
     DecisionRecord,
@@ -58,6 +59,7 @@
 from anvilcove.state.claims import claim_key
 from anvilcove.state.content import content_hash
 from anvilcove.state.workspaces import Workspace
+from anvilcove.telemetry.logs import DECISION
 
 DEFAULT_DEADLINE_S = 30.0
 UNDECLARED_RETRY_AFTER_S = 1.0
@@ -101,6 +103,7 @@
             message.caller = f'{len(name)}:{name}:{message.caller}'
         record = self._find_record(message)
         if record is None:
+            self._check_drain(message)
             self._check_body(message)
             record = self._start_request(message, workspace)
         if record.fingerprint != _fingerprint(message):
@@ -129,6 +132,21 @@
             record = registry.find_claim(now, key)
         return record
 
+    def _check_drain(self, message: SubmitRequest) -> None:
+        """Raise BadRequest if a drain might cut the request before its end."""
+        target = self.context.config.target(message.class_name)
+        left_s = self.context.closes_at_s - self.context.clock.now()
+        if target is None or surely_ends(_deadline_s(message, target), left_s):
+            return
+        logger.bind(
+            request=message.request_id,
+            class_name=message.class_name,
+            left_ms=round(left_s * 1000),
+        ).log(DECISION, 'request refused: the daemon stops before its end')
+        raise BadRequest(
+            error_response(503, 'draining', 'the daemon is shutting down')
+        )
+
     def _check_body(self, message: SubmitRequest) -> None:
         """Raise BadRequest if a body for engines is invalid."""
         target = self.context.config.target(message.class_name)
--- a/anvilcove/daemon/context.py
+++ b/anvilcove/daemon/context.py
@@ -46,6 +46,7 @@
         'components',
         'confirmation',
         'draining',
+        'closes_at_s',
         'in_flight',
         'newest_versions',
         'recorder',
@@ -88,6 +89,8 @@
         )
         self.tasks = BackgroundTasks(clock, self.metrics.background_task_ended)
         self.draining = False
+        # Time on the clock at which a draining daemon cuts requests.
+        self.closes_at_s = float('inf')
         # Number of requests that the listener is serving, without control
         # calls of peers.
         self.in_flight = 0
--- a/anvilcove/node/app.py
+++ b/anvilcove/node/app.py
@@ -266,7 +266,9 @@
             started_at_s + self.settings.bounds.grace_s - CLOSE_MARGIN_S
         )
         state = self.components.state
-        state.stopping, state.closes_at_s = True, deadline_at_s
+        state.stopping, state.stops_at_s = True, started_at_s
+        state.closes_at_s = deadline_at_s
+        state.grace_s = self.settings.bounds.grace_s
         self._connections.stop_relaying()
         logger.bind(
             in_flight=listeners.in_flight(),
@@ -285,6 +287,9 @@
             listeners.in_flight() or self._connections.relayed_calls()
         ) and self._clock.now() < deadline_at_s:
             await self._clock.sleep(POLL_PERIOD_S)
+        # Requests that arrive from now on are refused: those taken would be
+        # cut when the connections close.
+        state.closes_at_s = self._clock.now()
         with suppress(TimeoutError):
             async with asyncio.timeout(FLUSH_TIMEOUT_S):
                 await self.components.meter.flush()
--- a/anvilcove/node/service.py
+++ b/anvilcove/node/service.py
@@ -11,7 +11,7 @@
 from anvilcove.control.desired import JOB, DesiredStateView, Route
 from anvilcove.control.nodes import NodeDirectory
 from anvilcove.decisions.access import Admitted, Denied, decide_access
-from anvilcove.decisions.completion import AnswerTimes
+from anvilcove.decisions.completion import AnswerTimes, StopTimes
 from anvilcove.jobs.intake import JobIntake, JobNotAccepted
 from anvilcove.jobs.reader import JobReader
 from anvilcove.jobs.records import OtherWorkspace
@@ -36,12 +36,21 @@
 class NodeState(Struct):
     """Lifecycle state of the daemon.
 
-    While it stops, `closes_at_s` is the time on its clock at which it closes
-    the connections of requests that are not answered by then.
+    While it stops, since `stops_at_s` on its clock, `closes_at_s` is the time
+    at which it closes the connections of requests that are not answered by
+    then, and `grace_s` the time after which it is killed.
     """
 
     stopping: bool = False
+    stops_at_s: float = inf
     closes_at_s: float = inf
+    grace_s: float = inf
+
+    def stop_times(self, now: float) -> StopTimes:
+        """Return how far the stop has come."""
+        return StopTimes(
+            now - self.stops_at_s, self.closes_at_s - now, self.grace_s
+        )
 
 
 class NodeService:
@@ -158,21 +167,26 @@
             self._metrics.access_denied(route, decision.reason)
         return decision
 
-    def can_complete(self, route: str, limit_s: float, subject: str) -> bool:
+    def can_complete(
+        self, route: str, limit_s: float, subject: str, estimated: bool
+    ) -> bool:
         """Tell whether a request that takes up to `limit_s` can be answered.
 
         During a planned stop, one that would be cut is better sent to another
-        daemon. Refusals are logged and counted.
+        daemon. Refusals are logged and counted. Early in the stop, times of
+        other requests tell it of those that are `estimated`.
         """
         if not self.state.stopping:
             return True
-        left_s = self.state.closes_at_s - self._clock.now()
-        if self.answer_times.can_complete(route, limit_s, left_s):
+        stop = self.state.stop_times(self._clock.now())
+        if self.answer_times.can_complete(route, limit_s, stop, estimated):
             return True
         logger.bind(
             request=subject[:120],
             route=route,
-            left_ms=round(left_s * 1000),
+            since_ms=round(stop.since_s * 1000),
+            left_ms=round(stop.left_s * 1000),
+            limit_ms=round(limit_s * 1000),
             expected_ms=round(
                 self.answer_times.expected_s(route, limit_s) * 1000
             ),
--- a/anvilcove/platform/listeners.py
+++ b/anvilcove/platform/listeners.py
@@ -12,7 +12,7 @@
 from loguru import logger
 from msgspec import json
 
-from anvilcove.control.desired import JOB, STREAM, Route
+from anvilcove.control.desired import JOB, STREAM, UNSAFE, Route
 from anvilcove.messages.numbers import parse_decimal
 from anvilcove.node.http_listener import HttpListener
 from anvilcove.node.service import JOBS_ROUTE, NodeService
@@ -129,6 +129,8 @@
             route.name,
             min(deadline_s, answer_limit_s(route)),
             request.headers.get(ATTEMPT_ID, ''),
+            # A caller may not repeat such a request if it is cut.
+            estimated=route.kind != UNSAFE,
         ):
             await discard_body(request, self._service.max_body_bytes())
             return to_response(request, stop_refusal())
@@ -146,7 +148,10 @@
     ) -> StreamResponse:
         """Respond to a read or the end of a job."""
         if not self._service.can_complete(
-            JOBS_ROUTE, JOB_CALL_LIMIT_S, path.rpartition('/')[2]
+            JOBS_ROUTE,
+            JOB_CALL_LIMIT_S,
+            path.rpartition('/')[2],
+            estimated=True,
         ):
             return to_response(request, stop_refusal())
         response = await self._job_paths.respond(request, path, query)
--- a/anvilcove/platform/standin.py
+++ b/anvilcove/platform/standin.py
@@ -40,6 +40,8 @@
     EARLY_CRASHES,
     FAILING,
     FAILURE_TIME_S,
+    LASTING,
+    LASTING_S,
     LONG,
     LONG_EVENT,
     REJECTED,
@@ -290,7 +292,8 @@
             return await self._generate(request, attempt)
         if self.faults.break_after_s:
             await self._run_unseen(transport, attempt)
-        await asyncio.sleep(self.faults.work_s)
+        lasting = request.raw_path.rpartition('/')[2].startswith(LASTING)
+        await asyncio.sleep(LASTING_S if lasting else self.faults.work_s)
         if self.faults.breaking:
             transport.abort()
         answer = self._answer(attempt, digest)
--- a/anvilcove/platform/standin_faults.py
+++ b/anvilcove/platform/standin_faults.py
@@ -18,6 +18,10 @@
 EARLY_CRASHES = 'early-crash-'
 FAILING = 'fail-'
 REJECTED = 'reject-'
+# Prefix of the last segment of the path of a plain request that takes longer,
+# and its time.
+LASTING = 'lasting-'
+LASTING_S = 1.6
 # Prefix of the last segment of the path of a stream with large events.
 LONG = 'long-'
 LONG_EVENT = 'x' * 65_536
--- a/anvilcove/soak/callers.py
+++ b/anvilcove/soak/callers.py
@@ -17,7 +17,7 @@
 )
 from msgspec import Struct, field
 
-from anvilcove.platform.standin_faults import EARLY_CRASHES, FAILING
+from anvilcove.platform.standin_faults import EARLY_CRASHES, FAILING, LASTING
 from anvilcove.platform.standin_wire import (
     ItemSpec,
     JobResult,
@@ -66,7 +66,11 @@
 KEPT_POLL_S = 0.05
 # Times after SIGTERM at which they use their connections again: from the end
 # of the lookups that name the daemon until it closes.
-KEPT_FIRST_S, KEPT_STEP_S = 2.4, 0.19
+KEPT_FIRST_S, KEPT_STEP_S = 2.4, 0.55
+# The same where these take longer than the requests before: some keep the
+# daemon from closing, the others are late.
+HOLDING_S = (2.4, 4.0)
+LONGER_FIRST_S, LONGER_STEP_S = 5.2, 0.15
 REREAD_PAUSE_S = 0.3
 ENDED_SHARE = 0.5
 KEY_CHANGE_S = 1.5
@@ -226,18 +230,27 @@
                 timeout=ClientTimeout(total=REQUEST_DEADLINE_S + 1),
             ) as session:
                 await self._call_once_kept(session, stop.address, number)
-                after_s = KEPT_FIRST_S + number * KEPT_STEP_S
-                left_s = stop.at_s + after_s
+                left_s = stop.at_s + _kept_after_s(number, stop.longer)
                 left_s -= asyncio.get_running_loop().time()
                 await asyncio.sleep(max(left_s, 0.0))
-                await self._call_once_kept(session, stop.address, number)
+                await self._call_once_kept(
+                    session, stop.address, number, stop.longer
+                )
 
     async def _call_once_kept(
-        self, session: ClientSession, address: str, number: int
+        self,
+        session: ClientSession,
+        address: str,
+        number: int,
+        longer: bool = False,
     ) -> None:
-        request_id = f'once-k{number}x{next(self._ids)}'
+        """Send a request, which takes longer on another route if it holds."""
+        holds = longer and number < len(HOLDING_S)
+        kind, prefix = ('safe', SHOP) if holds else ('once', ONCE)
+        request_id = f'{kind}-k{number}x{next(self._ids)}'
+        name = f'{LASTING}{request_id}' if longer else request_id
         await self._call_once(
-            session, 'once', address, f'{ONCE}{request_id}', request_id
+            session, kind, address, f'{prefix}{name}', request_id
         )
 
     async def _call_crashing(self, session: ClientSession) -> None:
@@ -550,3 +563,12 @@
 def _reward_path(item_id: str) -> str:
     marker = FAILING if item_id.startswith(UNSCORED) else ''
     return f'{REWARDS}{marker}{item_id}'
+
+
+def _kept_after_s(number: int, longer: bool) -> float:
+    """Return the time after a stop at which a kept connection is used."""
+    if not longer:
+        return KEPT_FIRST_S + number * KEPT_STEP_S
+    if number < len(HOLDING_S):
+        return HOLDING_S[number]
+    return LONGER_FIRST_S + (number - len(HOLDING_S)) * LONGER_STEP_S
--- a/anvilcove/soak/checks.py
+++ b/anvilcove/soak/checks.py
@@ -8,7 +8,10 @@
 from anvilcove.platform.standin_wire import JobResult, reward_id
 from anvilcove.soak.access_checks import check_access
 from anvilcove.soak.callers import Callers, JobRecord
-from anvilcove.soak.daemon_faults import STOPPED_UNDER_SLOW_REQUESTS
+from anvilcove.soak.daemon_faults import (
+    STOPPED_UNDER_LONGER_REQUESTS,
+    STOPPED_UNDER_SLOW_REQUESTS,
+)
 from anvilcove.soak.duty_checks import check_duties
 from anvilcove.soak.placement_checks import (
     CONTACT_S,
@@ -38,6 +41,7 @@
     'daemon stopped as planned',
     'daemons stopped in turn',
     STOPPED_UNDER_SLOW_REQUESTS,
+    STOPPED_UNDER_LONGER_REQUESTS,
 )
 LINK_FAULTS = ('link of a server harmed',)
 # Callers of hosts without ways to servers have to be served at least this
--- a/anvilcove/soak/daemon_faults.py
+++ b/anvilcove/soak/daemon_faults.py
@@ -18,6 +18,7 @@
 )
 
 STOPPED_UNDER_SLOW_REQUESTS = 'daemon stopped under slow requests'
+STOPPED_UNDER_LONGER_REQUESTS = 'daemon stopped under longer requests'
 SLOW_WORK_S, WORK_S = 0.8, 0.02
 
 
@@ -68,6 +69,27 @@
         await daemon.start()
 
 
+@fault(STOPPED_UNDER_LONGER_REQUESTS)
+async def stop_under_longer_requests(
+    site: LoopbackSite, rng: random.Random, for_s: float
+) -> None:
+    """Stop a daemon gracefully while late requests take longer than others.
+
+    What it has learned of the requests before is wrong for those that come
+    late in its grace period, on connections that were open before.
+    """
+    async with site.slow_requests:
+        daemon = rng.choice(site.daemons)
+        site.kept_stop = KeptStop(
+            f'{daemon.ip}:{CALLERS_PORT}',
+            asyncio.get_running_loop().time() + 2 * SLOW_WORK_S,
+            longer=True,
+        )
+        await asyncio.sleep(2 * SLOW_WORK_S)
+        await daemon.stop()
+        await daemon.start()
+
+
 @fault('daemons stopped in turn')
 async def stop_daemons_in_turn(
     site: LoopbackSite, rng: random.Random, for_s: float
--- a/anvilcove/soak/faults.py
+++ b/anvilcove/soak/faults.py
@@ -45,6 +45,7 @@
         'daemon stopped under slow requests',
         'daemon stopped under slow requests',
     ),
+    ('daemon stopped under longer requests', 'store slow'),
     ('servers answer twice', 'bytes split', 'daemon without processor'),
     (POWER_LOSS, 'daemon stopped as planned', POWER_LOSS),
     ('servers of two versions', 'daemons killed', 'answers cut short'),
--- a/anvilcove/soak/site.py
+++ b/anvilcove/soak/site.py
@@ -59,7 +59,7 @@
 DUTIES_PORT = 8500
 DUTY_CALLS_PER_S = 50.0
 DUTY_LEASE_S = 3.0
-GRACE_S = 5.0
+GRACE_S = 8.0
 SLOTS = 8
 # Price of a reclaimable engine, as a fraction of that of another.
 RECLAIMABLE_PRICE = 0.3
@@ -255,10 +255,14 @@
 
 
 class KeptStop(Struct):
-    """Stop of a daemon, by its address for callers, at a time."""
+    """Stop of a daemon, by its address for callers, at a time.
+
+    Requests that come late in it take `longer` than those before.
+    """
 
     address: str
     at_s: float
+    longer: bool = False
 
 
 class NamedLimit(Struct):
--- a/features/graceful_stop.feature
+++ b/features/graceful_stop.feature
@@ -20,6 +20,7 @@
     And the platform has the faults {"store_down": true}
     And host h1 receives SIGTERM
     Then host h1 is draining and healthy
+    And host h1 refuses a lookup with a deadline of 90 s, behind its drain limit
     And hosts h2 and h3 no longer list host h1 as an entry
     And 10 lookups at host h1 are answered while cached entry lists name it
     When host h1 receives SIGTERM
--- a/features/machine_faults.feature
+++ b/features/machine_faults.feature
@@ -115,3 +115,9 @@
     Guards against requests that reach a server and are cut by a planned stop.
     Given a soak test of "daemon stopped under slow requests" with seed 7001 and 2 faults in 8 s
     Then no guarantee was broken
+
+  Scenario: Longer requests than before are not cut by a planned stop
+    Guards against requests that a stopping daemon takes by the times of those
+    before, and cuts.
+    Given a soak test of "daemon stopped under longer requests" with seed 7501 and 2 faults in 6 s
+    Then no guarantee was broken
--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -26,20 +26,48 @@
       | /shop/  |
       | /once/  |
 
-  Scenario Outline: After answers of <samples>, a request with <left> s left is <outcome>
-    Guards against a stop that refuses what it could complete, and against one
-    that takes requests of a route of which it knows nothing.
+  Scenario: Requests that last longer than those before are not cut
+    Guards against a stopping daemon that takes requests by the times of those
+    before, and cuts them: requests of one route differ in length.
+    Given a site of 2 daemons that logs to files
+    When 34 callers have each used a kept connection to /once/ and send requests of 1.6 s on it every 0.2 s from SIGTERM on
+    Then no request that reached a server lost its answer
+    And some requests were completed and later ones refused at once with a Retry-After time of 0
+
+  Scenario Outline: A request <since> s after the begin of a stop is <outcome>
+    Guards against a stop that takes what it may have to cut, and against one
+    that refuses what it surely completes. The connections close 6.8 s after
+    the begin of the stop, the process is killed <grace> s after it.
     Given the last answers of the route took <samples>
-    Then a request with a limit of 10 s and <left> s left is <outcome>
+    Then <kind> with a limit of <limit> s is <outcome> <since> s after the begin with a grace period of <grace> s
 
-    Examples:
-      | samples     | left | outcome |
-      | 0.1 s, 1 s  | 1.5  | taken   |
-      | 0.1 s, 1 s  | 1.3  | refused |
-      | 0.1 s       | 0.4  | taken   |
-      | nothing     | 9.9  | refused |
-      | nothing     | 10   | taken   |
-      | 30 s        | 10   | taken   |
+    Examples: Certain ends
+      | samples | kind                   | limit | since | grace | outcome |
+      | nothing | a repeatable request   | 2     | 0     | 8     | taken   |
+      | 30 s    | a repeatable request   | 2     | 4.5   | 8     | taken   |
+      | 0.04 s  | a repeatable request   | 2     | 4.7   | 8     | refused |
+      | 0.04 s  | a repeatable request   | 2     | 6.0   | 8     | refused |
+      | 0.04 s  | a request that runs once | 2   | 4.5   | 8     | taken   |
+      | 0.04 s  | a request that runs once | 2   | 4.7   | 8     | refused |
+      | 0.04 s  | a repeatable request   | 0.1   | 6.4   | 8     | taken   |
+      | 0.04 s  | a repeatable request   | 0.1   | 6.7   | 8     | refused |
+
+    Examples: Estimates, early in the stop only
+      | samples     | kind                     | limit | since | grace | outcome |
+      | 0.1 s, 1 s  | a repeatable request     | 10    | 2.9   | 8     | taken   |
+      | 0.1 s, 1 s  | a repeatable request     | 10    | 3.1   | 8     | refused |
+      | 0.1 s, 3 s  | a repeatable request     | 10    | 2.9   | 8     | taken   |
+      | 0.1 s, 3.1 s | a repeatable request    | 10    | 2.9   | 8     | refused |
+      | nothing     | a repeatable request     | 10    | 0     | 8     | refused |
+      | 0.1 s       | a request that runs once | 10    | 0     | 8     | refused |
+      | 0.1 s       | a repeatable request     | 10    | 2.9   | 9     | refused |
+
+  Scenario: A request that comes while a daemon closes is refused
+    Guards against a request that is taken after the last one in flight has
+    ended, and cut when the connections close.
+    Given a daemon that stops with nothing in flight
+    When a request comes while it writes its last counts
+    Then the request was refused
 
   Scenario: Times are kept for a bounded number of routes
     Guards against memory that grows with each route that operators replace.
--- a/features/steps/graceful_steps.py
+++ b/features/steps/graceful_steps.py
@@ -163,6 +163,18 @@
     assert {o['outcome'] for o in outcomes} == {'answered'}, outcomes
 
 
+@then(
+    'host {host:w} refuses a lookup with a deadline of {limit:d} s, behind '
+    'its drain limit'
+)
+def check_refused_behind_limit(context, host, limit):
+    """Send a request that the drain might cut."""
+    refusal = run(
+        context, submit(context, host, 'lookup', {}, deadline_ms=limit * 1000)
+    )
+    assert refusal.get('error') == 'draining', refusal
+
+
 @then('host {host:w} accepts no connection while its streams continue')
 def check_listener_closed(context, host):
     """Wait until connections are refused; streams and process must run."""
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -2,16 +2,19 @@
 
 import asyncio
 import signal
+from types import SimpleNamespace
 
 from aiohttp import ClientSession
 from aiohttp.web_server import Server
 from behave import given, then, when
 from loopback_calls import post
-from retry_steps import run_and_answer, start_servers
+from retry_steps import run_and_answer, settings, start_servers
 from stream_answer_steps import OnePeer, call_once
 
-from anvilcove.decisions.completion import AnswerTimes
+from anvilcove.decisions.completion import AnswerTimes, StopTimes
+from anvilcove.node.app import NodeDaemon
 from anvilcove.node.http_listener import HttpListener
+from anvilcove.node.service import NodeService, NodeState
 from anvilcove.platform.connections import (
     SendRecord,
     ServerCall,
@@ -21,9 +24,13 @@
 from anvilcove.platform.standin_wire import request_headers
 from anvilcove.ports.ways import NoObserver
 from anvilcove.soak.site import CALLERS_PORT, GRACE_S, HOST, SHOP
+from anvilcove.state.clock import SystemClock
+from anvilcove.telemetry.metrics import NodeMetrics
 
 # A refusal that takes longer has waited for something.
 MAX_REFUSAL_S = 1.0
+# Time from the begin of a stop to the close of its connections.
+CLOSES_S = 6.8
 
 
 @given('every plain server takes {seconds:d} s for a request')
@@ -91,7 +98,7 @@
         self.number = number
         self.reader = self.writer = None
 
-    async def send(self, request_id):
+    async def send(self, request_id, deadline_s=None):
         """Send a request; return its status, 0 if the connection ended.
 
         The third figure is the time until the answer.
@@ -103,7 +110,7 @@
                 self.reader, self.writer = await asyncio.open_connection(
                     self.ip, CALLERS_PORT
                 )
-            headers = request_headers(HOST, request_id)
+            headers = request_headers(HOST, request_id, deadline_s)
             lines = [f'POST {self.path}{request_id} HTTP/1.1']
             lines += [f'{name}: {text}' for name, text in headers.items()]
             lines += ['Content-Length: 1', '', 'x']
@@ -125,11 +132,21 @@
             self.writer.close()
 
 
+@when(
+    '{count:d} callers have each used a kept connection to {path} and send '
+    'requests of {work:g} s on it every {step:g} s from SIGTERM on'
+)
+def send_longer_through_stop(context, count, path, work, step):
+    """Let requests take longer from the begin of the stop on."""
+    context.work_s_in_stop = work
+    send_through_stop(context, count, path, step, deadline_s=2.0)
+
+
 @when(
     '{count:d} callers have each used a kept connection to {path} and send on '
     'it every {step:g} s from SIGTERM on'
 )
-def send_through_stop(context, count, path, step):
+def send_through_stop(context, count, path, step, deadline_s=None):
     """Use each connection once before the stop and once in it."""
     callers = [KeptConnection(context, path, n) for n in range(count)]
     context.outcomes = {}
@@ -137,7 +154,9 @@
     async def send_later(caller, delay_s):
         await asyncio.sleep(delay_s)
         request_id = f'kept-{caller.number}'
-        context.outcomes[request_id] = await caller.send(request_id)
+        context.outcomes[request_id] = await caller.send(
+            request_id, deadline_s
+        )
 
     async def send_all():
         # The servers take few requests at once.
@@ -145,6 +164,10 @@
             await asyncio.gather(
                 *(c.send(f'warm-{c.number}') for c in callers[start:][:10])
             )
+        for server in context.loopback.servers:
+            server.faults.work_s = getattr(
+                context, 'work_s_in_stop', server.faults.work_s
+            )
         context.loopback.daemons[0].signal(signal.SIGTERM)
         await asyncio.gather(
             *(send_later(c, step * n) for n, c in enumerate(callers))
@@ -191,13 +214,71 @@
             context.times.add('r', float(text.removesuffix(' s')))
 
 
-@then('a request with a limit of {limit:g} s and {left:g} s left is {outcome}')
-def check_completion(context, limit, left, outcome):
+@then(
+    '{kind} with a limit of {limit:g} s is {outcome} {since:g} s after the '
+    'begin with a grace period of {grace:g} s'
+)
+def check_completion(context, kind, limit, outcome, since, grace):
     """Check the decision."""
-    taken = context.times.can_complete('r', limit, left)
+    stop = StopTimes(since, CLOSES_S - since, grace)
+    taken = context.times.can_complete(
+        'r', limit, stop, estimated=kind == 'a repeatable request'
+    )
     assert taken == (outcome == 'taken'), taken
 
 
+@given('a daemon that stops with nothing in flight')
+def start_stop(context):
+    """Create a daemon whose stop has no minimum time."""
+    clock = SystemClock()
+    daemon = NodeDaemon(settings(), None, None)
+    state = NodeState()
+    context.taken = []
+    service = SimpleNamespace(
+        state=state, _clock=clock, answer_times=AnswerTimes()
+    )
+    service._metrics = NodeMetrics()
+
+    async def flush():
+        context.taken.append(
+            NodeService.can_complete(service, 'r', 1.0, 'q', estimated=True)
+        )
+
+    async def do_nothing():
+        await asyncio.sleep(0)
+
+    daemon._clock = clock
+    daemon._connections = SimpleNamespace(
+        stop_relaying=lambda: None, relayed_calls=lambda: 0
+    )
+    daemon._peer_listener = SimpleNamespace(cleanup=do_nothing)
+    daemon.components = SimpleNamespace(
+        state=state,
+        hand_over=do_nothing,
+        meter=SimpleNamespace(flush=flush),
+        tasks=SimpleNamespace(cancel=lambda: None),
+    )
+    context.stopping = daemon
+    context.listeners = SimpleNamespace(
+        in_flight=lambda: 0, stop_accepting=do_nothing, close=do_nothing
+    )
+
+
+@when('a request comes while it writes its last counts')
+def request_while_closing(context):
+    """Stop the daemon; its counts ask whether a request is taken."""
+    logs = SimpleNamespace(flush=lambda: None)
+    context.loop.run_until_complete(
+        context.stopping._shut_down(context.listeners, logs)
+    )
+
+
+@then('the request was refused')
+def check_refused(context):
+    """Check the decision."""
+    assert context.taken == [False], context.taken
+
+
 @given(
     'the answers of {count:d} routes were timed, with the route {name} in '
     'between'
