Keep the reader of an answer from setting the limits of the next one

The reader of events allows more bytes as it goes on. It may be behind an answer that is complete, while the connection carries another one: its limit of 2 MiB then held for that body, and a sound one of 4 MB was ended.

Ruled out: streams whose answer is whole when its head is read, as these have no connection any more.

Answers of a connection are numbered. The scenario `A reader that is behind allows no bytes of another answer` fails without the comparison.

--- a/anvilcove/http/connections.py
+++ b/anvilcove/http/connections.py
@@ -56,6 +56,8 @@
         """Start without an answer."""
         super().__init__(loop)
         self.held_bytes = 0
+        # Number of the answer that arrives or arrived last.
+        self.answer_number = 0
         self._limits = limits
         self._room = room
         self._in_body = False
@@ -79,6 +81,7 @@
 
     def set_response_params(self, **parameters: Any) -> None:
         """Prepare for the answer of the next call."""
+        self.answer_number += 1
         self._in_body = False
         self._interim_answers = 0
         self._body_bytes = 0
--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -133,6 +133,14 @@
       | 7000000 | 4000  |
       | 8000000 | 65536 |
 
+  Scenario: A reader that is behind allows no bytes of another answer
+    Guards against a limit that is set for an answer by the reader of the one
+    before on the same connection.
+    Given 1 raw server that answers with 3 events and then with 4000000 bytes
+    When the events are read after the second answer has begun
+    Then the body has 4000000 bytes
+    And both answers came on one connection
+
   Scenario: An object of the largest size is read from the store
     Guards against a limit below what the store keeps.
     Given 1 raw server that answers with 8388608 bytes in chunks of 65536
--- a/features/steps/answer_size_steps.py
+++ b/features/steps/answer_size_steps.py
@@ -22,7 +22,7 @@
 from anvilcove.http.sessions import open_session
 from anvilcove.node.app import CONTROL_LIMITS
 from anvilcove.platform.connections import ServerConnections
-from anvilcove.platform.servers import PlatformServers
+from anvilcove.platform.servers import PlatformServers, PlatformStreams
 from anvilcove.platform.store import PlatformStore
 from anvilcove.platform.transport import DirectTransport
 from anvilcove.ports.store import HistoryLost
@@ -276,3 +276,64 @@
         writer.write(body)
 
     context.servers[0].behaviours = [answer] * 9
+
+
+@given('1 raw server that answers with 3 events and then with {size:d} bytes')
+def start_two_answers(context, size):
+    """Start a server that sends the second body in two parts."""
+    logger.remove()
+    start_servers(context, 1)
+    context.goes_on = asyncio.Event()
+
+    async def send_events(server, writer, attempt):
+        events = [chunk(b'id: %d\ndata: x\n\n' % n) for n in (1, 2, 3)]
+        head = CHUNKED % b'Attempt-Id: q1\r\n'
+        writer.write(head + events[0])
+        await asyncio.sleep(0.05)
+        writer.write(b''.join(events[1:]) + b'0\r\n\r\n')
+
+    async def send_parts(server, writer, attempt):
+        head = b'HTTP/1.1 200 OK\r\nAttempt-Id: q2\r\nServer-Stamp: s\r\n'
+        writer.write(head + b'Content-Length: %d\r\n\r\n' % size)
+        writer.write(b'x' * 1000)
+        await context.goes_on.wait()
+        writer.write(b'x' * (size - 1000))
+
+    context.servers[0].behaviours = [send_events, send_parts]
+
+
+@when('the events are read after the second answer has begun')
+def read_behind(context):
+    """Read the events of an answer that is complete beside the next one."""
+    address = context.servers[0].address
+
+    async def read():
+        async with (
+            asyncio.timeout(TIMEOUT_S),
+            ServerConnections() as connections,
+            PlatformStreams(connections).open(
+                address, 'i', request_for('q1'), 9.0, True, None
+            ) as stream,
+        ):
+            await anext(stream.pieces)
+            await asyncio.sleep(0.2)
+            second = asyncio.create_task(
+                PlatformServers(connections).send(
+                    address, 'i', request_for('q2'), 9.0, True
+                )
+            )
+            while len(context.servers[0].received) < 2:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.05)
+            events = [piece async for piece in stream.pieces]
+            assert len(events) == 2, events
+            context.goes_on.set()
+            return await second
+
+    context.body = context.loop.run_until_complete(read()).body
+
+
+@then('both answers came on one connection')
+def check_one_connection(context):
+    """Count the connections that the server has accepted."""
+    assert len(context.servers[0].writers) == 1, context.servers[0].writers
